A plan made for an older record is dropped: tasks could be placed twice

Cause: a placement without an answer is sent again; the second fails by its guards, and the pass that follows plans from a record not yet read. When the record came, showing the placement, the plan was committed on top: the same task open on two machines.

Ruled out, by logging every closing and placement: closings without proof, late starts, reports by way of the state service, takeovers.

Also: a direct call of an earlier reign no longer settles the one that is out, and a placement committed while its machine was being deleted is closed. Scenario answer_lost; the runner now watches for tasks placed twice.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -327,6 +327,7 @@
 	j := c.job(id)
 	c.reindex(j, j.Rec.Open, rec.Open)
 	j.Rec, j.Version = rec, version
+	j.outdatePlan()
 	if rec.Spec != nil {
 		c.active[id] = true
 	} else {
@@ -354,12 +355,22 @@
 	}
 	c.reindex(j, j.parts[n-1].Open, p.Open)
 	j.parts[n-1] = part{p, version}
+	j.outdatePlan()
 	c.passDue = true
 	if c.ready {
 		c.dirty[j.ID] = true
 	}
 }
 
+// outdatePlan drops a plan that was made for an older record. A transaction
+// that had no answer may have placed the same tasks after all: placed once more
+// they would run twice. What is in flight keeps its plan, for its places count.
+func (j *Job) outdatePlan() {
+	if j.txn == nil {
+		j.plan = nil
+	}
+}
+
 func (c *Core) applyPart(id string, n int, ev *wire.Change) {
 	j := c.job(id)
 	if n <= len(j.parts) && j.parts[n-1].version >= ev.Version {
@@ -401,8 +412,15 @@
 		had[p.Key(j.ID)] = true
 	}
 	for _, p := range now {
-		if m := c.machines[p.Machine]; m != nil && !had[p.Key(j.ID)] {
+		if had[p.Key(j.ID)] {
+			continue
+		}
+		if m := c.machines[p.Machine]; m != nil {
 			m.Urgent = true
+		} else if _, gone := c.deleted[p.Machine]; gone {
+			// Deleted while the transaction was under way: nobody else would
+			// ever close the placement.
+			c.close(p.Key(j.ID), false)
 		}
 	}
 }
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -71,6 +71,7 @@
 	}
 	// CommandDone answers Command. Report is nil unless the worker answered.
 	CommandDone struct {
+		ID      uint64
 		Machine string
 		Outcome Outcome
 		Report  *wire.Report
@@ -171,6 +172,7 @@
 	}
 	// Command is a direct call to a worker.
 	Command struct {
+		ID            uint64
 		Machine, Addr string
 		Commands      wire.Commands
 	}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -162,7 +162,7 @@
 	for _, id := range c.activeJobs() {
 		j := c.jobs[id]
 		spec := j.Rec.Spec
-		if j.Rec.Final() || j.Rec.Cancel || j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 || c.now < j.holdUntil || c.teams[spec.Team] == nil {
+		if j.Rec.Final() || j.Rec.Cancel || j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 || c.now < max(j.holdUntil, j.retryAt) || c.teams[spec.Team] == nil {
 			continue
 		}
 		if j.doneCount()+j.openCount() >= spec.Tasks {
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -329,8 +329,9 @@
 	for _, o := range orders {
 		start = start || o.Verb == wire.Start
 	}
-	m.SentDirect(c.now, c.token, start)
-	c.emit(Command{m.Name, m.Addr, wire.Commands{Token: c.token, Session: max(m.Session, 1), Orders: orders}})
+	c.nextID++
+	m.SentDirect(c.now, c.nextID, c.token, start)
+	c.emit(Command{c.nextID, m.Name, m.Addr, wire.Commands{Token: c.token, Session: max(m.Session, 1), Orders: orders}})
 }
 
 func (c *Core) commandDone(x CommandDone) {
@@ -338,7 +339,7 @@
 	if !c.ready || m == nil {
 		return
 	}
-	m.DirectOver(x.Outcome == Unknown)
+	m.DirectOver(x.ID, x.Outcome == Unknown)
 	if x.Outcome != OK {
 		m.DirectAt = c.now + directPause
 	}
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -46,6 +46,7 @@
 	Ambiguous   uint64
 	ReplySeq    uint64 // last report whose answer carried a start
 	directToken uint64
+	directID    uint64
 	settled     bool
 
 	Urgent     bool // has commands that should not wait for the next report
@@ -121,15 +122,19 @@
 func (m *Machine) SentByReply() { m.ReplySeq = m.Seq; m.settled = false }
 
 // SentDirect notes a direct call.
-func (m *Machine) SentDirect(now Micros, token uint64, start bool) {
-	m.Direct, m.DirectStart, m.DirectAt, m.directToken = true, start, now, token
+func (m *Machine) SentDirect(now Micros, id, token uint64, start bool) {
+	m.Direct, m.DirectStart, m.DirectAt, m.directID, m.directToken = true, start, now, id, token
 	if start {
 		m.settled = false
 	}
 }
 
-// DirectOver notes the end of a direct call.
-func (m *Machine) DirectOver(unanswered bool) {
+// DirectOver notes the end of a direct call. One of an earlier reign says
+// nothing about the call that is out now.
+func (m *Machine) DirectOver(id uint64, unanswered bool) {
+	if id != m.directID {
+		return
+	}
 	if unanswered && m.DirectStart {
 		m.Ambiguous = max(m.Ambiguous, m.directToken)
 	}
--- a/internal/core/zone/zone_test.go
+++ b/internal/core/zone/zone_test.go
@@ -88,8 +88,8 @@
 	if !m.Settled() {
 		t.Fatal("not settled with nothing on its way")
 	}
-	m.SentDirect(3, 10, true)
-	m.DirectOver(true)
+	m.SentDirect(3, 1, 10, true)
+	m.DirectOver(1, true)
 	m.Ingest(4, report(2, 6, 10), true)
 	if m.Settled() {
 		t.Fatal("settled though a start may still arrive")
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -36,7 +36,7 @@
 func (w *Workers) command(x core.Command) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	done := core.CommandDone{Machine: x.Machine}
+	done := core.CommandDone{ID: x.ID, Machine: x.Machine}
 	done.Outcome, done.Report = w.send(ctx, x)
 	w.post(done)
 }
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -157,7 +157,7 @@
 
 // follow feeds a node's listing and watch.
 func (s *Sim) follow(n *node) {
-	if s.state.Down || n.cut["state"] != "" {
+	if s.state.Down || n.cut["state"] != "" || n.cut["watch"] != "" {
 		return
 	}
 	if n.relist {
@@ -238,12 +238,13 @@
 }
 
 // guarded checks what a scenario can hardly bring about: that a transaction
-// which places tasks can't take effect once its sender's claim is gone.
-func (s *Sim) guarded(t *wire.Commit) {
+// which places tasks can't take effect once its sender's claim is gone, and that
+// no task is placed that has a place. It tells whether any is placed.
+func (s *Sim) guarded(t *wire.Commit) (places bool) {
 	claimed := false
 	for _, g := range t.Guards {
 		if s.state.Get(g.Key).Version != g.Version {
-			return // it fails anyway
+			return false // it fails anyway
 		}
 		claimed = claimed || g.Key == job.Root+"leader" && g.Version != 0
 	}
@@ -256,20 +257,33 @@
 		if err := job.Decode(c.Value, &is); err != nil {
 			s.world.Broken = append(s.world.Broken, "unreadable value for "+c.Put)
 		}
-		if len(is.Open) > len(was.Open) && !claimed {
+		tasks := map[int]bool{}
+		for _, o := range is.Open {
+			if tasks[o.Task] {
+				s.world.Broken = append(s.world.Broken, fmt.Sprintf("task %d placed twice in %s", o.Task, c.Put))
+			}
+			tasks[o.Task] = true
+		}
+		places = places || len(is.Open) > len(was.Open)
+		if places && !claimed {
 			s.world.Broken = append(s.world.Broken, "placement without a claim in "+c.Put)
 		}
 	}
+	return places
 }
 
 // commit carries out a transaction; over a held link it is carried out late.
 func (s *Sim) commit(n *node, x core.Commit) {
 	d := core.CommitDone{ID: x.ID, Outcome: core.Refused}
-	s.guarded(&x.Txn)
+	places := s.guarded(&x.Txn)
 	switch n.cut["state"] {
 	case "":
 		status, a := s.state.Commit(x.Txn)
 		d.Outcome, d.Revision, d.Failed = outcome(status), a.Revision, a.Failed
+		if n.cut["answer"] != "" && places { // one answer is lost
+			d = core.CommitDone{ID: x.ID, Outcome: core.Unknown}
+			delete(n.cut, "answer")
+		}
 	case "hold":
 		d.Outcome = core.Unknown
 		s.held = append(s.held, func() { s.state.Commit(x.Txn) })
@@ -279,7 +293,7 @@
 
 func (s *Sim) command(n *node, x core.Command) {
 	m := s.world.Machines[x.Addr]
-	d := core.CommandDone{Machine: x.Machine, Outcome: core.Refused}
+	d := core.CommandDone{ID: x.ID, Machine: x.Machine, Outcome: core.Refused}
 	run := func() (int, wire.Report) {
 		if m = s.world.Machines[x.Addr]; m == nil || s.now < m.Up {
 			return 0, wire.Report{}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -23,6 +23,7 @@
 //	run for=5s                      time passes
 //	node n1 kill|start              a node ends or starts
 //	cut node=n1 link=state mode=hold / heal node=n1
+//	  links: state, watch, answer (to one transaction), workers, peers, cloud
 //	state down|up, cloud down|up    outages
 //	machine name=m-000000 hang|resume|fail|die
 //	report hold / report late       a worker's report is held back, arrives
