--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -30,7 +30,7 @@
 	if ev.Put == "" {
 		delete(c.known, name)
 		if !c.ready {
-			delete(c.machines, name)
+			c.machines.Remove(name)
 		}
 		return
 	}
@@ -58,8 +58,8 @@
 	}
 	c.imagesAt = c.now
 	var ms []*zone.Machine
-	for _, name := range c.sortedMachines() {
-		if m := c.machines[name]; len(m.Images) > m.ImagesNoted && m.ImagesNoted < maxImages && len(ms) < c.cfg.Cluster.State.TxnOps {
+	for _, m := range c.machines.All() {
+		if len(m.Images) > m.ImagesNoted && m.ImagesNoted < maxImages && len(ms) < c.cfg.Cluster.State.TxnOps {
 			ms = append(ms, m)
 		}
 	}
@@ -127,7 +127,7 @@
 		if _, gone := c.deleted[l.Name]; gone {
 			continue
 		}
-		_, had := c.machines[l.Name]
+		had := c.machines.Get(l.Name) != nil
 		m := c.machine(l.Name)
 		if !had {
 			m.Rented = c.now - config.FromSeconds(l.AgeS)
@@ -172,7 +172,7 @@
 func (c *Core) returnMachines() {
 	silence := c.silence()
 	quiet, all := map[string]int{}, map[string]int{}
-	for _, m := range c.machines {
+	for _, m := range c.machines.All() {
 		if m.Session == 0 && m.Heard == 0 && len(c.expected[m.Name]) == 0 {
 			continue
 		}
@@ -182,8 +182,9 @@
 		}
 	}
 	var names []string
-	for _, name := range c.sortedMachines() {
-		m := c.machines[name]
+	planned := c.planned()
+	for _, m := range c.machines.All() {
+		name := m.Name
 		if m.Releasing {
 			if c.now-m.ReleasedAt > 2*config.Second {
 				m.ReleasedAt = c.now
@@ -207,10 +208,10 @@
 		case c.silentFor(m) > limit:
 			why = "silent"
 		case c.sick(m):
-			if c.idle(m) {
+			if c.idle(m, planned) {
 				why = "faulty"
 			}
-		case c.idle(m) && c.now-m.IdleSince > c.keepIdle(m):
+		case c.idle(m, planned) && c.now-m.IdleSince > c.keepIdle(m):
 			why = "idle"
 		}
 		if why == "" || m.ReleasedAt != 0 && c.now-m.ReleasedAt < 2*config.Second {
@@ -241,24 +242,23 @@
 
 func (c *Core) silentFor(m *zone.Machine) Micros { return c.now - max(m.Heard, c.since) }
 
-func (c *Core) idle(m *zone.Machine) bool {
-	if m.Session == 0 || len(c.expected[m.Name]) > 0 || c.planned(m.Name) {
+func (c *Core) idle(m *zone.Machine, planned map[string]bool) bool {
+	if m.Session == 0 || len(c.expected[m.Name]) > 0 || planned[m.Name] {
 		m.IdleSince = c.now
 		return false
 	}
 	return true
 }
 
-// planned tells whether a placement on the machine is being committed.
-func (c *Core) planned(name string) bool {
-	for id := range c.dirty {
-		for _, p := range c.jobs[id].plan {
-			if p.Machine == name {
-				return true
-			}
+// planned tells on which machines placements are being committed.
+func (c *Core) planned() map[string]bool {
+	planned := map[string]bool{}
+	for _, j := range c.active {
+		for _, p := range j.plan {
+			planned[p.Machine] = true
 		}
 	}
-	return false
+	return planned
 }
 
 // keepIdle is how long an idle machine is kept. To have it back would cost a
@@ -290,7 +290,7 @@
 		// Certainly not deleted: it may be used again. Otherwise the deletion
 		// may come late, and nothing must be there by then.
 		for _, name := range x.Machines {
-			if m := c.machines[name]; m != nil {
+			if m := c.machines.Get(name); m != nil {
 				m.Doomed = m.Doomed || x.Outcome == Unknown
 				m.Releasing = m.Doomed
 			}
@@ -304,7 +304,7 @@
 			c.jobLost(key)
 			c.close(key, false)
 		}
-		delete(c.machines, name)
+		c.machines.Remove(name)
 		c.deleted[name] = c.now
 		if _, ok := c.known[name]; ok {
 			c.commit(wire.Commit{
@@ -326,14 +326,13 @@
 // kinds sorts the machines for the fleet's planning.
 func (c *Core) kinds() (booting []fleet.Kind, count map[fleet.Kind]int) {
 	count = map[fleet.Kind]int{}
-	for _, name := range c.sortedMachines() {
-		m := c.machines[name]
+	for _, m := range c.machines.All() {
 		if m.Releasing || m.Type == "" {
 			continue
 		}
 		k := fleet.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 		count[k]++
-		if m.Session == 0 && !m.Failed && len(c.expected[name]) == 0 {
+		if m.Session == 0 && !m.Failed && len(c.expected[m.Name]) == 0 {
 			booting = append(booting, k)
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -43,7 +44,7 @@
 
 	loaded         bool // a first Snapshot has come
 	jobs           map[string]*Job
-	active         map[string]bool // jobs that have anything left: passes must not cost more with every finished job
+	active         []*Job // jobs that have anything left, oldest first: passes must not cost more with every finished job
 	catalog        map[string]*wire.MachineType
 	catalogVersion uint64
 	catalogAsked   Micros
@@ -55,7 +56,7 @@
 	deputy
 
 	// What follows is only of use to the leader.
-	machines  map[string]*zone.Machine
+	machines  *zone.Roster
 	expected  map[string]map[job.Key]job.Placement // open placements by machine
 	known     map[string]uint64                    // versions of the machines' records
 	deleted   map[string]Micros                    // machines proven gone, which the lagging list still names
@@ -68,6 +69,8 @@
 	listing   bool
 	wantRaise bool
 	dirty     map[string]bool // jobs with facts to commit
+	delayed   map[string]bool // those that can't be committed before the next tick
+	urgent    []*zone.Machine // those with commands that should not wait
 }
 
 // Job is a job as this node knows it.
@@ -78,6 +81,12 @@
 	parts   []part // from part 1 on; part 0 is in Rec
 
 	// For the leader: what has been learnt or decided and is to be committed.
+	active  bool
+	created Micros // as it stands in the order of active jobs
+	done    int    // done tasks
+	open    int    // open placements
+	within  bool   // its team's guarantee, as of the last pass
+	types   typeSet
 	closes  []closing
 	plan    []job.Placement
 	txn     *txn
@@ -120,7 +129,6 @@
 		commits: map[uint64]func(CommitDone){},
 		reads:   map[uint64]func(ReadDone){},
 		jobs:    map[string]*Job{},
-		active:  map[string]bool{},
 		teams:   map[string]*config.Team{},
 		dirty:   map[string]bool{},
 	}
@@ -232,6 +240,7 @@
 		c.emit(FetchCatalog{})
 	}
 	if c.ready {
+		c.wakeJobs()
 		c.tickLeader()
 	}
 }
@@ -328,11 +337,7 @@
 	c.reindex(j, j.Rec.Open, rec.Open)
 	j.Rec, j.Version = rec, version
 	j.outdatePlan()
-	if rec.Spec != nil {
-		c.active[id] = true
-	} else {
-		delete(c.active, id)
-	}
+	c.setActive(j, rec.Spec != nil)
 	if rec.Created > 0 && c.wallAhead > 0 {
 		j.arrived = min(c.now, rec.Created-c.wallAhead)
 	}
@@ -342,12 +347,40 @@
 		}
 		c.answerWaiters(j)
 	}
+	j.recount()
 	c.passDue = true
 	if c.ready {
 		c.dirty[id] = true
 	}
 }
 
+// setActive puts a job into the list of active ones or takes it out.
+func (c *Core) setActive(j *Job, active bool) {
+	if active == j.active {
+		return
+	}
+	if active {
+		j.created = j.Rec.Created
+	}
+	i, _ := slices.BinarySearchFunc(c.active, j, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(a.created, b.created), cmp.Compare(a.ID, b.ID))
+	})
+	if j.active = active; active {
+		c.active = slices.Insert(c.active, i, j)
+	} else {
+		c.active = slices.Delete(c.active, i, i+1)
+	}
+}
+
+// recount keeps the counts of a job's tasks.
+func (j *Job) recount() {
+	j.done, j.open = j.Rec.Part.Count(), len(j.Rec.Open)
+	for i := range j.parts {
+		j.done += j.parts[i].Count()
+		j.open += len(j.parts[i].Open)
+	}
+}
+
 // setPart takes a newer part of a job; version 0 means that it was deleted.
 func (c *Core) setPart(j *Job, n int, p job.Part, version uint64) {
 	for len(j.parts) < n {
@@ -355,6 +388,7 @@
 	}
 	c.reindex(j, j.parts[n-1].Open, p.Open)
 	j.parts[n-1] = part{p, version}
+	j.recount()
 	j.outdatePlan()
 	c.passDue = true
 	if c.ready {
@@ -395,6 +429,9 @@
 func (c *Core) reindex(j *Job, old, now []job.Placement) {
 	for _, p := range old {
 		delete(c.expected[p.Machine], p.Key(j.ID))
+		if m := c.machines.Get(p.Machine); m != nil {
+			m.Stale = true
+		}
 	}
 	for _, p := range now {
 		m := c.expected[p.Machine]
@@ -403,6 +440,9 @@
 			c.expected[p.Machine] = m
 		}
 		m[p.Key(j.ID)] = p
+		if m := c.machines.Get(p.Machine); m != nil {
+			m.Stale = true
+		}
 	}
 	if !c.ready {
 		return
@@ -415,8 +455,8 @@
 		if had[p.Key(j.ID)] {
 			continue
 		}
-		if m := c.machines[p.Machine]; m != nil {
-			m.Urgent = true
+		if m := c.machines.Get(p.Machine); m != nil {
+			c.hurry(m)
 		} else if _, gone := c.deleted[p.Machine]; gone {
 			// Deleted while the transaction was under way: nobody else would
 			// ever close the placement.
@@ -425,8 +465,8 @@
 	}
 }
 
-// open calls f for each open placement of a job.
-func (j *Job) open(f func(job.Placement)) {
+// eachOpen calls f for each open placement of a job.
+func (j *Job) eachOpen(f func(job.Placement)) {
 	for _, p := range j.Rec.Open {
 		f(p)
 	}
@@ -437,22 +477,6 @@
 	}
 }
 
-func (j *Job) openCount() int {
-	n := len(j.Rec.Open)
-	for i := range j.parts {
-		n += len(j.parts[i].Open)
-	}
-	return n
-}
-
-func (j *Job) doneCount() int {
-	n := j.Rec.Part.Count()
-	for i := range j.parts {
-		n += j.parts[i].Count()
-	}
-	return n
-}
-
 func (j *Job) part(n int) (*job.Part, uint64) {
 	if n == 0 {
 		return &j.Rec.Part, j.Version
@@ -465,6 +489,9 @@
 
 func (c *Core) setCatalog(cat *wire.Catalog) {
 	c.catalog = map[string]*wire.MachineType{}
+	for _, j := range c.active {
+		j.types = typeSet{}
+	}
 	for i := range cat.Types {
 		c.catalog[cat.Types[i].Name] = &cat.Types[i]
 	}
--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -200,7 +200,7 @@
 		return
 	}
 	var r wire.Report
-	m := c.machines[name]
+	m := c.machines.Get(name)
 	if err := job.Decode(ev.Value, &r); err != nil || r.Machine != name || m == nil || r.Token > c.token {
 		return
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -69,28 +69,48 @@
 			boxes = append(boxes, box{Kind{p.Type, p.Zone, p.Spot}, full[p.Type]})
 		}
 	}
+	least := smallest(needs)
 	rent := map[Kind]int{}
 	for _, n := range needs {
-	tasks:
-		for range n.Count {
-			for i := range boxes {
-				b := &boxes[i]
-				if n.Types[b.kind.Type] && (n.Spot || !b.kind.Spot) && (n.Zone == "" || n.Zone == b.kind.Zone) && n.Task.Fits(b.free) {
-					b.free = b.free.Plus(n.Task, -1)
-					continue tasks
-				}
+		left := n.Count
+		kept := boxes[:0]
+		for _, b := range boxes {
+			if left > 0 && n.Types[b.kind.Type] && (n.Spot || !b.kind.Spot) && (n.Zone == "" || n.Zone == b.kind.Zone) {
+				fit := min(left, n.Task.Times(b.free))
+				b.free = b.free.Plus(n.Task, -float64(fit))
+				left -= fit
+			}
+			if least.Fits(b.free) { // what nothing fits into need not be looked at again
+				kept = append(kept, b)
 			}
+		}
+		boxes = kept
+		for left > 0 {
 			k, ok := f.cheapest(now, &n, rent, count, types)
 			if !ok {
 				break
 			}
 			rent[k]++
-			boxes = append(boxes, box{k, full[k.Type].Plus(n.Task, -1)})
+			fit := min(left, max(1, n.Task.Times(full[k.Type])))
+			boxes = append(boxes, box{k, full[k.Type].Plus(n.Task, -float64(fit))})
+			left -= fit
 		}
 	}
 	return rent
 }
 
+// smallest is no larger than any of the needs' tasks in any respect.
+func smallest(needs []Need) zone.Res {
+	var least zone.Res
+	for i, n := range needs {
+		if i == 0 {
+			least = n.Task
+		}
+		least = zone.Res{CPUs: min(least.CPUs, n.Task.CPUs), GPUs: min(least.GPUs, n.Task.GPUs), MemoryGB: min(least.MemoryGB, n.Task.MemoryGB)}
+	}
+	return least
+}
+
 // cheapest picks the kind of machine for a task: the lowest price for it, then
 // the zone with the fewest machines.
 func (f *Fleet) cheapest(now Micros, n *Need, rent, count map[Kind]int, types []*wire.MachineType) (best Kind, ok bool) {
--- a/internal/core/front.go
+++ b/internal/core/front.go
@@ -20,6 +20,10 @@
 // retryAfter is what users are told when the service can't answer now.
 const retryAfter = 1
 
+// checkEvery is the least time between two checks, so that polls share them: the
+// state service's requests are for all nodes and purposes.
+const checkEvery = 150 * 1000
+
 // maxChecks bounds the polls that wait for a check; more are refused at once.
 const maxChecks = 2000
 
@@ -29,6 +33,7 @@
 type front struct {
 	checks   []poll
 	checking bool
+	checkAt  Micros              // when the next check may go out
 	waiting  map[string][]waiter // cancellations that wait for the leader
 }
 
@@ -64,7 +69,7 @@
 	case j.Rec.Phase == job.Cancelled:
 		s.Status = wire.Cancelled
 	default:
-		done, running = j.doneCount(), j.openCount()
+		done, running = j.done, j.open
 		s.Status = wire.Queued
 		if running > 0 {
 			s.Status = wire.Running
@@ -257,7 +262,7 @@
 
 // flushChecks sends one check for the polls that wait, unless one is out.
 func (c *Core) flushChecks() {
-	if c.checking || len(c.checks) == 0 {
+	if c.checking || len(c.checks) == 0 || c.now < c.checkAt {
 		return
 	}
 	most := wire.GuardFactor * c.cfg.Cluster.State.TxnOps
@@ -277,7 +282,7 @@
 		guards = append(guards, wire.Guard{Key: job.RecordKey(id), Version: v})
 	}
 	sort.Slice(guards, func(i, j int) bool { return guards[i].Key < guards[j].Key })
-	c.checking = true
+	c.checking, c.checkAt = true, c.now+checkEvery
 	c.commit(wire.Commit{Guards: guards}, func(d CommitDone) {
 		c.checking = false
 		c.checked(batch, d)
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -133,7 +133,7 @@
 		for i := range j.parts {
 			c.reindex(j, nil, j.parts[i].Open)
 		}
-		open += j.openCount()
+		open += j.open
 		if !j.Rec.Final() || j.Rec.Spec != nil {
 			c.dirty[id] = true
 		}
@@ -143,7 +143,7 @@
 	}
 	c.passDue = true
 	c.lastList = 0
-	c.log("records read", "open_placements", open, "machines", len(c.machines), "after_ms", (c.now-c.since)/1000)
+	c.log("records read", "open_placements", open, "machines", c.machines.Len(), "after_ms", (c.now-c.since)/1000)
 }
 
 // stepDown ends a reign. The core forgets what only the leader needs; a later
@@ -165,13 +165,15 @@
 	c.leading, c.ready, c.token, c.baseToken, c.raising = false, false, 0, 0, false
 	c.wantRaise, c.listing = false, false
 	old := c.machines
-	c.machines = map[string]*zone.Machine{}
-	for name, m := range old { // addresses and images stay true
-		fresh := zone.New(m.Name, m.Addr, m.Type, m.Zone, m.Spot, m.Rented)
-		fresh.Images, fresh.ImagesNoted, fresh.Recorded = m.Images, m.ImagesNoted, m.Recorded
-		c.machines[name] = fresh
+	c.machines = zone.NewRoster()
+	if old != nil {
+		for _, m := range old.All() { // addresses and images stay true
+			fresh := zone.New(m.Name, m.Addr, m.Type, m.Zone, m.Spot, m.Rented)
+			fresh.Images, fresh.ImagesNoted, fresh.Recorded = m.Images, m.ImagesNoted, m.Recorded
+			c.machines.Add(fresh)
+		}
 	}
-	c.dirty = map[string]bool{}
+	c.dirty, c.delayed, c.urgent = map[string]bool{}, map[string]bool{}, nil
 	c.deleted = map[string]Micros{}
 	if c.expected == nil {
 		c.expected = map[string]map[job.Key]job.Placement{}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"sort"
 	"strings"
 
 	"coralhub/internal/config"
@@ -16,13 +15,19 @@
 
 // scan is one pass over the queue.
 type scan struct {
-	rooms  []*zone.Room
-	byName map[string]*zone.Room
+	zones  []*zone.Zone // in the order of the settings
 	used   map[string]queue.Amount
-	within map[string]bool // jobs within their team's guarantee
 	failed []failure
 	needs  []fleet.Need
 	barred map[string]bool // zones kept for a job past the age cap
+
+	victims map[string][]*zone.Victim // by zone; nil: nobody has asked
+}
+
+// typeSet is the machine types that suit a job.
+type typeSet struct {
+	set  map[string]bool
+	text string
 }
 
 // failure is an entry of the negative cache: the same or a larger request
@@ -45,7 +50,7 @@
 	}
 	s := c.survey()
 	c.usage.Observe(c.now, s.used)
-	entries := c.pending(s)
+	entries := c.pending()
 	queue.Rank(entries)
 	for i := range entries {
 		c.place(s, &entries[i])
@@ -58,118 +63,142 @@
 func taskAmount(s *wire.Job) queue.Amount { return queue.Amount{CPUs: s.CPUs, GPUs: s.GPUs} }
 
 // survey adds up what is used and free. Everything open counts, whatever the
-// workers last said of it, and so does what is being committed.
+// workers last said of it, and so does what is being committed. What is placed
+// on a machine is added up again only if that has changed.
 func (c *Core) survey() *scan {
-	s := &scan{byName: map[string]*zone.Room{}, used: map[string]queue.Amount{},
-		within: map[string]bool{}, barred: map[string]bool{}}
+	s := &scan{used: map[string]queue.Amount{}, barred: map[string]bool{}}
+	byName := make(map[string]*zone.Zone, len(c.cfg.Cluster.Zones))
+	for _, name := range c.cfg.Cluster.Zones {
+		z := &zone.Zone{Name: name, Victims: func() []*zone.Victim { return c.victims(s, name) }}
+		s.zones = append(s.zones, z)
+		byName[name] = z
+	}
 	suspect := config.FromSeconds(c.cfg.Cluster.Workers.ReportS*1.25) + 2*config.Second
-	for _, name := range c.sortedMachines() {
-		m := c.machines[name]
-		t := c.catalog[m.Type]
-		if t == nil || m.Session == 0 || m.Token < c.baseToken || m.Releasing || m.Failed || m.NoticeAt != 0 ||
+	rooms := make([]zone.Room, c.machines.Len())
+	for i, m := range c.machines.All() {
+		m.Room = nil
+		z, t := byName[m.Zone], c.catalog[m.Type]
+		if z == nil || t == nil || m.Session == 0 || m.Token < c.baseToken || m.Releasing || m.Failed || m.NoticeAt != 0 ||
 			c.sick(m) || c.now-m.Spoke > suspect {
 			continue
 		}
-		r := &zone.Room{Machine: m, Idle: len(c.expected[name]) == 0, Free: zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}}
-		s.rooms = append(s.rooms, r)
-		s.byName[name] = r
+		if m.Stale {
+			c.addUp(m)
+		}
+		m.Room = &rooms[i]
+		*m.Room = zone.Room{Machine: m, Idle: len(c.expected[m.Name]) == 0,
+			Free: zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}.Plus(m.Used, -1)}
+		z.Rooms = append(z.Rooms, m.Room)
 	}
-	c.guarantees(s)
-	for _, id := range c.activeJobs() {
-		j := c.jobs[id]
+	c.guarantees()
+	for _, j := range c.active {
 		spec := j.Rec.Spec
-		needs := taskRes(spec)
-		count := 0.0
-		take := func(p job.Placement) {
-			count++
-			if r := s.byName[p.Machine]; r != nil {
-				r.Free = r.Free.Plus(needs, -1)
+		for _, p := range j.plan {
+			if m := c.machines.Get(p.Machine); m != nil && m.Room != nil {
+				m.Room.Free = m.Room.Free.Plus(taskRes(spec), -1)
 			}
 		}
-		var gang *zone.Victim
-		j.open(func(p job.Placement) {
-			take(p)
-			r := s.byName[p.Machine]
-			key := p.Key(id)
-			if _, stopping := j.stops[key]; stopping || r == nil || j.Rec.Final() || j.Rec.Cancel {
-				return
-			}
-			since, ran := j.started[p.Task]
-			if !ran {
-				since = c.now
-			}
-			level := queue.Level(spec.Priority, s.within[id])
-			if spec.Shape == wire.Gang {
-				if gang == nil {
-					gang = &zone.Victim{Job: id, Task: -1, Level: level, Since: since, Takes: map[string]zone.Res{}}
-					if spec.CheckpointS == 0 {
-						gang.Loss = c.now - since
-					}
-				}
-				gang.Takes[p.Machine] = gang.Takes[p.Machine].Plus(needs, 1)
-				return
-			}
-			loss := Micros(0)
-			if spec.Shape == wire.Array && spec.CheckpointS == 0 {
-				loss = c.now - since
-			}
-			r.Victims = append(r.Victims, zone.Victim{Job: id, Task: p.Task, Level: level, Since: since, Loss: loss,
-				Takes: map[string]zone.Res{p.Machine: needs}})
-		})
-		if gang != nil {
-			for _, r := range s.rooms {
-				if _, ok := gang.Takes[r.Machine.Name]; ok {
-					r.Victims = append(r.Victims, *gang)
-				}
+		if n := j.open + len(j.plan); n > 0 {
+			s.used[spec.Team] = s.used[spec.Team].Plus(taskAmount(spec), float64(n))
+		}
+	}
+	return s
+}
+
+// addUp adds up what is placed on a machine.
+func (c *Core) addUp(m *zone.Machine) {
+	m.Used, m.Stale = zone.Res{}, false
+	for _, key := range sortedKeys(c.expected[m.Name]) {
+		if j := c.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
+			m.Used = m.Used.Plus(taskRes(j.Rec.Spec), 1)
+		}
+	}
+}
+
+// victims lists the work of a zone that could be stopped. Most passes find room
+// without, so it is put together only when a job asks.
+func (c *Core) victims(s *scan, name string) []*zone.Victim {
+	if s.victims == nil {
+		s.victims = map[string][]*zone.Victim{}
+		for _, j := range c.active {
+			if !j.Rec.Final() && !j.Rec.Cancel {
+				c.couldStop(s, j)
 			}
 		}
-		for _, p := range j.plan {
-			take(p)
+		for _, vs := range s.victims {
+			zone.ByLoss(vs)
 		}
-		s.used[spec.Team] = s.used[spec.Team].Plus(taskAmount(spec), count)
 	}
-	return s
+	return s.victims[name]
 }
 
-// activeJobs lists the jobs that have anything left, by id.
-func (c *Core) activeJobs() []string { return slices.Sorted(maps.Keys(c.active)) }
+// couldStop lists what could be stopped of a job.
+func (c *Core) couldStop(s *scan, j *Job) {
+	spec := j.Rec.Spec
+	needs := taskRes(spec)
+	level := queue.Level(spec.Priority, j.within)
+	gang := map[string]*zone.Victim{} // the same one in every zone that it is in
+	var all *zone.Victim
+	j.eachOpen(func(p job.Placement) {
+		m := c.machines.Get(p.Machine)
+		if _, stopping := j.stops[p.Key(j.ID)]; stopping || m == nil || m.Room == nil {
+			return
+		}
+		since, ran := j.started[p.Task]
+		if !ran {
+			since = c.now
+		}
+		loss := Micros(0)
+		if spec.Shape != wire.Service && spec.CheckpointS == 0 {
+			loss = c.now - since
+		}
+		take := zone.Take{Room: m.Room, Res: needs}
+		if spec.Shape != wire.Gang {
+			s.victims[m.Zone] = append(s.victims[m.Zone], &zone.Victim{Job: j.ID, Task: p.Task, Level: level, Since: since, Loss: loss,
+				Takes: []zone.Take{take}})
+			return
+		}
+		if all == nil {
+			all = &zone.Victim{Job: j.ID, Task: -1, Level: level, Since: since, Loss: loss}
+		}
+		all.Takes = append(all.Takes, take)
+		if gang[m.Zone] == nil {
+			gang[m.Zone] = all
+			s.victims[m.Zone] = append(s.victims[m.Zone], all)
+		}
+	})
+}
 
 // guarantees marks the jobs that fit into their team's guarantee together with
 // the team's earlier unfinished jobs.
-func (c *Core) guarantees(s *scan) {
-	ids := c.activeJobs()
-	sort.SliceStable(ids, func(i, j int) bool { return c.jobs[ids[i]].Rec.Created < c.jobs[ids[j]].Rec.Created })
+func (c *Core) guarantees() {
 	sum := map[string]queue.Amount{}
-	for _, id := range ids {
-		j := c.jobs[id]
+	for _, j := range c.active { // the oldest first
 		spec := j.Rec.Spec
 		team := c.teams[spec.Team]
+		j.within = false
 		if j.Rec.Final() || team == nil {
 			continue
 		}
 		if !queue.HasGuarantee(team) {
-			s.within[id] = true
+			j.within = true
 			continue
 		}
-		sum[spec.Team] = sum[spec.Team].Plus(taskAmount(spec), float64(spec.Tasks-j.doneCount()))
-		s.within[id] = queue.UnderGuarantee(team, sum[spec.Team])
+		sum[spec.Team] = sum[spec.Team].Plus(taskAmount(spec), float64(spec.Tasks-j.done))
+		j.within = queue.UnderGuarantee(team, sum[spec.Team])
 	}
 }
 
 // pending lists the jobs that want places.
-func (c *Core) pending(s *scan) []queue.Entry {
+func (c *Core) pending() []queue.Entry {
 	var out []queue.Entry
-	for _, id := range c.activeJobs() {
-		j := c.jobs[id]
+	for _, j := range c.active {
 		spec := j.Rec.Spec
-		if j.Rec.Final() || j.Rec.Cancel || j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 || c.now < max(j.holdUntil, j.retryAt) || c.teams[spec.Team] == nil {
+		if j.done+j.open >= spec.Tasks || j.Rec.Final() || j.Rec.Cancel || j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 ||
+			c.now < max(j.holdUntil, j.retryAt) || c.teams[spec.Team] == nil {
 			continue
 		}
-		if j.doneCount()+j.openCount() >= spec.Tasks {
-			continue
-		}
-		level := queue.Level(spec.Priority, s.within[id])
-		out = append(out, queue.Entry{ID: id, Level: level, Created: j.Rec.Created,
+		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(spec.Priority, j.within), Created: j.Rec.Created,
 			Credit: queue.Credit(&c.cfg.Settings, c.now-j.arrived, c.usage.Share(spec.Team))})
 	}
 	return out
@@ -203,7 +232,7 @@
 	team := c.teams[spec.Team]
 	gang := spec.Shape == wire.Gang
 	attempt := j.Rec.Attempt + 1
-	if gang && j.openCount() > 0 {
+	if gang && j.open > 0 {
 		// A gang that hasn't started takes a replacement under its number; one
 		// that has, or that is going, starts again once all of it has left.
 		if j.Rec.Attempt <= j.deadGang || j.Rec.Attempt <= j.gangRan || len(j.stops) > 0 {
@@ -220,30 +249,29 @@
 			break
 		}
 	}
-	q := c.request(s, j, e)
+	q := c.request(j, e)
 	inZone := map[string]int{}
-	j.open(func(p job.Placement) { inZone[p.Zone]++ })
+	j.eachOpen(func(p job.Placement) { inZone[p.Zone]++ })
 	for len(tasks) > 0 {
 		bid := c.auction(s, j, e, q, tasks, inZone)
 		if bid == nil {
 			break
 		}
 		if len(bid.Victims) > 0 {
-			c.evict(s, j, bid)
+			c.evict(j, bid)
 			return
 		}
-		for i, name := range bid.Machines {
-			r := s.byName[name]
+		for i, r := range bid.Rooms {
 			r.Free = r.Free.Plus(q.Needs, -1)
 			r.Idle = false
 			inZone[bid.Zone]++
-			j.plan = append(j.plan, job.Placement{Task: tasks[i], Attempt: attempt, Machine: name,
+			j.plan = append(j.plan, job.Placement{Task: tasks[i], Attempt: attempt, Machine: r.Machine.Name,
 				Session: r.Machine.Session, Zone: r.Machine.Zone})
 		}
-		c.debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Machines), "warm", bid.Warm, "zone", bid.Zone,
+		c.debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Rooms), "warm", bid.Warm, "zone", bid.Zone,
 			"age_ms", (c.now-j.arrived)/1000, "level", e.Level)
-		s.used[spec.Team] = s.used[spec.Team].Plus(taskAmount(spec), float64(len(bid.Machines)))
-		tasks = tasks[len(bid.Machines):]
+		s.used[spec.Team] = s.used[spec.Team].Plus(taskAmount(spec), float64(len(bid.Rooms)))
+		tasks = tasks[len(bid.Rooms):]
 		c.dirty[j.ID] = true
 	}
 	if len(tasks) == 0 {
@@ -253,8 +281,8 @@
 	s.needs = append(s.needs, fleet.Need{Task: q.Needs, Count: len(tasks), Types: q.Types, Zone: spec.Zone, Spot: spec.Spot})
 	if c.now < j.preempted {
 		for name := range j.reserved {
-			if r := s.byName[name]; r != nil {
-				r.Barred = true
+			if m := c.machines.Get(name); m != nil && m.Room != nil {
+				m.Room.Barred = true
 			}
 		}
 	}
@@ -267,40 +295,43 @@
 
 func (c *Core) roomiest(s *scan, spec *wire.Job) string {
 	best, most := "", -1.0
-	for _, z := range c.cfg.Cluster.Zones {
-		if spec.Zone != "" && spec.Zone != z {
+	for _, z := range s.zones {
+		if spec.Zone != "" && spec.Zone != z.Name {
 			continue
 		}
 		free := 0.0
-		for _, r := range s.rooms {
-			if r.Machine.Zone == z {
-				free += r.Free.Weight()
-			}
+		for _, r := range z.Rooms {
+			free += r.Free.Weight()
 		}
 		if free > most {
-			best, most = z, free
+			best, most = z.Name, free
 		}
 	}
 	return best
 }
 
-func (c *Core) request(s *scan, j *Job, e *queue.Entry) *zone.Request {
+func (c *Core) request(j *Job, e *queue.Entry) *zone.Request {
 	spec := j.Rec.Spec
-	q := &zone.Request{Job: j.ID, Needs: taskRes(spec), Whole: spec.Shape == wire.Gang, Spot: spec.Spot,
-		Types: map[string]bool{}, Image: spec.Image, Avoid: j.failedOn}
-	for name, t := range c.catalog {
-		if fits(spec, t) && allowed(spec, t) {
-			q.Types[name] = true
+	if j.types.set == nil {
+		j.types.set = map[string]bool{}
+		for name, t := range c.catalog {
+			if fits(spec, t) && allowed(spec, t) {
+				j.types.set[name] = true
+			}
 		}
+		j.types.text = strings.Join(slices.Sorted(maps.Keys(j.types.set)), " ")
 	}
+	q := &zone.Request{Job: j.ID, Needs: taskRes(spec), Whole: spec.Shape == wire.Gang, Spot: spec.Spot,
+		Types: j.types.set, TypeKey: j.types.text, Image: spec.Image, Avoid: j.failedOn}
 	if c.now < j.preempted {
 		q.Keep = j.reserved
 		return q
 	}
 	own := queue.Level(spec.Priority, true)
 	q.May = func(v *zone.Victim) bool {
-		victim := c.jobs[v.Job].Rec.Spec
-		if victim.Team != spec.Team && !s.within[v.Job] && s.within[j.ID] && queue.HasGuarantee(c.teams[spec.Team]) {
+		of := c.jobs[v.Job]
+		victim := of.Rec.Spec
+		if victim.Team != spec.Team && !of.within && j.within && queue.HasGuarantee(c.teams[spec.Team]) {
 			return true // what another team has borrowed
 		}
 		return queue.Level(victim.Priority, true) < own && v.Level < e.Level
@@ -313,7 +344,8 @@
 	spec := j.Rec.Spec
 	var best *zone.Bid
 	fewest := -1
-	for _, z := range c.cfg.Cluster.Zones {
+	for _, of := range s.zones {
+		z := of.Name
 		if spec.Zone != "" && spec.Zone != z || s.barred[z] {
 			continue
 		}
@@ -332,12 +364,12 @@
 		if r.Count <= 0 || r.Whole && r.Count < len(tasks) && spec.OneZone {
 			continue
 		}
-		if c.cached(s, z, &r, e.Level) {
+		if s.cached(z, &r, e.Level) {
 			continue
 		}
-		bid := zone.Plan(c.now, z, s.rooms, &r)
+		bid := of.Plan(c.now, &r)
 		if bid == nil {
-			s.failed = append(s.failed, failure{z, r.Needs, r.Spot, typeNames(r.Types), e.Level, need(&r)})
+			s.failed = append(s.failed, failure{z, r.Needs, r.Spot, r.TypeKey, e.Level, need(&r)})
 			continue
 		}
 		if service && (best == nil || len(bid.Victims) <= len(best.Victims)) && (fewest < 0 || inZone[z] < fewest) ||
@@ -354,24 +386,25 @@
 // acrossZones places a gang that fits no zone alone but may be split.
 func (c *Core) acrossZones(s *scan, spec *wire.Job, q *zone.Request, tasks []int, inZone map[string]int) *zone.Bid {
 	whole := &zone.Bid{}
-	for _, z := range c.cfg.Cluster.Zones {
+	for _, of := range s.zones {
+		z := of.Name
 		if spec.Zone != "" && spec.Zone != z || s.barred[z] {
 			continue
 		}
 		r := *q
 		r.Whole, r.May = false, nil
-		r.Count = len(tasks) - len(whole.Machines)
+		r.Count = len(tasks) - len(whole.Rooms)
 		if spec.Spread {
 			r.Count = min(r.Count, (spec.Tasks+1)/2-inZone[z])
 		}
 		if r.Count <= 0 {
 			continue
 		}
-		if bid := zone.Plan(c.now, z, s.rooms, &r); bid != nil {
-			whole.Machines = append(whole.Machines, bid.Machines...)
+		if bid := of.Plan(c.now, &r); bid != nil {
+			whole.Rooms = append(whole.Rooms, bid.Rooms...)
 		}
 	}
-	if len(whole.Machines) < len(tasks) {
+	if len(whole.Rooms) < len(tasks) {
 		return nil
 	}
 	return whole
@@ -385,14 +418,13 @@
 }
 
 // cached looks into the negative cache.
-func (c *Core) cached(s *scan, z string, q *zone.Request, level int) bool {
+func (s *scan) cached(z string, q *zone.Request, level int) bool {
 	if len(q.Keep) > 0 {
 		return false
 	}
-	types := typeNames(q.Types)
 	for i := range s.failed {
 		f := &s.failed[i]
-		if f.zone == z && f.needs.Fits(q.Needs) && (f.spot || !q.Spot) && f.types == types &&
+		if f.zone == z && f.needs.Fits(q.Needs) && (f.spot || !q.Spot) && f.types == q.TypeKey &&
 			f.level == level && f.count <= need(q) {
 			return true
 		}
@@ -400,42 +432,27 @@
 	return false
 }
 
-func typeNames(types map[string]bool) string {
-	return strings.Join(slices.Sorted(maps.Keys(types)), " ")
-}
-
 // evict stops a bid's victims and keeps their machines for the job.
-func (c *Core) evict(s *scan, j *Job, bid *zone.Bid) {
+func (c *Core) evict(j *Job, bid *zone.Bid) {
 	j.reserved = map[string]bool{}
-	for _, name := range bid.Machines {
-		j.reserved[name] = true
+	for _, r := range bid.Rooms {
+		j.reserved[r.Machine.Name] = true
+		r.Barred = true
 	}
 	wait := 5 * config.Second
-	for i := range bid.Victims {
-		v := &bid.Victims[i]
+	for _, v := range bid.Victims {
+		v.Gone = true
 		victim := c.jobs[v.Job]
 		only := map[job.Key]bool{}
-		victim.open(func(p job.Placement) {
+		victim.eachOpen(func(p job.Placement) {
 			if p.Task == v.Task {
 				only[p.Key(v.Job)] = true
 			}
 		})
 		c.stop(victim, only, "preempted by "+j.ID)
 		wait = max(wait, config.FromSeconds(victim.Rec.Spec.SaveS)+6*config.Second)
-		for _, r := range s.rooms {
-			left := r.Victims[:0]
-			for _, o := range r.Victims {
-				if o.Job != v.Job || o.Task != v.Task {
-					left = append(left, o)
-				}
-			}
-			r.Victims = left
-		}
 	}
 	j.preempted = c.now + wait
-	for name := range j.reserved {
-		s.byName[name].Barred = true
-	}
 }
 
 // rent asks for the machines that the unplaced work calls for.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -33,13 +33,22 @@
 		return
 	}
 	ids := slices.Sorted(maps.Keys(c.dirty))
+	clear(c.dirty)
 	for _, id := range ids {
-		if c.flush(c.jobs[id]) {
-			delete(c.dirty, id)
+		if !c.flush(c.jobs[id]) {
+			c.delayed[id] = true
 		}
 	}
 }
 
+// wakeJobs has another look at the jobs that could not be committed before.
+func (c *Core) wakeJobs() {
+	for id := range c.delayed {
+		c.dirty[id] = true
+	}
+	clear(c.delayed)
+}
+
 // flush commits a job's next state; it returns false if there is more to do
 // after the transaction in flight, or later.
 func (c *Core) flush(j *Job) bool {
@@ -300,8 +309,8 @@
 		return
 	}
 	sure := true
-	j.open(func(p job.Placement) {
-		m := c.machines[p.Machine]
+	j.eachOpen(func(p job.Placement) {
+		m := c.machines.Get(p.Machine)
 		if m == nil || m.Token < c.baseToken {
 			sure = false
 			return
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -1,9 +1,7 @@
 package core
 
 import (
-	"maps"
 	"net/http"
-	"slices"
 	"sort"
 
 	"coralhub/internal/config"
@@ -14,11 +12,11 @@
 
 // machine returns a machine, made if need be.
 func (c *Core) machine(name string) *zone.Machine {
-	m := c.machines[name]
+	m := c.machines.Get(name)
 	if m == nil {
 		m = zone.New(name, "", "", "", false, c.now)
 		m.IdleSince = c.now
-		c.machines[name] = m
+		c.machines.Add(m)
 	}
 	if m.Ambiguous == 0 && c.baseToken > 0 {
 		m.Ambiguous = c.baseToken - 1 // predecessors' commands may be on their way
@@ -289,14 +287,14 @@
 	if j.stops == nil {
 		j.stops = map[job.Key]stop{}
 	}
-	j.open(func(p job.Placement) {
+	j.eachOpen(func(p job.Placement) {
 		key := p.Key(j.ID)
 		if _, had := j.stops[key]; had || only != nil && j.Rec.Spec.Shape != wire.Gang && !only[key] {
 			return
 		}
 		j.stops[key] = stop{c.now, grace}
-		if m := c.machines[p.Machine]; m != nil {
-			m.Urgent = true
+		if m := c.machines.Get(p.Machine); m != nil {
+			c.hurry(m)
 		}
 	})
 	c.debug("stopping", "job", j.ID, "why", why)
@@ -304,14 +302,28 @@
 
 const directPause = config.Second
 
+// hurry notes that a machine has commands that should not wait.
+func (c *Core) hurry(m *zone.Machine) {
+	if !m.Urgent {
+		m.Urgent = true
+		c.urgent = append(c.urgent, m)
+	}
+}
+
 // sendUrgent makes the direct calls that should not wait for a report.
 func (c *Core) sendUrgent() {
-	if c.raising {
+	if c.raising || len(c.urgent) == 0 {
 		return
 	}
-	for _, name := range c.sortedMachines() {
-		m := c.machines[name]
-		if !m.Urgent || m.Direct || m.Addr == "" || m.Releasing || c.now < m.DirectAt {
+	waiting := c.urgent
+	c.urgent = nil
+	for _, m := range waiting {
+		if m.Releasing || c.machines.Get(m.Name) != m {
+			m.Urgent = false
+			continue
+		}
+		if m.Direct || m.Addr == "" || c.now < m.DirectAt {
+			c.urgent = append(c.urgent, m)
 			continue
 		}
 		m.Urgent = false
@@ -335,7 +347,7 @@
 }
 
 func (c *Core) commandDone(x CommandDone) {
-	m := c.machines[x.Machine]
+	m := c.machines.Get(x.Machine)
 	if !c.ready || m == nil {
 		return
 	}
@@ -354,15 +366,10 @@
 	}
 }
 
-func (c *Core) sortedMachines() []string {
-	return slices.Sorted(maps.Keys(c.machines))
-}
-
 // announce shows our token to machines that have not followed us yet. That
 // frees workers that a cut-off predecessor still answers.
 func (c *Core) announce() {
-	for _, name := range c.sortedMachines() {
-		m := c.machines[name]
+	for _, m := range c.machines.All() {
 		if m.Addr == "" || m.Direct || m.Releasing || m.Token >= c.baseToken || c.now < m.DirectAt {
 			continue
 		}
@@ -374,8 +381,7 @@
 // probe calls workers that have been quiet: it may be only their reports that
 // don't come through.
 func (c *Core) probe() {
-	for _, name := range c.sortedMachines() {
-		m := c.machines[name]
+	for _, m := range c.machines.All() {
 		if m.Session == 0 || m.Addr == "" || m.Direct || m.Releasing || c.now < m.DirectAt || c.now-m.Spoke < c.silence()/2 {
 			continue
 		}
--- a/internal/core/zone/bid.go
+++ b/internal/core/zone/bid.go
@@ -1,6 +1,9 @@
 package zone
 
-import "sort"
+import (
+	"math"
+	"sort"
+)
 
 // Res is what a task takes, or a machine has free.
 type Res struct{ CPUs, GPUs, MemoryGB float64 }
@@ -12,6 +15,19 @@
 	return r.CPUs <= free.CPUs+slack && r.GPUs <= free.GPUs+slack && r.MemoryGB <= free.MemoryGB+slack
 }
 
+// Times tells how many tasks that take r fit into what is free.
+func (r Res) Times(free Res) int {
+	n := math.MaxInt32
+	for _, x := range [...][2]float64{{r.CPUs, free.CPUs}, {r.GPUs, free.GPUs}, {r.MemoryGB, free.MemoryGB}} {
+		if x[0] > 0 {
+			n = min(n, max(0, int((x[1]+slack)/x[0])))
+		} else if x[1] < -slack {
+			return 0
+		}
+	}
+	return n
+}
+
 // Plus adds n times b.
 func (r Res) Plus(b Res, n float64) Res {
 	return Res{r.CPUs + n*b.CPUs, r.GPUs + n*b.GPUs, r.MemoryGB + n*b.MemoryGB}
@@ -20,14 +36,30 @@
 // Weight makes one number of r; a GPU counts for far more than a CPU.
 func (r Res) Weight() float64 { return r.GPUs*64 + r.CPUs }
 
+// Zone is what a zone bids with in a pass.
+type Zone struct {
+	Name  string
+	Rooms []*Room
+	// Victims lists the work that could be stopped, in the order of ByLoss. It
+	// is asked only when free room is short.
+	Victims func() []*Victim
+}
+
 // Room is what a machine can offer in a pass.
 type Room struct {
 	Machine *Machine
 	Free    Res
-	Leaving Res // what stopped tasks will free soon
-	Victims []Victim
 	Barred  bool // kept for a job that ranks higher
 	Idle    bool // nothing is placed there
+
+	usable bool // scratch of one Plan: the request may use it
+	gain   Res  // scratch of one Plan: what victims leave
+}
+
+// Take is what a victim has of a machine.
+type Take struct {
+	Room *Room
+	Res
 }
 
 // Victim is work that could be stopped. A gang is one victim for all of its
@@ -38,31 +70,53 @@
 	Level int
 	Since Micros // when it started
 	Loss  Micros // work that it can't save and will have to do again
-	Takes map[string]Res
+	Takes []Take
+	Gone  bool // taken by an earlier grant of the pass
+}
+
+// ByLoss sorts victims in the order in which they go: lowest priority first,
+// then what loses least, then what has run longest: the last alone supposes that
+// everything can be saved.
+func ByLoss(vs []*Victim) {
+	sort.Slice(vs, func(i, j int) bool {
+		a, b := vs[i], vs[j]
+		switch {
+		case a.Level != b.Level:
+			return a.Level < b.Level
+		case a.Loss != b.Loss:
+			return a.Loss < b.Loss
+		case a.Since != b.Since:
+			return a.Since < b.Since
+		case a.Job != b.Job:
+			return a.Job < b.Job
+		}
+		return a.Task < b.Task
+	})
 }
 
 // Request asks a zone for places.
 type Request struct {
-	Job   string
-	Needs Res
-	Count int
-	Whole bool // all of Count or nothing
-	Spot  bool // spot machines will do
-	Types map[string]bool
-	Image string
-	Avoid map[string]Micros
-	May   func(v *Victim) bool // nil: no preemption
-	Keep  map[string]bool      // machines barred for others but not for this job
+	Job     string
+	Needs   Res
+	Count   int
+	Whole   bool // all of Count or nothing
+	Spot    bool // spot machines will do
+	Types   map[string]bool
+	TypeKey string // the types in one text
+	Image   string
+	Avoid   map[string]Micros
+	May     func(v *Victim) bool // nil: no preemption
+	Keep    map[string]bool      // machines barred for others but not for this job
 }
 
 // Bid is a zone's offer: a machine for each of the tasks it can take, and the
 // work that has to go first.
 type Bid struct {
-	Zone     string
-	Machines []string
-	Victims  []Victim
-	Warm     int // tasks that find their image
-	Room     float64
+	Zone    string
+	Rooms   []*Room
+	Victims []*Victim
+	Warm    int     // tasks that find their image
+	Room    float64 // free in the zone
 }
 
 // Better orders bids: more tasks, then no preemption, then less preemption of
@@ -71,8 +125,8 @@
 	if o == nil {
 		return true
 	}
-	if len(b.Machines) != len(o.Machines) {
-		return len(b.Machines) > len(o.Machines)
+	if len(b.Rooms) != len(o.Rooms) {
+		return len(b.Rooms) > len(o.Rooms)
 	}
 	if len(b.Victims) != len(o.Victims) {
 		return len(b.Victims) < len(o.Victims)
@@ -86,7 +140,7 @@
 	return b.Room > o.Room
 }
 
-func highest(vs []Victim) int {
+func highest(vs []*Victim) int {
 	h := -1
 	for _, v := range vs {
 		h = max(h, v.Level)
@@ -97,156 +151,149 @@
 // Plan makes a zone's bid, nil if it has nothing to offer. Free room is used
 // first: machines that have the image, then those with most free room. Only if
 // that is short are victims taken.
-func Plan(now Micros, zone string, rooms []*Room, q *Request) *Bid {
-	usable := make([]*Room, 0, len(rooms))
-	bid := &Bid{Zone: zone}
-	for _, r := range rooms {
+func (z *Zone) Plan(now Micros, q *Request) *Bid {
+	bid := &Bid{Zone: z.Name}
+	typ, suits := "", false
+	for _, r := range z.Rooms {
 		m := r.Machine
-		if m.Zone != zone || m.Spot && !q.Spot || !q.Types[m.Type] || r.Barred && !q.Keep[m.Name] || m.FullUntil > now {
-			continue
+		if m.Type != typ {
+			typ, suits = m.Type, q.Types[m.Type]
 		}
-		if q.Avoid[m.Name] > now {
-			continue
+		r.usable = suits && (q.Spot || !m.Spot) && (!r.Barred || q.Keep[m.Name]) && m.FullUntil <= now &&
+			(len(q.Avoid) == 0 || q.Avoid[m.Name] <= now)
+		r.gain = Res{}
+		if r.usable {
+			bid.Room += r.Free.Weight()
 		}
-		usable = append(usable, r)
-		bid.Room += r.Free.Weight()
 	}
-	free := make(map[string]Res, len(usable))
-	for _, r := range usable {
-		free[r.Machine.Name] = r.Free
-	}
-	bid.fill(usable, free, q)
-	if len(bid.Machines) == q.Count || len(bid.Machines) > 0 && !q.Whole {
+	bid.fill(z.Rooms, q)
+	if len(bid.Rooms) == q.Count || len(bid.Rooms) > 0 && !q.Whole {
 		return bid
 	}
 	if q.May != nil {
-		return preempt(bid, usable, q)
+		return z.preempt(bid, q)
 	}
 	return nil
 }
 
+// offer is a machine on which a task of the request fits.
+type offer struct {
+	*Room
+	free Res
+	warm bool
+}
+
 // fill places as many tasks as fit.
-func (b *Bid) fill(rooms []*Room, free map[string]Res, q *Request) {
-	b.Machines, b.Warm = nil, 0
-	for len(b.Machines) < q.Count {
-		var best *Room
-		for _, r := range rooms {
-			if q.Needs.Fits(free[r.Machine.Name]) && (best == nil || roomier(r, best, free, q)) {
-				best = r
-			}
+func (b *Bid) fill(rooms []*Room, q *Request) {
+	b.Rooms, b.Warm = nil, 0
+	var offers []offer
+	for _, r := range rooms {
+		if !r.usable {
+			continue
+		}
+		if free := r.Free.Plus(r.gain, 1); q.Needs.Fits(free) {
+			offers = append(offers, offer{r, free, r.Machine.Images[q.Image]})
 		}
-		if best == nil {
-			return
+	}
+	for len(b.Rooms) < q.Count && len(offers) > 0 {
+		best := 0
+		for i := 1; i < len(offers); i++ {
+			if offers[i].roomier(&offers[best]) {
+				best = i
+			}
 		}
-		m := best.Machine
-		free[m.Name] = free[m.Name].Plus(q.Needs, -1)
-		b.Machines = append(b.Machines, m.Name)
-		if m.Images[q.Image] {
+		o := &offers[best]
+		b.Rooms = append(b.Rooms, o.Room)
+		if o.warm {
 			b.Warm++
 		}
+		if o.free = o.free.Plus(q.Needs, -1); !q.Needs.Fits(o.free) {
+			offers[best] = offers[len(offers)-1]
+			offers = offers[:len(offers)-1]
+		}
 	}
 }
 
-func roomier(a, b *Room, free map[string]Res, q *Request) bool {
+func (a *offer) roomier(b *offer) bool {
 	if a.Machine.Spot != b.Machine.Spot { // what may use spot machines leaves the others free
 		return a.Machine.Spot
 	}
-	if wa, wb := a.Machine.Images[q.Image], b.Machine.Images[q.Image]; wa != wb {
-		return wa
+	if a.warm != b.warm {
+		return a.warm
 	}
 	if a.Idle != b.Idle { // whole machines are kept for what needs them, or go back
 		return b.Idle
 	}
-	fa, fb := free[a.Machine.Name], free[b.Machine.Name]
-	if fa.GPUs != fb.GPUs {
-		return fa.GPUs > fb.GPUs
+	if a.free.GPUs != b.free.GPUs {
+		return a.free.GPUs > b.free.GPUs
 	}
-	if fa.CPUs != fb.CPUs {
-		return fa.CPUs > fb.CPUs
+	if a.free.CPUs != b.free.CPUs {
+		return a.free.CPUs > b.free.CPUs
 	}
 	return a.Machine.Name < b.Machine.Name
 }
 
 // preempt takes victims until the request fits, and then keeps only the largest
-// that are needed. Lowest priority goes first, then what loses least, then what
-// has run longest: the last alone supposes that everything can be saved.
-func preempt(bid *Bid, rooms []*Room, q *Request) *Bid {
-	here := map[string]bool{}
-	for _, r := range rooms {
-		here[r.Machine.Name] = true
-	}
-	seen := map[[2]any]bool{}
-	var cands []Victim
-	for _, r := range rooms {
-		for _, v := range r.Victims {
-			id := [2]any{v.Job, v.Task}
-			if !seen[id] && v.Job != q.Job && q.May(&v) {
-				seen[id] = true
-				cands = append(cands, v)
-			}
-		}
-	}
-	sort.Slice(cands, func(i, j int) bool {
-		a, b := &cands[i], &cands[j]
-		switch {
-		case a.Level != b.Level:
-			return a.Level < b.Level
-		case a.Loss != b.Loss:
-			return a.Loss < b.Loss
-		case a.Since != b.Since:
-			return a.Since < b.Since
-		case a.Job != b.Job:
-			return a.Job < b.Job
-		}
-		return a.Task < b.Task
-	})
+// that are needed. How many tasks fit is counted by machine, so that a victim
+// costs no more than the machines that it is on.
+func (z *Zone) preempt(bid *Bid, q *Request) *Bid {
 	want := q.Count
 	if !q.Whole {
 		want = 1
 	}
-	try := func(vs []Victim) bool {
-		free := make(map[string]Res, len(rooms))
-		for _, r := range rooms {
-			free[r.Machine.Name] = r.Free
+	fit := 0
+	for _, r := range z.Rooms {
+		if r.usable {
+			fit += q.Needs.Times(r.Free)
 		}
-		for _, v := range vs {
-			for name, res := range v.Takes {
-				if here[name] {
-					free[name] = free[name].Plus(res, 1)
-				}
+	}
+	// move gives a victim's room away, or back.
+	move := func(v *Victim, n float64) (here bool) {
+		for i := range v.Takes {
+			r := v.Takes[i].Room
+			if !r.usable || r.Machine.Zone != z.Name {
+				continue
 			}
+			here = true
+			fit -= q.Needs.Times(r.Free.Plus(r.gain, 1))
+			r.gain = r.gain.Plus(v.Takes[i].Res, n)
+			fit += q.Needs.Times(r.Free.Plus(r.gain, 1))
 		}
-		bid.fill(rooms, free, q)
-		return len(bid.Machines) >= want
+		return here
 	}
-	n := 0
-	for ok := false; !ok; n++ {
-		if n == len(cands) {
-			return nil
+	var taken []*Victim
+	for _, v := range z.Victims() {
+		if fit >= want {
+			break
+		}
+		if !v.Gone && v.Job != q.Job && q.May(v) && move(v, 1) {
+			taken = append(taken, v)
 		}
-		ok = try(cands[:n+1])
 	}
-	taken := append([]Victim(nil), cands[:n]...)
-	sort.SliceStable(taken, func(i, j int) bool { return size(&taken[i]) > size(&taken[j]) })
+	if fit < want {
+		return nil
+	}
+	sort.SliceStable(taken, func(i, j int) bool { return taken[i].size() > taken[j].size() })
 	// Leave out, smallest first, whatever is not needed.
 	for i := len(taken) - 1; i >= 0; i-- {
-		rest := append(append([]Victim(nil), taken[:i]...), taken[i+1:]...)
-		if try(rest) {
-			taken = rest
+		move(taken[i], -1)
+		if fit < want {
+			move(taken[i], 1)
+			continue
 		}
+		taken = append(taken[:i], taken[i+1:]...)
 	}
-	try(taken)
-	if len(bid.Machines) > want {
-		bid.Machines = bid.Machines[:want]
-	}
+	bid.fill(z.Rooms, q)
+	bid.Rooms = bid.Rooms[:min(want, len(bid.Rooms))]
 	bid.Victims = taken
 	return bid
 }
 
-func size(v *Victim) float64 {
+// size is how much of all machines a victim has.
+func (v *Victim) size() float64 {
 	s := 0.0
-	for _, r := range v.Takes {
-		s += r.Weight()
+	for i := range v.Takes {
+		s += v.Takes[i].Weight()
 	}
 	return s
 }
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -49,6 +49,10 @@
 	directID    uint64
 	settled     bool
 
+	Used  Res // what is placed here; Stale: to be added up again
+	Stale bool
+	Room  *Room // what it offers in the present pass; nil: nothing
+
 	Urgent     bool // has commands that should not wait for the next report
 	DirectAt   Micros
 	Releasing  bool
@@ -63,7 +67,7 @@
 // New returns a machine that has said nothing yet.
 func New(name, addr, typ, zone string, spot bool, rented Micros) *Machine {
 	return &Machine{Name: name, Addr: addr, Type: typ, Zone: zone, Spot: spot, Rented: rented,
-		Tasks: map[job.Key]Task{}, Images: map[string]bool{}, Errors: map[string]Micros{}}
+		Tasks: map[job.Key]Task{}, Images: map[string]bool{}, Errors: map[string]Micros{}, Stale: true}
 }
 
 // Describe takes what others than its worker say of a machine, until the worker
--- a/internal/core/zone/zone_test.go
+++ b/internal/core/zone/zone_test.go
@@ -15,28 +15,41 @@
 	return &Room{Machine: m, Free: Res{CPUs: 16, GPUs: gpus, MemoryGB: 64}}
 }
 
+func zoneOf(victims []*Victim, rooms ...*Room) *Zone {
+	ByLoss(victims)
+	return &Zone{Name: "a", Rooms: rooms, Victims: func() []*Victim { return victims }}
+}
+
+func names(b *Bid) []string {
+	var out []string
+	for _, r := range b.Rooms {
+		out = append(out, r.Machine.Name)
+	}
+	return out
+}
+
 func request(gpus float64, count int, whole bool) *Request {
 	return &Request{Job: "j-9", Needs: Res{CPUs: 1, GPUs: gpus, MemoryGB: 1}, Count: count, Whole: whole,
 		Types: map[string]bool{"t": true}, Image: "i"}
 }
 
 func TestPlanTakesMostRoomFirst(t *testing.T) {
-	rooms := []*Room{room("m1", 2), room("m2", 4), room("m3", 3)}
-	bid := Plan(1, "a", rooms, request(1, 3, false))
-	if bid == nil || !reflect.DeepEqual(bid.Machines, []string{"m2", "m3", "m2"}) {
+	z := zoneOf(nil, room("m1", 2), room("m2", 4), room("m3", 3))
+	bid := z.Plan(1, request(1, 3, false))
+	if bid == nil || !reflect.DeepEqual(names(bid), []string{"m2", "m3", "m2"}) {
 		t.Fatalf("%+v", bid)
 	}
-	if Plan(1, "b", rooms, request(1, 1, false)) != nil {
-		t.Fatal("a bid of a zone without machines")
-	}
-	if Plan(1, "a", rooms, request(4, 2, true)) != nil {
+	if z.Plan(1, request(4, 2, true)) != nil {
 		t.Fatal("half a gang was placed")
 	}
+	if bid := z.Plan(1, request(1, 20, false)); len(bid.Rooms) != 9 {
+		t.Fatalf("%d tasks placed on 9 GPUs", len(bid.Rooms))
+	}
 }
 
 func TestPlanPrefersWarmMachines(t *testing.T) {
-	bid := Plan(1, "a", []*Room{room("m1", 4), room("m2", 1, "i")}, request(1, 1, false))
-	if bid.Machines[0] != "m2" || bid.Warm != 1 {
+	bid := zoneOf(nil, room("m1", 4), room("m2", 1, "i")).Plan(1, request(1, 1, false))
+	if names(bid)[0] != "m2" || bid.Warm != 1 {
 		t.Fatalf("%+v", bid)
 	}
 }
@@ -44,14 +57,14 @@
 // The example of the paper: with 4, 5 and 12 to be had, 10 are found by
 // stopping the largest alone.
 func TestPreemptionKeepsTheLargest(t *testing.T) {
-	rooms := []*Room{room("m1", 0)}
+	r := room("m1", 0)
+	var victims []*Victim
 	for i, gpus := range []float64{4, 5, 12} {
-		rooms[0].Victims = append(rooms[0].Victims, Victim{Job: string(rune('a' + i)), Level: 1, Since: Micros(i),
-			Takes: map[string]Res{"m1": {GPUs: gpus}}})
+		victims = append(victims, &Victim{Job: string(rune('a' + i)), Level: 1, Since: Micros(i), Takes: []Take{{r, Res{GPUs: gpus}}}})
 	}
 	q := request(10, 1, true)
 	q.May = func(*Victim) bool { return true }
-	bid := Plan(1, "a", rooms, q)
+	bid := zoneOf(victims, r).Plan(1, q)
 	if bid == nil || len(bid.Victims) != 1 || bid.Victims[0].Job != "c" {
 		t.Fatalf("%+v", bid)
 	}
@@ -59,22 +72,42 @@
 
 func TestPreemptionTakesLowestPriorityFirst(t *testing.T) {
 	r := room("m1", 0)
-	r.Victims = []Victim{
-		{Job: "normal", Level: 2, Since: 1, Takes: map[string]Res{"m1": {GPUs: 1}}},
-		{Job: "young", Level: 1, Since: 9, Takes: map[string]Res{"m1": {GPUs: 1}}},
-		{Job: "old", Level: 1, Since: 2, Takes: map[string]Res{"m1": {GPUs: 1}}},
+	one := []Take{{r, Res{GPUs: 1}}}
+	victims := []*Victim{
+		{Job: "normal", Level: 2, Since: 1, Takes: one},
+		{Job: "young", Level: 1, Since: 9, Takes: one},
+		{Job: "old", Level: 1, Since: 2, Takes: one},
 	}
 	q := request(1, 1, false)
 	q.May = func(v *Victim) bool { return v.Level < 2 }
-	bid := Plan(1, "a", []*Room{r}, q)
+	bid := zoneOf(victims, r).Plan(1, q)
 	if bid == nil || len(bid.Victims) != 1 || bid.Victims[0].Job != "old" {
 		t.Fatalf("%+v", bid)
 	}
-	if b := (&Bid{Machines: []string{"m"}, Victims: bid.Victims}); b.Better(&Bid{Machines: []string{"n"}}) {
+	if b := (&Bid{Rooms: []*Room{r}, Victims: bid.Victims}); b.Better(&Bid{Rooms: []*Room{r}}) {
 		t.Error("preemption is not scored last")
 	}
 }
 
+// A gang on two machines is one victim; a gang in its place gets both.
+func TestPreemptionOfGangs(t *testing.T) {
+	a, b, c := room("m1", 0), room("m2", 0), room("m3", 0)
+	victims := []*Victim{
+		{Job: "small", Task: -1, Level: 1, Since: 1, Takes: []Take{{c, Res{GPUs: 4}}}},
+		{Job: "gang", Task: -1, Level: 1, Since: 2, Takes: []Take{{a, Res{GPUs: 4}}, {b, Res{GPUs: 4}}}},
+	}
+	q := request(4, 2, true)
+	q.May = func(*Victim) bool { return true }
+	bid := zoneOf(victims, a, b, c).Plan(9, q)
+	if bid == nil || len(bid.Victims) != 1 || bid.Victims[0].Job != "gang" || !reflect.DeepEqual(names(bid), []string{"m1", "m2"}) {
+		t.Fatalf("%+v", bid)
+	}
+	q.Count = 4
+	if bid := zoneOf(victims, a, b, c).Plan(9, q); bid != nil {
+		t.Fatalf("more than there is: %+v", bid)
+	}
+}
+
 // A report that comes late changes nothing, and a start that was sent without
 // an answer keeps its worker unsettled until a higher token was seen.
 func TestIngest(t *testing.T) {
@@ -113,17 +146,15 @@
 // time: the paper's longest running first supposes cheap checkpoints.
 func TestPreemptionTakesWhatLosesLeast(t *testing.T) {
 	r := room("m1", 0)
-	r.Victims = []Victim{
-		{Job: "long", Level: 1, Since: 1, Loss: 90, Takes: map[string]Res{"m1": {GPUs: 1}}},
-		{Job: "short", Level: 1, Since: 80, Loss: 11, Takes: map[string]Res{"m1": {GPUs: 1}}},
-	}
+	one := []Take{{r, Res{GPUs: 1}}}
+	victims := []*Victim{{Job: "long", Level: 1, Since: 1, Loss: 90, Takes: one}, {Job: "short", Level: 1, Since: 80, Loss: 11, Takes: one}}
 	q := request(1, 1, false)
 	q.May = func(*Victim) bool { return true }
-	if bid := Plan(91, "a", []*Room{r}, q); bid == nil || len(bid.Victims) != 1 || bid.Victims[0].Job != "short" {
+	if bid := zoneOf(victims, r).Plan(91, q); bid == nil || len(bid.Victims) != 1 || bid.Victims[0].Job != "short" {
 		t.Fatalf("%+v", bid)
 	}
-	r.Victims = append(r.Victims, Victim{Job: "saves", Level: 1, Since: 1, Takes: map[string]Res{"m1": {GPUs: 1}}})
-	if bid := Plan(91, "a", []*Room{r}, q); bid == nil || len(bid.Victims) != 1 || bid.Victims[0].Job != "saves" {
+	victims = append(victims, &Victim{Job: "saves", Level: 1, Since: 1, Takes: one})
+	if bid := zoneOf(victims, r).Plan(91, q); bid == nil || len(bid.Victims) != 1 || bid.Victims[0].Job != "saves" {
 		t.Fatalf("%+v", bid)
 	}
 }
