Hints about machines share pages and a small part of the changes

Cause: a record for each machine, written at its rental, its first report and for each new image, up to 8 changes a second of the 25 or 40 that all nodes share. Now 32 pages, each written in its turn, 5% of the changes in all. Owed to scale.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"maps"
-	"slices"
 	"sort"
 
 	"coralhub/internal/config"
@@ -12,85 +10,10 @@
 	"coralhub/wire"
 )
 
-// machineRec is what is kept of a machine, so that a later leader can reach it
-// whatever the cloud's list says. It is a hint and no proof of anything.
-type machineRec struct {
-	Addr   string   `msgpack:"a,omitempty"`
-	Type   string   `msgpack:"t"`
-	Zone   string   `msgpack:"z"`
-	Spot   bool     `msgpack:"s,omitempty"`
-	Images []string `msgpack:"i,omitempty"` // those it is known to have
-}
-
-// machineRecord follows the machines' records.
-func (c *Core) machineRecord(name string, ev *wire.Change) {
-	if ev.Version <= c.known[name] {
-		return
-	}
-	if ev.Put == "" {
-		delete(c.known, name)
-		if !c.ready {
-			c.machines.Remove(name)
-		}
-		return
-	}
-	var r machineRec
-	if err := job.Decode(ev.Value, &r); err != nil {
-		return
-	}
-	c.known[name] = ev.Version
-	m := c.machine(name)
-	for _, image := range r.Images {
-		m.Images[image] = true
-	}
-	m.Recorded, m.ImagesNoted = r.Addr, len(r.Images)
-	m.Describe(r.Addr, r.Type, r.Zone, r.Spot)
-}
-
-// maxImages bounds the images in a machine's record.
-const maxImages = 16
-
-// noteImages writes down, now and then, which images machines have got: an heir
-// that didn't know would place work where its image has to be fetched.
-func (c *Core) noteImages() {
-	if c.now-c.imagesAt < config.Second {
-		return
-	}
-	c.imagesAt = c.now
-	var ms []*zone.Machine
-	for _, m := range c.machines.All() {
-		if len(m.Images) > m.ImagesNoted && m.ImagesNoted < maxImages && len(ms) < c.cfg.Cluster.State.TxnOps {
-			ms = append(ms, m)
-		}
-	}
-	c.noteMachine(ms...)
-}
-
-// noteMachine writes machines' records.
-func (c *Core) noteMachine(ms ...*zone.Machine) {
-	for len(ms) > 0 {
-		n := min(len(ms), c.cfg.Cluster.State.TxnOps)
-		var t wire.Commit
-		for _, m := range ms[:n] {
-			m.Recorded, m.ImagesNoted = m.Addr, len(m.Images)
-			rec := machineRec{m.Addr, m.Type, m.Zone, m.Spot, slices.Sorted(maps.Keys(m.Images))}
-			rec.Images = rec.Images[:min(len(rec.Images), maxImages)]
-			value, err := job.Encode(rec)
-			if err != nil {
-				continue
-			}
-			t.Changes = append(t.Changes, wire.Change{Put: machinePrefix + m.Name, Value: value})
-		}
-		t.Guards = []wire.Guard{{Key: leaderKey, Version: c.token}}
-		c.commit(t, func(CommitDone) {})
-		ms = ms[n:]
-	}
-}
-
 // tickLeader does what the leader does by time alone.
 func (c *Core) tickLeader() {
 	s := &c.cfg.Settings
-	c.noteImages()
+	c.writeHints()
 	c.announce()
 	c.probe()
 	if c.wantRaise && !c.raising && c.now-c.raised > 2*config.Second {
@@ -153,14 +76,11 @@
 			return
 		}
 		c.log("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(x.Machines))
-		var fresh []*zone.Machine
 		for _, name := range x.Machines {
 			m := c.machine(name)
-			if m.Describe("", r.Type, r.Zone, r.Spot) {
-				fresh = append(fresh, m)
-			}
+			m.Describe("", r.Type, r.Zone, r.Spot)
+			c.noteMachine(m)
 		}
-		c.noteMachine(fresh...)
 		c.passDue = true
 	default:
 		c.fleet.Retry(c.now, x.Name)
@@ -306,12 +226,7 @@
 		}
 		c.machines.Remove(name)
 		c.deleted[name] = c.now
-		if _, ok := c.known[name]; ok {
-			c.commit(wire.Commit{
-				Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}},
-				Changes: []wire.Change{{Delete: machinePrefix + name}, {Delete: mailPrefix + name}},
-			}, func(CommitDone) {})
-		}
+		c.pages[pageOf(name)].changed = true
 	}
 	c.passDue = true
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,9 +24,8 @@
 
 // Keys beside the jobs'.
 const (
-	leaderKey     = job.Root + "leader"
-	catalogKey    = job.Root + "catalog"
-	machinePrefix = job.Root + "machine/"
+	leaderKey  = job.Root + "leader"
+	catalogKey = job.Root + "catalog"
 )
 
 // Core is one node's state.
@@ -58,14 +57,15 @@
 	// What follows is only of use to the leader.
 	machines  *zone.Roster
 	expected  map[string]map[job.Key]job.Placement // open placements by machine
-	known     map[string]uint64                    // versions of the machines' records
 	deleted   map[string]Micros                    // machines proven gone, which the lagging list still names
 	usage     *queue.Usage
 	fleet     *fleet.Fleet
 	passDue   bool
 	lastPass  Micros
 	lastList  Micros
-	imagesAt  Micros
+	pages     [hintPages]hintPage
+	pageNext  int
+	pageAt    Micros
 	listing   bool
 	wantRaise bool
 	dirty     map[string]bool // jobs with facts to commit
@@ -292,8 +292,8 @@
 		}
 		return
 	}
-	if name, ok := strings.CutPrefix(key, machinePrefix); ok {
-		c.machineRecord(name, ev)
+	if name, ok := strings.CutPrefix(key, hintPrefix); ok {
+		c.hintsIn(name, ev)
 		return
 	}
 	if name, ok := strings.CutPrefix(key, mailPrefix); ok {
--- /dev/null
+++ b/internal/core/hints.go
@@ -0,0 +1,143 @@
+package core
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+
+	"coralhub/internal/config"
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/zone"
+	"coralhub/wire"
+)
+
+// Hints are what a leader knows of machines and a later one would have to learn
+// anew: where they are and which images they have. They are proof of nothing.
+// Many machines share a key, and a page that has changed is written when its
+// turn comes: hints get a small part of the changes that the state service
+// allows, whatever the size of the fleet.
+
+const (
+	hintPrefix = job.Root + "machines/"
+	hintPages  = 32
+	// hintShare is the part of all changes that hints may take.
+	hintShare = 0.05
+	// maxImages bounds the images in a machine's hint.
+	maxImages = 16
+)
+
+type machineHint struct {
+	//lint:ignore U1000 read by the encoder: a hint is a list, to be short
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     string
+	Addr     string
+	Type     string
+	Zone     string
+	Spot     bool
+	Images   []string
+}
+
+type hintPage struct {
+	version uint64
+	names   []string
+	changed bool // since it was written last
+}
+
+func pageOf(machine string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(machine))
+	return int(h.Sum32() % hintPages)
+}
+
+// noteMachine has a machine's hint written in its turn.
+func (c *Core) noteMachine(m *zone.Machine) { c.pages[pageOf(m.Name)].changed = true }
+
+// writeHints writes one page, now and then.
+func (c *Core) writeHints() {
+	if c.now < c.pageAt {
+		return
+	}
+	n := -1
+	for i := range hintPages {
+		if k := (c.pageNext + i) % hintPages; c.pages[k].changed {
+			n = k
+			break
+		}
+	}
+	if n < 0 {
+		return
+	}
+	var hints []machineHint
+	for _, m := range c.machines.All() {
+		if pageOf(m.Name) == n && !m.Releasing {
+			images := slices.Sorted(maps.Keys(m.Images))
+			hints = append(hints, machineHint{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+				Images: images[:min(len(images), maxImages)]})
+		}
+	}
+	p := &c.pages[n]
+	p.changed, c.pageNext, c.pageAt = false, n+1, c.now+c.writePause(hintShare)
+	value := c.fitHints(hints)
+	if value == nil {
+		return
+	}
+	c.commit(wire.Commit{
+		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}},
+		Changes: []wire.Change{{Put: hintPrefix + strconv.Itoa(n), Value: value}},
+	}, func(d CommitDone) { p.changed = p.changed || d.Outcome != OK })
+}
+
+// writePause is the time between changes that may take a share of all changes.
+func (c *Core) writePause(share float64) Micros {
+	return config.FromSeconds(1 / max(0.01, share*c.cfg.Cluster.State.WriteRPS))
+}
+
+// fitHints encodes hints so that they fit a value: images go first, then the
+// youngest machines.
+func (c *Core) fitHints(hints []machineHint) []byte {
+	for most := maxImages; ; most /= 2 {
+		for i := range hints {
+			hints[i].Images = hints[i].Images[:min(len(hints[i].Images), most)]
+		}
+		value, err := job.Encode(hints)
+		switch {
+		case err != nil:
+			return nil
+		case wire.JSONSize(value) <= c.valueLimit():
+			return value
+		case most == 0:
+			hints = hints[:len(hints)/2]
+		}
+	}
+}
+
+// hintsIn takes a page. A leader that has begun knows better than what was
+// written before.
+func (c *Core) hintsIn(name string, ev *wire.Change) {
+	n, err := strconv.Atoi(name)
+	if err != nil || n < 0 || n >= hintPages || c.ready || ev.Version <= c.pages[n].version {
+		return
+	}
+	p := &c.pages[n]
+	var hints []machineHint
+	if ev.Put != "" && job.Decode(ev.Value, &hints) != nil {
+		return
+	}
+	old := p.names
+	p.version, p.names = ev.Version, nil
+	for i := range hints {
+		h := &hints[i]
+		p.names = append(p.names, h.Name)
+		m := c.machine(h.Name)
+		for _, image := range h.Images {
+			m.Images[image] = true
+		}
+		m.Describe(h.Addr, h.Type, h.Zone, h.Spot)
+	}
+	for _, gone := range old {
+		if !slices.Contains(p.names, gone) {
+			c.machines.Remove(gone)
+		}
+	}
+}
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -169,7 +169,7 @@
 	if old != nil {
 		for _, m := range old.All() { // addresses and images stay true
 			fresh := zone.New(m.Name, m.Addr, m.Type, m.Zone, m.Spot, m.Rented)
-			fresh.Images, fresh.ImagesNoted, fresh.Recorded = m.Images, m.ImagesNoted, m.Recorded
+			fresh.Images = m.Images
 			c.machines.Add(fresh)
 		}
 	}
@@ -178,9 +178,6 @@
 	if c.expected == nil {
 		c.expected = map[string]map[job.Key]job.Placement{}
 	}
-	if c.known == nil {
-		c.known = map[string]uint64{}
-	}
 	c.usage = queue.NewUsage(config.FromSeconds(c.cfg.Settings.UsageWindowS))
 	c.fleet = fleet.New()
 }
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -79,9 +79,7 @@
 	m.Mailed = false
 	if first {
 		c.log("worker joined", "machine", m.Name, "zone", m.Zone, "spot", m.Spot, "after_ms", (c.now-m.Rented)/1000)
-		if m.Recorded != m.Addr {
-			c.noteMachine(m)
-		}
+		c.noteMachine(m)
 		c.passDue = true
 	}
 	expected := c.expected[m.Name]
@@ -97,7 +95,10 @@
 		t := m.Tasks[key]
 		j := c.jobs[key.Job]
 		if j != nil && j.Rec.Spec != nil && t.State != wire.Fetching && t.State != wire.Exited {
-			m.Images[j.Rec.Spec.Image] = true
+			if image := j.Rec.Spec.Image; !m.Images[image] {
+				m.Images[image] = true
+				c.noteMachine(m)
+			}
 		}
 		p, ok := expected[key]
 		if !ok || p.Session != m.Session {
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -34,8 +34,6 @@
 	Mailed              bool            // the newest message came by way of the state service
 	NoticeAt            Micros          // when the cloud takes it; 0: no notice
 	Images              map[string]bool // those that it is known to have
-	ImagesNoted         int             // how many of them its record has
-	Recorded            string          // the address that its record has
 
 	// What may still be on its way. A start that was sent by a direct call
 	// without an answer may be executed as long as the worker has seen no
