Ends of attempts go into a shared log; records take them over when next written

An end that neither finishes its job nor comes with new places is now one line in a page of a shared log, written a few times a second for all jobs; what a line says stays true whichever record it is held against, so an heir applies pages to records.

An attempt of a gang no longer comes back to a machine that it has left: its two stays could not be told apart. Mended: closings that find no room in a transaction stay; a task's start time goes wherever its placement closes.

Owed to scale.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -5,7 +5,6 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
-	"coralhub/internal/core/job"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
 )
@@ -14,6 +13,7 @@
 func (c *Core) tickLeader() {
 	s := &c.cfg.Settings
 	c.writeHints()
+	c.tidyEnded()
 	c.announce()
 	c.probe()
 	if c.wantRaise && !c.raising && c.now-c.raised > 2*config.Second {
@@ -221,8 +221,7 @@
 	sort.Strings(gone)
 	for _, name := range gone {
 		for _, key := range sortedKeys(c.expected[name]) {
-			c.jobLost(key)
-			c.close(key, false)
+			c.close(key, name, false)
 		}
 		c.machines.Remove(name)
 		c.deleted[name] = c.now
@@ -231,13 +230,6 @@
 	c.passDue = true
 }
 
-// jobLost notes that a task went with its machine.
-func (c *Core) jobLost(key job.Key) {
-	if j := c.jobs[key.Job]; j != nil {
-		delete(j.started, key.Task)
-	}
-}
-
 // kinds sorts the machines for the fleet's planning.
 func (c *Core) kinds() (booting []fleet.Kind, count map[fleet.Kind]int) {
 	count = map[fleet.Kind]int{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,6 +52,7 @@
 
 	front
 	leadership
+	ended endedLog
 	deputy
 
 	// What follows is only of use to the leader.
@@ -81,16 +82,19 @@
 	parts   []part // from part 1 on; part 0 is in Rec
 
 	// For the leader: what has been learnt or decided and is to be committed.
-	active  bool
-	created Micros // as it stands in the order of active jobs
-	done    int    // done tasks
-	open    int    // open placements
-	within  bool   // its team's guarantee, as of the last pass
-	types   typeSet
-	closes  []closing
-	plan    []job.Placement
-	txn     *txn
-	retryAt Micros
+	active   bool
+	created  Micros // as it stands in the order of active jobs
+	done     int    // done tasks
+	open     int    // open placements
+	within   bool   // its team's guarantee, as of the last pass
+	types    typeSet
+	closes   []closing
+	facts    []*fact           // lines of the log of ended attempts
+	mergeNow bool              // to be written so that a page of the log can go
+	left     map[string]uint64 // machines that an attempt of a gang has left
+	plan     []job.Placement
+	txn      *txn
+	retryAt  Micros
 
 	stops      map[job.Key]stop
 	arrived    Micros // when this node first saw the job
@@ -117,8 +121,10 @@
 
 // closing is a placement with proof that it is over.
 type closing struct {
-	key  job.Key
-	done bool
+	key     job.Key
+	machine string
+	done    bool
+	noted   bool // on its way into the log of ended attempts
 }
 
 // New returns a node that knows nothing yet. The seed decides the moments at
@@ -142,6 +148,7 @@
 	for _, p := range cfg.Peers {
 		c.location[p.Node] = p.Location
 	}
+	c.ended.pages = map[uint64]*endedPage{}
 	c.jitter = Micros(seed % 200_000)
 	c.nonce = seed
 	c.resetLeader()
@@ -202,6 +209,7 @@
 	}
 	if c.ready {
 		c.flushJobs()
+		c.writeEnded()
 		if c.passDue && now-c.lastPass >= config.FromMillis(c.cfg.Settings.PassIntervalMS) {
 			c.pass()
 			c.flushJobs()
@@ -266,6 +274,11 @@
 			}
 		}
 	}
+	for _, n := range slices.Sorted(maps.Keys(c.ended.pages)) {
+		if p := c.ended.pages[n]; p.version <= s.Revision && !listed[endedKey(n)] {
+			c.forgetPage(n)
+		}
+	}
 	c.loaded = true
 	c.afterSnapshot(s.Revision)
 }
@@ -296,6 +309,10 @@
 		c.hintsIn(name, ev)
 		return
 	}
+	if num, ok := strings.CutPrefix(key, endedPrefix); ok {
+		c.endedIn(num, ev)
+		return
+	}
 	if name, ok := strings.CutPrefix(key, mailPrefix); ok {
 		c.mailIn(name, ev)
 		return
@@ -334,6 +351,9 @@
 // setRecord takes a newer record of a job.
 func (c *Core) setRecord(id string, rec job.Record, version uint64) {
 	j := c.job(id)
+	if rec.Spec != nil {
+		j.applyFacts(0, &rec.Part)
+	}
 	c.reindex(j, j.Rec.Open, rec.Open)
 	j.Rec, j.Version = rec, version
 	j.outdatePlan()
@@ -386,6 +406,7 @@
 	for len(j.parts) < n {
 		j.parts = append(j.parts, part{})
 	}
+	j.applyFacts(n, &p)
 	c.reindex(j, j.parts[n-1].Open, p.Open)
 	j.parts[n-1] = part{p, version}
 	j.recount()
@@ -429,6 +450,9 @@
 func (c *Core) reindex(j *Job, old, now []job.Placement) {
 	for _, p := range old {
 		delete(c.expected[p.Machine], p.Key(j.ID))
+		if !slices.Contains(now, p) {
+			delete(j.started, p.Task)
+		}
 		if m := c.machines.Get(p.Machine); m != nil {
 			m.Stale = true
 		}
@@ -460,7 +484,7 @@
 		} else if _, gone := c.deleted[p.Machine]; gone {
 			// Deleted while the transaction was under way: nobody else would
 			// ever close the placement.
-			c.close(p.Key(j.ID), false)
+			c.close(p.Key(j.ID), p.Machine, false)
 		}
 	}
 }
--- /dev/null
+++ b/internal/core/ended.go
@@ -0,0 +1,318 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"coralhub/internal/core/job"
+	"coralhub/wire"
+)
+
+// The log of ended attempts. A change of the state service is dear and large
+// arrays end task by task; so an end that neither finishes its job nor comes
+// with new places is not written into the job's record but, with those of all
+// other jobs, into a page of this log. What a page says of an attempt on a
+// machine is true for ever, whichever record it is held against, so it can be
+// applied any number of times. The record takes it over when it is written
+// next; a page whose every line has been taken over is deleted.
+
+const (
+	endedPrefix = job.Root + "ended/"
+	// endedShare is the part of all changes that the log may take.
+	endedShare = 0.2
+	// maxPages is how many pages there may be before the jobs in the oldest are
+	// written for its sake.
+	maxPages = 10
+)
+
+// endedLine says that an attempt of a task is not on a machine any more.
+type endedLine struct {
+	//lint:ignore U1000 read by the encoder: a line is a list, to be short
+	_msgpack struct{} `msgpack:",as_array"`
+	Job      string
+	Task     int
+	Attempt  uint64
+	Machine  string
+	Done     bool
+}
+
+// fact is a line of a page as its job knows it.
+type fact struct {
+	endedLine
+	merged bool // the job's record, as it is stored, says so too
+}
+
+type endedPage struct {
+	version uint64
+	facts   []*fact
+	leaving bool // its deletion is under way
+}
+
+// endedLog holds the pages and, in the leader, what is to be written.
+type endedLog struct {
+	pages   map[uint64]*endedPage
+	last    uint64 // highest number of a page
+	current uint64 // the page that the leader fills; 0: none
+	fresh   []endedLine
+	txn     *wire.Commit // has not been settled
+	out     bool         // and its answer may still come
+	writeAt Micros
+}
+
+func endedKey(n uint64) string { return endedPrefix + strconv.FormatUint(n, 10) }
+
+// endedIn takes a page.
+func (c *Core) endedIn(num string, ev *wire.Change) {
+	n, err := strconv.ParseUint(num, 10, 64)
+	if err != nil {
+		return
+	}
+	p := c.ended.pages[n]
+	if p != nil && p.version >= ev.Version {
+		return
+	}
+	if ev.Put == "" {
+		if p != nil {
+			c.forgetPage(n)
+		}
+		return
+	}
+	var lines []endedLine
+	if err := job.Decode(ev.Value, &lines); err != nil {
+		c.log("unreadable log of ended attempts", "page", n, "error", err.Error())
+		return
+	}
+	if p == nil {
+		p = &endedPage{}
+		c.ended.pages[n] = p
+	}
+	c.ended.last = max(c.ended.last, n)
+	p.version = ev.Version
+	for _, l := range lines[min(len(p.facts), len(lines)):] { // a page only grows
+		f := &fact{endedLine: l}
+		p.facts = append(p.facts, f)
+		c.learn(f)
+	}
+}
+
+func (c *Core) forgetPage(n uint64) {
+	for _, f := range c.ended.pages[n].facts {
+		if j := c.jobs[f.Job]; j != nil {
+			j.facts = slices.DeleteFunc(j.facts, func(o *fact) bool { return o == f })
+		}
+	}
+	delete(c.ended.pages, n)
+}
+
+// learn holds a line against what is known of its job.
+func (c *Core) learn(f *fact) {
+	j := c.job(f.Job)
+	j.facts = append(j.facts, f)
+	n := f.Task / job.PartTasks
+	if n > len(j.parts) {
+		return // the part comes later, or not at all
+	}
+	p, _ := j.part(n)
+	q := p.Clone()
+	if !f.apply(&q) {
+		return
+	}
+	c.reindex(j, p.Open, q.Open)
+	*p = q
+	j.recount()
+	c.passDue = true
+	if c.ready {
+		c.dirty[j.ID] = true
+	}
+}
+
+// apply brings a part up to a line; it returns whether that changed anything.
+func (f *fact) apply(p *job.Part) bool {
+	changed := p.Remove(f.Task, f.Attempt, f.Machine)
+	if f.Done && !p.IsDone(f.Task%job.PartTasks) {
+		p.SetDone(f.Task % job.PartTasks)
+		changed = true
+	}
+	f.merged = !changed
+	return changed
+}
+
+// applyFacts brings the stored value of a job's n-th part up to the log.
+func (j *Job) applyFacts(n int, p *job.Part) {
+	for _, f := range j.facts {
+		if f.Task/job.PartTasks == n {
+			f.apply(p)
+		}
+	}
+}
+
+// note hands closings to the log.
+func (c *Core) note(j *Job, closes []closing) {
+	for _, cl := range closes {
+		for i := range j.closes {
+			if o := &j.closes[i]; o.key == cl.key && o.machine == cl.machine && !o.noted {
+				o.noted = true
+				c.ended.fresh = append(c.ended.fresh, endedLine{Job: cl.key.Job, Task: cl.key.Task, Attempt: cl.key.Attempt,
+					Machine: cl.machine, Done: cl.done})
+			}
+		}
+	}
+}
+
+// writeEnded commits what has been noted, a page at a time.
+func (c *Core) writeEnded() {
+	e := &c.ended
+	if c.raising || e.out || c.now < e.writeAt {
+		return
+	}
+	if e.txn != nil { // without an answer: it may be applied later, so the same again
+		c.sendEnded(e.txn)
+		return
+	}
+	if len(e.fresh) == 0 {
+		return
+	}
+	var lines []endedLine
+	version := uint64(0)
+	if p := e.pages[e.current]; p != nil {
+		version = p.version
+		for _, f := range p.facts {
+			lines = append(lines, f.endedLine)
+		}
+	}
+	value := c.fitEnded(lines)
+	if version == 0 || value == nil { // the first page, or the next
+		e.current, version = e.last+1, 0
+		if value = c.fitEnded(nil); value == nil {
+			return
+		}
+	}
+	e.writeAt = c.now + c.writePause(endedShare)
+	key := endedKey(e.current)
+	e.txn = &wire.Commit{
+		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: version}},
+		Changes: []wire.Change{{Put: key, Value: value}},
+	}
+	c.sendEnded(e.txn)
+}
+
+// fitEnded adds as many fresh lines to a page as it has room for; nil: none.
+func (c *Core) fitEnded(lines []endedLine) []byte {
+	for n := len(c.ended.fresh); n > 0; n /= 2 {
+		value, err := job.Encode(append(lines[:len(lines):len(lines)], c.ended.fresh[:n]...))
+		if err == nil && wire.JSONSize(value) <= c.valueLimit() {
+			return value
+		}
+	}
+	return nil
+}
+
+func (c *Core) sendEnded(t *wire.Commit) {
+	c.ended.out = true
+	c.commit(*t, func(d CommitDone) {
+		e := &c.ended
+		if !c.leading || e.txn != t {
+			return
+		}
+		e.out = false
+		key := t.Changes[0].Put
+		switch d.Outcome {
+		case Unknown:
+			e.writeAt = c.now + commitPause
+			return
+		case OK:
+			c.apply(&wire.Change{Put: key, Value: t.Changes[0].Value, Version: d.Revision})
+		case Conflict:
+			if slices.Contains(d.Failed, leaderKey) && t.Guards[0].Version == c.token && !c.raising {
+				c.stepDown("claim lost")
+				return
+			}
+			if slices.Contains(d.Failed, key) { // an earlier sending has been applied after all
+				e.writeAt = c.now + commitPause
+				c.read(key, func(d ReadDone) {
+					if d.Outcome == OK && d.Item.Version != 0 {
+						c.apply(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
+						c.logged()
+					}
+				})
+			}
+		default:
+			e.writeAt = c.now + commitPause
+		}
+		e.txn = nil
+		c.logged()
+	})
+}
+
+// logged drops what pages or records say by now from what is to be written.
+func (c *Core) logged() {
+	e := &c.ended
+	left := e.fresh[:0]
+	for _, l := range e.fresh {
+		j := c.jobs[l.Job]
+		known := j == nil || j.Rec.Spec == nil || !j.isOpen(l.Task, l.Attempt, l.Machine)
+		if !known {
+			left = append(left, l)
+			continue
+		}
+		if j != nil {
+			j.closes = slices.DeleteFunc(j.closes, func(cl closing) bool {
+				return cl.noted && cl.key.Task == l.Task && cl.key.Attempt == l.Attempt && cl.machine == l.Machine
+			})
+			c.dirty[j.ID] = true
+			c.passDue = true
+		}
+	}
+	e.fresh = left
+}
+
+// isOpen tells whether an attempt is still held to be on a machine.
+func (j *Job) isOpen(task int, attempt uint64, machine string) bool {
+	p, _ := j.part(task / job.PartTasks)
+	for _, o := range p.Open {
+		if o.Task == task && o.Attempt == attempt && o.Machine == machine {
+			return true
+		}
+	}
+	return false
+}
+
+// tidyEnded deletes pages that no record needs any more, and has jobs written
+// for the sake of the oldest page when there are many.
+func (c *Core) tidyEnded() {
+	for i, n := range slices.Sorted(maps.Keys(c.ended.pages)) {
+		p := c.ended.pages[n]
+		if n == c.ended.current || p.leaving {
+			continue
+		}
+		needed := false
+		for _, f := range p.facts {
+			j := c.jobs[f.Job]
+			if f.merged || j == nil || j.Rec.Spec == nil {
+				continue
+			}
+			needed = true
+			if i == 0 && len(c.ended.pages) > maxPages && !j.mergeNow {
+				j.mergeNow = true
+				c.dirty[j.ID] = true
+			}
+		}
+		if needed {
+			continue
+		}
+		p.leaving = true
+		key := endedKey(n)
+		c.commit(wire.Commit{
+			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: p.version}},
+			Changes: []wire.Change{{Delete: key}},
+		}, func(d CommitDone) {
+			if d.Outcome == OK && c.ended.pages[n] == p {
+				c.forgetPage(n)
+				return
+			}
+			p.leaving = false
+		})
+		return // one at a time
+	}
+}
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -92,10 +92,10 @@
 // Clone returns a copy that shares nothing with p.
 func (p *Part) Clone() Part { return Part{p.Done, append([]Placement(nil), p.Open...)} }
 
-// Remove closes the placement of a task's attempt.
-func (p *Part) Remove(task int, attempt uint64) bool {
+// Remove closes the placement of a task's attempt on a machine.
+func (p *Part) Remove(task int, attempt uint64, machine string) bool {
 	for i, o := range p.Open {
-		if o.Task == task && o.Attempt == attempt {
+		if o.Task == task && o.Attempt == attempt && o.Machine == machine {
 			p.Open = append(p.Open[:i:i], p.Open[i+1:]...)
 			return true
 		}
--- a/internal/core/job/job_test.go
+++ b/internal/core/job/job_test.go
@@ -61,12 +61,12 @@
 			done[i] = true
 		case 1:
 			if !open[i] {
-				p.Open = append(p.Open, Placement{Task: i, Attempt: 1})
+				p.Open = append(p.Open, Placement{Task: i, Attempt: 1, Machine: "m"})
 				open[i] = true
 			}
 		case 2:
 			before := p.Clone()
-			if p.Remove(i, 1) != open[i] {
+			if p.Remove(i, 1, "m") != open[i] {
 				t.Fatal("removed what was not there")
 			}
 			if len(before.Open) != len(open) {
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -134,6 +134,11 @@
 			c.reindex(j, nil, j.parts[i].Open)
 		}
 		open += j.open
+		if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang && j.open > 0 && j.open < j.Rec.Spec.Tasks {
+			// Where the missing tasks were is not known any more, and an attempt
+			// must not come to the same machine twice: the gang starts anew.
+			j.deadGang = max(j.deadGang, j.Rec.Attempt)
+		}
 		if !j.Rec.Final() || j.Rec.Spec != nil {
 			c.dirty[id] = true
 		}
@@ -160,7 +165,7 @@
 
 func (c *Core) resetLeader() {
 	for _, j := range c.jobs {
-		j.closes, j.plan, j.txn, j.stops, j.reserved = nil, nil, nil, nil, nil
+		j.closes, j.plan, j.txn, j.stops, j.reserved, j.mergeNow = nil, nil, nil, nil, nil, false
 	}
 	c.leading, c.ready, c.token, c.baseToken, c.raising = false, false, 0, 0, false
 	c.wantRaise, c.listing = false, false
@@ -173,6 +178,7 @@
 			c.machines.Add(fresh)
 		}
 	}
+	c.ended.current, c.ended.fresh, c.ended.txn, c.ended.out = 0, nil, nil, false
 	c.dirty, c.delayed, c.urgent = map[string]bool{}, map[string]bool{}, nil
 	c.deleted = map[string]Micros{}
 	if c.expected == nil {
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -250,6 +250,19 @@
 		}
 	}
 	q := c.request(j, e)
+	if gang && j.open > 0 {
+		// An attempt must not come to a machine that it has left: what the worker
+		// says of the one could not be told from what it says of the other.
+		q.Avoid = maps.Clone(q.Avoid)
+		if q.Avoid == nil {
+			q.Avoid = map[string]Micros{}
+		}
+		for name, left := range j.left {
+			if left == attempt {
+				q.Avoid[name] = c.now + config.Second
+			}
+		}
+	}
 	inZone := map[string]int{}
 	j.eachOpen(func(p job.Placement) { inZone[p.Zone]++ })
 	for len(tasks) > 0 {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -16,6 +16,7 @@
 	closes []closing
 	rec    *job.Record // nil: unchanged
 	parts  map[int]job.Part
+	ends   bool // it would do nothing but close placements of a job that goes on
 
 	resendAt Micros // 0: no answer is missing
 }
@@ -56,7 +57,10 @@
 		t.resendAt = 0
 		c.send(j, t)
 	}
-	if j.txn != nil || c.now < j.retryAt || j.Version == 0 || c.raising {
+	if j.Version == 0 {
+		return true // its record has not come yet
+	}
+	if j.txn != nil || c.now < j.retryAt || c.raising {
 		return false
 	}
 	c.assure(j)
@@ -65,6 +69,10 @@
 		// A cancellation waits for workers to be heard: look again.
 		return !j.Rec.Cancel || j.Rec.Final()
 	}
+	if t.ends {
+		c.note(j, t.closes)
+		return !more
+	}
 	j.txn = t
 	c.send(j, t)
 	return !more
@@ -108,7 +116,7 @@
 			continue
 		}
 		t.closes = append(t.closes, cl)
-		if p.Remove(cl.key.Task, cl.key.Attempt) {
+		if p.Remove(cl.key.Task, cl.key.Attempt, cl.machine) {
 			keep(cl.key.Task, p)
 		}
 		if cl.done && !p.IsDone(cl.key.Task%job.PartTasks) {
@@ -116,6 +124,18 @@
 			keep(cl.key.Task, p)
 		}
 	}
+	// A service wants its replicas back at once; the log takes its time.
+	t.ends = changed && !j.mergeNow && len(j.plan) == 0 && (rec.Spec.Shape != wire.Service || rec.Cancel || rec.Final())
+	if j.mergeNow {
+		changed = true
+		for _, f := range j.facts {
+			if f.Task >= job.PartTasks && !f.merged {
+				if p := part(f.Task); p != nil {
+					keep(f.Task, p)
+				}
+			}
+		}
+	}
 	if !rec.Cancel && !rec.Final() {
 		for _, pl := range j.plan {
 			p := part(pl.Task)
@@ -145,15 +165,16 @@
 	}
 	if rec.Spec.Shape == wire.Gang && done > 0 && !rec.Final() {
 		// A gang completes together: if one task is done, so are all.
-		rec.Phase, rec.Count, changed = job.Done, rec.Spec.Tasks, true
+		rec.Phase, rec.Count, changed, t.ends = job.Done, rec.Spec.Tasks, true, false
 	}
 	if done >= rec.Spec.Tasks && !rec.Final() {
-		rec.Phase, rec.Count, changed = job.Done, done, true
+		rec.Phase, rec.Count, changed, t.ends = job.Done, done, true, false
 	}
 	if j.cancelling && !rec.Final() {
-		rec.Phase, rec.Count, changed = job.Cancelled, done, true
+		rec.Phase, rec.Count, changed, t.ends = job.Cancelled, done, true, false
 	}
 	if rec.Final() && open == 0 {
+		t.ends = false
 		if n := c.dropParts(j, t, room); n > 0 {
 			more, changed = true, true
 			j.retryAt = c.now + dropPause
@@ -163,9 +184,12 @@
 		}
 	}
 	if !changed {
-		j.closes = nil
+		j.forget(t.closes) // known already; those that found no room stay
 		return nil, more
 	}
+	if t.ends {
+		return t, more
+	}
 	rec.Count = max(rec.Count, done)
 	if err := c.fill(j, t, &rec); err != nil {
 		c.log("record not written", "job", j.ID, "error", err.Error())
@@ -244,19 +268,17 @@
 	})
 }
 
+// forget drops closings that have been dealt with.
+func (j *Job) forget(closes []closing) {
+	j.closes = slices.DeleteFunc(j.closes, func(cl closing) bool {
+		return slices.ContainsFunc(closes, func(o closing) bool { return o.key == cl.key && o.machine == cl.machine })
+	})
+}
+
 // committed takes over what a transaction has written.
 func (c *Core) committed(j *Job, t *txn, revision uint64) {
-	left := j.closes[:0]
-	for _, cl := range j.closes {
-		in := false
-		for _, o := range t.closes {
-			in = in || o == cl
-		}
-		if !in {
-			left = append(left, cl)
-		}
-	}
-	j.closes = left
+	j.forget(t.closes)
+	j.mergeNow = false
 	nums := slices.Sorted(maps.Keys(t.parts))
 	for _, n := range nums {
 		if _, v := j.part(n); v < revision {
@@ -328,18 +350,23 @@
 }
 
 // close notes proof that a placement is over.
-func (c *Core) close(key job.Key, done bool) {
+func (c *Core) close(key job.Key, machine string, done bool) {
 	j := c.jobs[key.Job]
 	if j == nil {
 		return
 	}
-	cl := closing{key, done}
 	for _, o := range j.closes {
-		if o == cl {
+		if o.key == key && o.machine == machine {
 			return
 		}
 	}
-	j.closes = append(j.closes, cl)
+	j.closes = append(j.closes, closing{key: key, machine: machine, done: done})
+	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang {
+		if j.left == nil {
+			j.left = map[string]uint64{}
+		}
+		j.left[machine] = key.Attempt
+	}
 	delete(j.stops, key)
 	c.dirty[key.Job] = true
 }
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -85,7 +85,7 @@
 	expected := c.expected[m.Name]
 	for _, key := range sortedKeys(expected) {
 		if expected[key].Session < m.Session {
-			c.close(key, false) // a later session: everything of the earlier one is gone
+			c.close(key, m.Name, false) // a later session: everything of the earlier one is gone
 		}
 	}
 	if m.NoticeAt != 0 {
@@ -145,11 +145,10 @@
 // exited closes a placement whose task has ended, by the worker's word.
 func (c *Core) exited(m *zone.Machine, j *Job, key job.Key, t *zone.Task) {
 	for _, cl := range j.closes {
-		if cl.key == key {
+		if cl.key == key && cl.machine == m.Name {
 			return
 		}
 	}
-	delete(j.started, key.Task)
 	c.passDue = true
 	switch t.Cause {
 	case wire.Done:
@@ -165,7 +164,7 @@
 	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang && t.Cause != wire.CauseNoRoom && t.Cause != wire.CauseBusy {
 		j.deadGang = max(j.deadGang, key.Attempt)
 	}
-	c.close(key, t.Cause == wire.Done)
+	c.close(key, m.Name, t.Cause == wire.Done)
 }
 
 // sickJobs is after how many different jobs in a row failing on a machine the
@@ -249,7 +248,7 @@
 			continue
 		}
 		if m.Settled() {
-			c.close(key, false) // never started, and nothing can start it any more
+			c.close(key, m.Name, false) // never started, and nothing can start it any more
 		} else if reply && !m.DirectStart && m.Token <= m.Ambiguous {
 			c.wantRaise = true
 		}
