Homes answer reports that say nothing new; mail and stand-ins go by the watch

Now a home answers a report that repeats what the leader has taken while the records ask nothing of the worker, and tells the leader of many workers at a time; by the same argument as in an outage it needs a copy of the records no older than what a cancellation leaves. A home that stands in goes by its copy too, and mails what it hears in one value for all its workers. What the leader can't send directly goes by the home: it asks for the worker's next report.

Owed to scale.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -143,7 +143,8 @@
 		c.teams[t.Name] = t
 	}
 	c.waiting = map[string][]waiter{}
-	c.heard, c.mailed, c.visits = map[string]Micros{}, map[string]mailed{}, map[string]visit{}
+	c.heard, c.visits, c.taken = map[string]Micros{}, map[string]visit{}, map[string]taken{}
+	c.mailbox, c.mailed = map[string]mailLine{}, map[string]mailLine{}
 	c.location = map[string]string{cfg.Node: cfg.Location}
 	for _, p := range cfg.Peers {
 		c.location[p.Node] = p.Location
@@ -172,6 +173,10 @@
 		c.currentAt = max(c.currentAt, now-x.Age)
 	case ForwardDone:
 		c.forwardDone(x)
+	case BeatIn:
+		c.beatIn(x)
+	case BeatDone:
+		c.beatDone(x)
 	case PeerHeard:
 		c.peerHeard(x)
 	case Hint:
@@ -242,6 +247,8 @@
 func (c *Core) tick() {
 	c.tickFront()
 	c.forgetWorkers()
+	c.sendBeat()
+	c.sendMail()
 	c.tickLeadership()
 	if c.catalog == nil && c.now-c.catalogAsked > config.Second || c.ready && c.now-c.catalogAsked > 30*config.Second {
 		c.catalogAsked = c.now
@@ -313,8 +320,8 @@
 		c.endedIn(num, ev)
 		return
 	}
-	if name, ok := strings.CutPrefix(key, mailPrefix); ok {
-		c.mailIn(name, ev)
+	if strings.HasPrefix(key, mailPrefix) {
+		c.mailIn(ev)
 		return
 	}
 	id, n, ok := job.ParseKey(key)
--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -16,22 +16,39 @@
 
 // deputy serves workers on behalf of a leader elsewhere.
 //
-// A worker's home is a node in its own zone, which hands its reports to the
-// leader and the answers back. If the leader can't be reached, as in a cut
-// between zones, the home stands in for it: it answers with the leader's
-// token, once a transaction has confirmed that the claim still stands and that
-// its copy of the records of the jobs on the worker is current, or if the state
-// service doesn't answer, for a short while without (recent). It stops what
-// is cancelled, and starts and forgets nothing: conclusions about starts are
-// drawn by the leader alone. The report itself goes to the leader by way of
-// the state service, in the same transaction.
+// A worker's home is a node in its own zone. A report that tells the leader
+// something, or to which the leader may have something to say, is handed on. One
+// that repeats what the leader has taken, while the records ask nothing of the
+// worker, is answered by the home; the leader hears of those workers many at a
+// time (beats). If the leader can't be reached, as in a cut between zones, the
+// home stands in for it and sends what it hears by way of the state service.
+//
+// Both go by this node's copy of the records. A home stops what is cancelled, and
+// starts and forgets nothing: conclusions about starts are drawn by the leader
+// alone. See fresh for how old the copy may be.
 type deputy struct {
 	location map[string]string // of every node
 	heard    map[string]Micros // when a peer was last heard
-	mailed   map[string]mailed
 	visits   map[string]visit
 	// A moment as of which this node's copy of all records was current.
 	currentAt Micros
+
+	taken  map[string]taken // by machine
+	beats  []Heard          // workers answered for the leader since the last beat
+	beatAt Micros
+
+	mailbox map[string]mailLine // for the leader, by way of the state service
+	mailed  map[string]mailLine // what was sent last
+	mailOut bool
+	mailAt  Micros
+}
+
+// taken is a report that a leader has taken with nothing to say to it.
+type taken struct {
+	leader  uint64 // version of its claim
+	session uint64
+	at      Micros
+	tasks   []wire.TaskReport
 }
 
 // visit remembers a worker that was sent to its home.
@@ -40,16 +57,41 @@
 	stayUntil Micros // it came back: its home is out of its reach
 }
 
-type mailed struct {
-	at    Micros
-	tasks string
+// mailLine is a report in the leader's mail.
+type mailLine struct {
+	//lint:ignore U1000 read by the encoder: a line is a list, to be short
+	_msgpack struct{} `msgpack:",as_array"`
+	Machine  string
+	Session  uint64
+	Seq      uint64
+	Token    uint64
+	NoticeS  *float64
+	Tasks    []mailTask
+	at       Micros
+}
+
+type mailTask struct {
+	//lint:ignore U1000 read by the encoder
+	_msgpack struct{} `msgpack:",as_array"`
+	Task     string
+	Attempt  uint64
+	State    string
+	Cause    string
+	Saved    bool
 }
 
 // unheard is after how long without a word from the leader a node stands in.
 const unheard = 2500 * 1000
 
-// mailEvery is how often an unchanged report is passed on.
-const mailEvery = 3 * config.Second
+// mailShare is the part of all changes that one node's mail may take.
+const mailShare = 0.1
+
+// beatEvery is how often the leader hears of the workers answered for it.
+const beatEvery = 400 * 1000
+
+// takenFor is how long a home answers for the leader before it hands on a report
+// though it says nothing new.
+const takenFor = 10 * config.Second
 
 // stay is how long a worker that can't reach its home is served elsewhere.
 const stay = 20 * config.Second
@@ -109,105 +151,231 @@
 	if len(c.visits) > maxRemembered {
 		clear(c.visits)
 	}
+	if len(c.taken) > maxRemembered {
+		clear(c.taken)
+	}
 	if len(c.mailed) > maxRemembered {
 		clear(c.mailed)
 	}
 }
 
+// relay serves a worker whose leader is elsewhere.
+func (c *Core) relay(x ReportIn) {
+	r := &x.Report
+	switch {
+	case c.sendHome(x):
+	case !c.alive(c.leader.node) && r.Token <= c.leader.version:
+		c.standIn(x)
+	case c.quiet(r):
+		c.beats = append(c.beats, Heard{r.Machine, r.Session, r.Seq})
+		c.answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.leader.version, Orders: []wire.Order{}})
+	default:
+		delete(c.taken, r.Machine)
+		c.emit(Forward{x.Req, c.leader.node, *r})
+	}
+}
+
+// fresh tells whether this node's copy of the records is recent enough to answer
+// workers by. What it doesn't know may be that a job was cancelled and its user
+// told so, after its copy was current. So it stops answering early enough for the
+// lease of such a worker to end within the time that a cancellation has.
+func (c *Core) fresh() bool {
+	w := &c.cfg.Cluster.Workers
+	return c.now-c.currentAt < config.FromSeconds(w.CancelS-w.LeaseS)-4*config.Second
+}
+
+// quiet tells whether a report says only what the leader has taken before, and
+// the records ask nothing of the worker.
+func (c *Core) quiet(r *wire.Report) bool {
+	t, ok := c.taken[r.Machine]
+	expected := c.expected[r.Machine]
+	if !ok || t.leader != c.leader.version || t.session != r.Session || c.now-t.at > takenFor || r.Token != c.leader.version ||
+		r.NoticeS != nil || len(expected) != len(r.Tasks) || !slices.Equal(t.tasks, r.Tasks) || !c.fresh() {
+		return false
+	}
+	for i := range r.Tasks {
+		id, n, ok := wire.ParseTaskName(r.Tasks[i].Task)
+		if !ok || r.Tasks[i].State == wire.Exited {
+			return false
+		}
+		p, open := expected[job.Key{Job: id, Task: n, Attempt: r.Tasks[i].Attempt}]
+		if j := c.jobs[id]; !open || p.Session != r.Session || j.Rec.Cancel || j.Rec.Final() {
+			return false
+		}
+	}
+	return true
+}
+
+// sendBeat tells the leader of the workers answered for it.
+func (c *Core) sendBeat() {
+	if len(c.beats) == 0 || c.now < c.beatAt {
+		return
+	}
+	c.beatAt = c.now + beatEvery
+	if !c.ready && c.leader.node != "" && c.leader.node != c.cfg.Node {
+		c.emit(Beat{c.leader.node, c.beats})
+	}
+	c.beats = nil
+}
+
+// beatIn hears, as the leader, of workers that their homes have answered. It
+// answers with those whose next report it wants to see.
+func (c *Core) beatIn(x BeatIn) {
+	if !c.ready {
+		c.later(x.Req, "not the leader")
+		return
+	}
+	var wanted []string
+	for _, h := range x.Heard {
+		m := c.machines.Get(h.Machine)
+		if m == nil || m.Session != h.Session || m.Token < c.baseToken || m.Wanted {
+			wanted = append(wanted, h.Machine)
+		}
+		if m != nil {
+			m.Beat(c.now, h.Session, h.Seq)
+		}
+	}
+	c.answer(x.Req, http.StatusOK, wanted)
+}
+
+func (c *Core) beatDone(x BeatDone) {
+	for _, name := range x.Wanted {
+		delete(c.taken, name)
+	}
+}
+
 // forwardDone passes on the leader's answer, or stands in for it.
 func (c *Core) forwardDone(x ForwardDone) {
+	r := &x.Report
 	if x.Answer != nil {
+		if len(x.Answer.Orders) == 0 && x.Answer.Token == c.leader.version {
+			c.taken[r.Machine] = taken{c.leader.version, r.Session, c.now, r.Tasks}
+		}
 		c.answer(x.Req, http.StatusOK, *x.Answer)
 		return
 	}
-	if c.leading || c.leader.node == "" || c.leader.node == c.cfg.Node || x.Report.Token > c.leader.version {
+	if c.leading || c.leader.node == "" || c.leader.node == c.cfg.Node || r.Token > c.leader.version {
 		c.later(x.Req, "no leader")
 		return
 	}
 	c.standIn(ReportIn{Req: x.Req, Report: x.Report})
 }
 
-// standIn answers a report in the leader's place.
+// standIn answers a report in the place of a leader that can't be reached, if
+// this node's copy of the records is fresh.
 func (c *Core) standIn(x ReportIn) {
-	r := x.Report
-	guards := []wire.Guard{{Key: leaderKey, Version: c.leader.version}}
-	ids := map[string]bool{}
+	r := &x.Report
+	if !c.fresh() {
+		c.later(x.Req, "not the leader")
+		return
+	}
+	orders := []wire.Order{}
 	for _, t := range r.Tasks {
-		if id, _, ok := wire.ParseTaskName(t.Task); ok && t.State != wire.Exited {
-			ids[id] = true
+		id, _, ok := wire.ParseTaskName(t.Task)
+		if !ok || t.State == wire.Exited {
+			continue
 		}
-	}
-	names := slices.Sorted(maps.Keys(ids))
-	for _, id := range names {
 		j := c.jobs[id]
-		if j == nil || len(guards) == wire.GuardFactor*c.cfg.Cluster.State.TxnOps {
+		if j == nil {
 			c.later(x.Req, "not the leader")
 			return
 		}
-		if j.Rec.Spec != nil {
-			guards = append(guards, wire.Guard{Key: job.RecordKey(id), Version: j.Version})
+		if j.Rec.Cancel || j.Rec.Phase == job.Cancelled {
+			grace := 0.0
+			orders = append(orders, wire.Order{Verb: wire.Stop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
 		}
 	}
-	token := c.leader.version
-	c.commit(wire.Commit{Guards: guards, Changes: c.mail(&r)}, func(d CommitDone) {
-		if d.Outcome != OK && !c.recent(d.Outcome) || c.leading || c.leader.version != token {
-			c.later(x.Req, "not the leader")
-			return
-		}
-		orders := []wire.Order{}
-		for _, t := range r.Tasks {
-			id, _, ok := wire.ParseTaskName(t.Task)
-			if j := c.jobs[id]; ok && j != nil && t.State != wire.Exited && (j.Rec.Cancel || j.Rec.Phase == job.Cancelled) {
-				grace := 0.0
-				orders = append(orders, wire.Order{Verb: wire.Stop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
-			}
-		}
-		c.answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: token, Orders: orders})
-	})
+	delete(c.taken, r.Machine)
+	c.mail(r)
+	c.answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.leader.version, Orders: orders})
 }
 
-// recent tells whether a node may stand in though the state service doesn't
-// answer, as in an outage in which the leader ends. What it doesn't know may be
-// that a job was cancelled and its user told so, after its copy was current. So
-// it stops answering early enough for the lease of such a worker to end within
-// the time that a cancellation has.
-func (c *Core) recent(o Outcome) bool {
-	w := &c.cfg.Cluster.Workers
-	most := config.FromSeconds(w.CancelS-w.LeaseS) - 4*config.Second
-	return (o == Refused || o == Unknown) && c.now-c.currentAt < most
+// mail puts a report into the leader's mail, unless it was sent a moment ago.
+func (c *Core) mail(r *wire.Report) {
+	l := mailLine{Machine: r.Machine, Session: r.Session, Seq: r.Seq, Token: r.Token, NoticeS: r.NoticeS, at: c.now}
+	for _, t := range r.Tasks {
+		l.Tasks = append(l.Tasks, mailTask{Task: t.Task, Attempt: t.Attempt, State: t.State, Cause: t.Cause, Saved: t.Saved})
+	}
+	// An unchanged report tells that the worker is alive, while it may be thought dead.
+	if !l.news(c.mailed[r.Machine]) && c.now-c.mailed[r.Machine].at < c.silence()/2 || len(c.mailbox) > maxRemembered {
+		return
+	}
+	c.mailbox[r.Machine] = l
 }
 
-// mail is the change that passes a report on, none if it says nothing new.
-func (c *Core) mail(r *wire.Report) []wire.Change {
-	tasks := ""
-	for _, t := range r.Tasks {
-		tasks += t.Task + t.State + t.Cause + " "
+// news tells whether a line says more than an earlier one.
+func (l mailLine) news(old mailLine) bool {
+	return l.Session != old.Session || !slices.Equal(l.Tasks, old.Tasks)
+}
+
+// sendMail writes what is in the mailbox, as much as one value has room for and
+// what says something new first.
+func (c *Core) sendMail() {
+	if len(c.mailbox) == 0 || c.mailOut || c.now < c.mailAt || c.leader.version == 0 {
+		return
 	}
-	if last := c.mailed[r.Machine]; last.tasks == tasks && c.now-last.at < mailEvery {
-		return nil
+	var lines []mailLine
+	for _, name := range slices.Sorted(maps.Keys(c.mailbox)) {
+		lines = append(lines, c.mailbox[name])
 	}
-	value, err := job.Encode(r)
-	if err != nil || wire.JSONSize(value) > c.valueLimit() || len(mailPrefix+r.Machine) > 200 {
-		return nil
+	sort.SliceStable(lines, func(i, j int) bool {
+		return lines[i].news(c.mailed[lines[i].Machine]) && !lines[j].news(c.mailed[lines[j].Machine])
+	})
+	value, err := job.Encode(lines)
+	for err == nil && wire.JSONSize(value) > c.valueLimit() {
+		if len(lines) == 1 {
+			delete(c.mailbox, lines[0].Machine) // never fits: the leader has to hear of it otherwise
+			return
+		}
+		lines = lines[:len(lines)*3/4]
+		value, err = job.Encode(lines)
+	}
+	if err != nil {
+		return
 	}
-	c.mailed[r.Machine] = mailed{c.now, tasks}
-	return []wire.Change{{Put: mailPrefix + r.Machine, Value: value}}
+	c.mailOut, c.mailAt = true, c.now+c.writePause(mailShare)
+	c.commit(wire.Commit{
+		Guards:  []wire.Guard{{Key: leaderKey, Version: c.leader.version}},
+		Changes: []wire.Change{{Put: mailPrefix + c.cfg.Node, Value: value}},
+	}, func(d CommitDone) {
+		c.mailOut = false
+		if d.Outcome != OK {
+			return
+		}
+		for _, l := range lines {
+			c.mailed[l.Machine] = l
+			if c.mailbox[l.Machine].Seq == l.Seq {
+				delete(c.mailbox, l.Machine)
+			}
+		}
+	})
 }
 
-// mailIn takes a report that a deputy has passed on.
-func (c *Core) mailIn(name string, ev *wire.Change) {
+// mailIn takes a deputy's mail.
+func (c *Core) mailIn(ev *wire.Change) {
 	if !c.ready || ev.Put == "" || ev.Version <= c.baseToken {
 		return
 	}
-	var r wire.Report
-	m := c.machines.Get(name)
-	if err := job.Decode(ev.Value, &r); err != nil || r.Machine != name || m == nil || r.Token > c.token {
+	var lines []mailLine
+	if job.Decode(ev.Value, &lines) != nil {
 		return
 	}
-	if !m.Mailed {
-		c.log("hearing of a worker by way of the state service", "machine", name)
+	for i := range lines {
+		l := &lines[i]
+		m := c.machines.Get(l.Machine)
+		if m == nil || l.Token > c.token {
+			continue
+		}
+		if !m.Mailed {
+			c.debug("hearing of a worker by way of the state service", "machine", m.Name)
+		}
+		r := wire.Report{Machine: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			Session: l.Session, Seq: l.Seq, Token: l.Token, NoticeS: l.NoticeS}
+		for _, t := range l.Tasks {
+			r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.Task, Attempt: t.Attempt, State: t.State, Cause: t.Cause, Saved: t.Saved})
+		}
+		spoke := m.Spoke
+		c.ingest(m, &r, false)
+		m.Spoke, m.Mailed = spoke, true
 	}
-	spoke := m.Spoke
-	c.ingest(m, &r, false)
-	m.Spoke, m.Mailed = spoke, true
 }
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -119,6 +119,19 @@
 		Report wire.Report
 		Answer *wire.ReportAnswer
 	}
+	// Heard is a worker's report that its home has answered for the leader.
+	Heard struct {
+		Machine      string
+		Session, Seq uint64
+	}
+	// BeatIn tells the leader of workers that their homes have answered; its
+	// answer's body lists those whose next report the leader wants.
+	BeatIn struct {
+		Req   uint64
+		Heard []Heard
+	}
+	// BeatDone answers Beat.
+	BeatDone struct{ Wanted []string }
 	// PeerHeard tells that a peer has answered.
 	PeerHeard struct{ Node string }
 	// Hint is a peer's copy of a key that it has just written.
@@ -142,6 +155,8 @@
 func (CancelIn) input()    {}
 func (Hint) input()        {}
 func (PeerHeard) input()   {}
+func (BeatIn) input()      {}
+func (BeatDone) input()    {}
 func (ForwardDone) input() {}
 
 // Effects.
@@ -195,6 +210,11 @@
 		Node   string
 		Report wire.Report
 	}
+	// Beat tells the leader of workers that this node has answered for it.
+	Beat struct {
+		Node  string
+		Heard []Heard
+	}
 	// Log is a line for the operator.
 	Log struct {
 		Debug bool
@@ -217,3 +237,4 @@
 func (Tell) effect()         {}
 func (Log) effect()          {}
 func (Forward) effect()      {}
+func (Beat) effect()         {}
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -231,6 +231,7 @@
 		c.heard[cl.Node] = c.now
 	}
 	c.leader.node, c.leader.version, c.leader.nonce = cl.Node, ev.Version, cl.Nonce
+	clear(c.mailed) // a new leader has not read it
 	if cl.Node != c.cfg.Node {
 		if c.leading && ev.Version > c.token {
 			c.stepDown("claim of " + cl.Node)
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -30,14 +30,7 @@
 	r := &x.Report
 	if !c.ready {
 		if c.leader.node != "" && c.leader.node != c.cfg.Node && r.Machine != "" {
-			if c.sendHome(x) {
-				return
-			}
-			if c.alive(c.leader.node) || r.Token > c.leader.version {
-				c.emit(Forward{x.Req, c.leader.node, *r})
-			} else {
-				c.standIn(x)
-			}
+			c.relay(x)
 			return
 		}
 		c.later(x.Req, "no leader")
@@ -354,6 +347,7 @@
 	m.DirectOver(x.ID, x.Outcome == Unknown)
 	if x.Outcome != OK {
 		m.DirectAt = c.now + directPause
+		m.Wanted = true // the orders have to go by the answer to a report
 	}
 	if r := x.Report; r != nil && r.Machine == m.Name {
 		if r.Token > c.token && !c.raising {
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -32,6 +32,7 @@
 	Heard               Micros          // when the newest message came
 	Spoke               Micros          // when the worker was last in touch with us itself
 	Mailed              bool            // the newest message came by way of the state service
+	Wanted              bool            // the next report is to come to the leader itself
 	NoticeAt            Micros          // when the cloud takes it; 0: no notice
 	Images              map[string]bool // those that it is known to have
 
@@ -92,6 +93,7 @@
 		m.ReplySeq = 0
 	}
 	m.Session, m.Seq, m.Heard, m.Spoke = r.Session, r.Seq, now, now
+	m.Wanted = m.Wanted && !isReport
 	m.Token = max(m.Token, r.Token)
 	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
 	m.NoticeAt = 0
@@ -116,6 +118,14 @@
 	return true
 }
 
+// Beat notes that the worker's home has answered a report that says no more than
+// the newest message.
+func (m *Machine) Beat(now Micros, session, seq uint64) {
+	if session == m.Session && seq > m.Seq {
+		m.Seq, m.Heard, m.Spoke, m.Mailed = seq, now, now, false
+	}
+}
+
 // Settled tells whether no start that was sent to the worker can still take
 // effect without the newest message showing its attempt.
 func (m *Machine) Settled() bool { return m.settled && !m.DirectStart }
--- a/internal/node/httpapi/httpapi.go
+++ b/internal/node/httpapi/httpapi.go
@@ -107,6 +107,11 @@
 	return a.ask(nil, func(req uint64) core.Input { return core.ReportIn{Req: req, Report: r, Forwarded: true} })
 }
 
+// Beat answers a home that has answered workers for this node.
+func (a *API) Beat(heard []core.Heard) core.Answer {
+	return a.ask(nil, func(req uint64) core.Input { return core.BeatIn{Req: req, Heard: heard} })
+}
+
 func (a *API) forget(req uint64) {
 	a.mu.Lock()
 	delete(a.wait, req)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,7 +105,7 @@
 	defer server.Close()
 	go func() { failed <- server.Serve(users) }()
 	go func() {
-		failed <- peer.Serve(peers, func(in core.Input) { n.offer(in) }, n.api.Report, func() bool { return n.store.FailingFor() == 0 })
+		failed <- peer.Serve(peers, func(in core.Input) { n.offer(in) }, n.api, func() bool { return n.store.FailingFor() == 0 })
 	}()
 	go n.store.Follow(ctx)
 	go n.watchPeers(ctx)
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -32,23 +32,35 @@
 // ReportAnswer is the leader's answer; Body is empty unless it was a 200.
 type ReportAnswer struct{ Body []byte }
 
+// Beat tells of workers that the caller has answered for the leader.
+type Beat struct{ Heard []core.Heard }
+
+// BeatAnswer lists the workers whose next report the leader wants.
+type BeatAnswer struct{ Wanted []string }
+
 // Status is how a peer is doing.
 type Status struct{ StateOK bool }
 
 // Service is what a node offers its peers.
 type Service struct {
 	post    func(core.Input)
-	report  func(wire.Report) core.Answer
+	answer  Answerer
 	stateOK func() bool
 }
 
+// Answerer has the core answer what peers ask.
+type Answerer interface {
+	Report(wire.Report) core.Answer
+	Beat([]core.Heard) core.Answer
+}
+
 // Report has the node answer a worker's report as the leader.
 func (s *Service) Report(q *Report, a *ReportAnswer) error {
 	var r wire.Report
 	if err := wire.Unmarshal(q.Body, &r); err != nil {
 		return err
 	}
-	x := s.report(r)
+	x := s.answer.Report(r)
 	if x.Status != http.StatusOK {
 		return nil
 	}
@@ -57,6 +69,12 @@
 	return err
 }
 
+// Beat takes word of workers that the caller has answered for this node.
+func (s *Service) Beat(q *Beat, a *BeatAnswer) error {
+	a.Wanted, _ = s.answer.Beat(q.Heard).Body.([]string)
+	return nil
+}
+
 // Tell takes a copy of a key that the caller has written.
 func (s *Service) Tell(e *Event, _ *struct{}) error {
 	s.post(core.Hint{Event: wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}})
@@ -88,9 +106,9 @@
 }
 
 // Serve answers peers on l.
-func Serve(l net.Listener, post func(core.Input), report func(wire.Report) core.Answer, stateOK func() bool) error {
+func Serve(l net.Listener, post func(core.Input), answer Answerer, stateOK func() bool) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName("Peer", &Service{post, report, stateOK}); err != nil {
+	if err := server.RegisterName("Peer", &Service{post, answer, stateOK}); err != nil {
 		return err
 	}
 	for {
@@ -116,6 +134,13 @@
 			done.Answer = p.forward(x)
 			p.post(done)
 		}, func() { go p.post(done) })
+	case core.Beat:
+		p.limited(func() {
+			var out BeatAnswer
+			if p.call(x.Node, "Peer.Beat", &Beat{x.Heard}, &out) == nil && len(out.Wanted) > 0 {
+				p.post(core.BeatDone{Wanted: out.Wanted})
+			}
+		}, func() {})
 	default:
 		return false
 	}
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -23,7 +23,7 @@
 const (
 	callTimeout  = 2 * time.Second
 	renewTimeout = time.Second
-	watchWait    = 10 * time.Second
+	watchWait    = 3 * time.Second // homes answer workers by how recent the last one is
 	maxAnswer    = 64 << 20
 )
 
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -228,6 +228,16 @@
 			delete(to.answers, req)
 		}
 		s.post(n, d)
+	case core.Beat:
+		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
+			s.req++
+			for _, e := range to.core.Step(s.now-to.born+1, core.BeatIn{Req: s.req, Heard: x.Heard}) {
+				s.carry(to, e)
+			}
+			wanted, _ := to.answers[s.req].Body.([]string)
+			delete(to.answers, s.req)
+			s.post(n, core.BeatDone{Wanted: wanted})
+		}
 	case core.Tell:
 		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
 			s.post(to, core.Hint{Event: x.Event})
