Changes in flight are bounded; what can wait gives way and the rest goes by rank

Now a pass commits as much as the state service takes in half a second, by rank; the rest holds its places in the pass, so machines are still rented for what is left. Changes that can wait have a pace of their own that slows down when they are refused, so acceptances go first.

Owed to scale.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,6 +72,8 @@
 	dirty     map[string]bool // jobs with facts to commit
 	delayed   map[string]bool // those that can't be committed before the next tick
 	urgent    []*zone.Machine // those with commands that should not wait
+	writing   int             // changes to jobs on their way
+	reign     uint64          // counts the times that this node began anew
 }
 
 // Job is a job as this node knows it.
@@ -231,10 +233,20 @@
 
 func (c *Core) debug(text string, args ...any) { c.emit(Log{Debug: true, Text: text, Args: args}) }
 
+// commit asks for a transaction that should not wait: somebody is to be answered
+// or a claim hangs on it.
 func (c *Core) commit(t wire.Commit, then func(CommitDone)) {
 	c.nextID++
 	c.commits[c.nextID] = then
-	c.emit(Commit{c.nextID, t})
+	c.emit(Commit{ID: c.nextID, Txn: t})
+}
+
+// commitLater asks for a transaction that gives way to those of commit when the
+// state service is short of changes.
+func (c *Core) commitLater(t wire.Commit, then func(CommitDone)) {
+	c.nextID++
+	c.commits[c.nextID] = then
+	c.emit(Commit{ID: c.nextID, Txn: t, Later: true})
 }
 
 func (c *Core) read(key string, then func(ReadDone)) {
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -210,7 +210,7 @@
 
 func (c *Core) sendEnded(t *wire.Commit) {
 	c.ended.out = true
-	c.commit(*t, func(d CommitDone) {
+	c.commitLater(*t, func(d CommitDone) {
 		e := &c.ended
 		if !c.leading || e.txn != t {
 			return
@@ -303,7 +303,7 @@
 		}
 		p.leaving = true
 		key := endedKey(n)
-		c.commit(wire.Commit{
+		c.commitLater(wire.Commit{
 			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: p.version}},
 			Changes: []wire.Change{{Delete: key}},
 		}, func(d CommitDone) {
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -82,7 +82,7 @@
 	if value == nil {
 		return
 	}
-	c.commit(wire.Commit{
+	c.commitLater(wire.Commit{
 		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}},
 		Changes: []wire.Change{{Put: hintPrefix + strconv.Itoa(n), Value: value}},
 	}, func(d CommitDone) { p.changed = p.changed || d.Outcome != OK })
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -163,8 +163,9 @@
 type (
 	// Commit is a transaction for the state service.
 	Commit struct {
-		ID  uint64
-		Txn wire.Commit
+		ID    uint64
+		Txn   wire.Commit
+		Later bool // gives way to the others
 	}
 	// Read asks for a key.
 	Read struct {
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -178,6 +178,8 @@
 			c.machines.Add(fresh)
 		}
 	}
+	c.reign++
+	c.writing = 0
 	c.ended.current, c.ended.fresh, c.ended.txn, c.ended.out = 0, nil, nil, false
 	c.dirty, c.delayed, c.urgent = map[string]bool{}, map[string]bool{}, nil
 	c.deleted = map[string]Micros{}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -22,6 +22,7 @@
 	barred map[string]bool // zones kept for a job past the age cap
 
 	victims map[string][]*zone.Victim // by zone; nil: nobody has asked
+	budget  int                       // changes that may still be asked of the state service
 }
 
 // typeSet is the machine types that suit a job.
@@ -66,7 +67,7 @@
 // workers last said of it, and so does what is being committed. What is placed
 // on a machine is added up again only if that has changed.
 func (c *Core) survey() *scan {
-	s := &scan{used: map[string]queue.Amount{}, barred: map[string]bool{}}
+	s := &scan{used: map[string]queue.Amount{}, barred: map[string]bool{}, budget: c.mostWriting() - c.writing}
 	byName := make(map[string]*zone.Zone, len(c.cfg.Cluster.Zones))
 	for _, name := range c.cfg.Cluster.Zones {
 		z := &zone.Zone{Name: name, Victims: func() []*zone.Victim { return c.victims(s, name) }}
@@ -265,27 +266,42 @@
 	}
 	inZone := map[string]int{}
 	j.eachOpen(func(p job.Placement) { inZone[p.Zone]++ })
+	// When the state service takes no more changes for now, those that rank
+	// highest have gone first. The rest hold their places in this pass, so that
+	// nothing ranking lower takes them and machines are rented for what is left.
+	commit := s.budget > 0
+	s.budget--
 	for len(tasks) > 0 {
 		bid := c.auction(s, j, e, q, tasks, inZone)
 		if bid == nil {
 			break
 		}
 		if len(bid.Victims) > 0 {
-			c.evict(j, bid)
+			if commit {
+				c.evict(j, bid)
+			}
 			return
 		}
 		for i, r := range bid.Rooms {
 			r.Free = r.Free.Plus(q.Needs, -1)
 			r.Idle = false
 			inZone[bid.Zone]++
+			if !commit {
+				continue
+			}
+			if tasks[i] >= job.PartTasks && tasks[i]%job.PartTasks == 0 {
+				s.budget-- // another value is written
+			}
 			j.plan = append(j.plan, job.Placement{Task: tasks[i], Attempt: attempt, Machine: r.Machine.Name,
 				Session: r.Machine.Session, Zone: r.Machine.Zone})
 		}
-		c.debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Rooms), "warm", bid.Warm, "zone", bid.Zone,
-			"age_ms", (c.now-j.arrived)/1000, "level", e.Level)
+		if commit {
+			c.debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Rooms), "warm", bid.Warm, "zone", bid.Zone,
+				"age_ms", (c.now-j.arrived)/1000, "level", e.Level)
+			c.dirty[j.ID] = true
+		}
 		s.used[spec.Team] = s.used[spec.Team].Plus(taskAmount(spec), float64(len(bid.Rooms)))
 		tasks = tasks[len(bid.Rooms):]
-		c.dirty[j.ID] = true
 	}
 	if len(tasks) == 0 {
 		j.preempted, j.reserved = 0, nil
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -73,6 +73,9 @@
 		c.note(j, t.closes)
 		return !more
 	}
+	if len(j.plan) == 0 && !j.Rec.Cancel && c.writing >= c.mostWriting() {
+		return false
+	}
 	j.txn = t
 	c.send(j, t)
 	return !more
@@ -240,8 +243,20 @@
 	return nil
 }
 
+// mostWriting is how many changes to jobs may be on their way at a time: what
+// the state service takes in about half a second. More would wait in a line that
+// knows no ranks.
+func (c *Core) mostWriting() int {
+	return max(c.cfg.Cluster.State.TxnOps, int(c.cfg.Cluster.State.WriteRPS/2))
+}
+
 func (c *Core) send(j *Job, t *txn) {
-	c.commit(t.commit, func(d CommitDone) {
+	reign := c.reign
+	c.writing += len(t.commit.Changes)
+	c.commitLater(t.commit, func(d CommitDone) {
+		if reign == c.reign {
+			c.writing -= len(t.commit.Changes)
+		}
 		if !c.leading || j.txn != t {
 			return
 		}
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -34,6 +34,7 @@
 	http   *http.Client
 	calls  *rate.Limiter
 	writes *rate.Limiter
+	later  *paced // what gives way
 	relist chan struct{}
 	pace   time.Duration
 	badAt  atomic.Int64 // since when every call has failed; 0 if the last went well
@@ -50,6 +51,7 @@
 		http:   call.Client(callTimeout, 16, 64),
 		calls:  rate.NewLimiter(rate.Limit(s.RPS*0.5), max(1, int(s.RPS*0.5))),
 		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.7), max(1, int(s.WriteRPS*0.7), s.TxnOps)),
+		later:  newPaced(s.WriteRPS*0.9, max(1, int(s.WriteRPS*0.2), s.TxnOps)),
 		relist: make(chan struct{}, 1),
 		pace:   100 * time.Millisecond,
 		start:  time.Now(),
@@ -138,10 +140,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	done := core.CommitDone{ID: x.ID, Outcome: core.Refused}
-	if s.calls.Wait(ctx) == nil && (len(x.Txn.Changes) == 0 || s.writes.WaitN(ctx, len(x.Txn.Changes)) == nil) {
+	if s.calls.Wait(ctx) == nil && s.turn(ctx, &x) == nil {
 		var a wire.CommitAnswer
 		status, err := s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
 		done.Outcome, done.Revision, done.Failed = outcome(status, err), a.Revision, a.Failed
+		if x.Later {
+			s.later.took(status == http.StatusTooManyRequests)
+		}
 		switch {
 		case err != nil:
 		case status == http.StatusConflict:
@@ -153,6 +158,40 @@
 	s.post(done)
 }
 
+// turn waits until a transaction may be sent. All nodes share the quota of
+// changes, and those of a leader are the bulk: when the service refuses one that
+// can wait, the others go first until it takes them again.
+func (s *Store) turn(ctx context.Context, x *core.Commit) error {
+	n := len(x.Txn.Changes)
+	switch {
+	case n == 0:
+		return nil
+	case x.Later:
+		return s.later.limiter.WaitN(ctx, n)
+	}
+	return s.writes.WaitN(ctx, n)
+}
+
+// paced is a limiter that slows down when it is refused and recovers with each
+// time that it isn't.
+type paced struct {
+	limiter     *rate.Limiter
+	least, most rate.Limit
+}
+
+func newPaced(most float64, burst int) *paced {
+	return &paced{rate.NewLimiter(rate.Limit(most), burst), rate.Limit(most / 8), rate.Limit(most)}
+}
+
+func (p *paced) took(refused bool) {
+	limit := p.limiter.Limit()
+	if refused {
+		p.limiter.SetLimit(max(p.least, limit*0.7))
+		return
+	}
+	p.limiter.SetLimit(min(p.most, limit+p.most/10))
+}
+
 func (s *Store) read(x core.Read) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
