--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -17,21 +17,35 @@
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			chaos(t, rand.New(rand.NewPCG(seed, 99)))
+			chaos(t, NewSim(3), rand.New(rand.NewPCG(seed, 99)), 0, 120, 4)
 		})
 	}
 }
 
-func chaos(t *testing.T, rnd *rand.Rand) {
-	s := NewSim(3)
+// TestChaosAtScale does the same with some two hundred machines, jobs of up to
+// seventy tasks, thirty of them before the first trouble, and a state service that takes 25 changes a second from all.
+func TestChaosAtScale(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			chaos(t, newSim(3, 24, 25), rand.New(rand.NewPCG(seed, 77)), 30, 50, 70)
+		})
+	}
+}
+
+func chaos(t *testing.T, s *Sim, rnd *rand.Rand, early, events, tasks int) {
 	s.Run(2 * standin.Second)
 	accepted := map[string]bool{}
 	services := map[string]bool{}
-	for i := range 120 {
+	for i := range early + events {
 		n := s.nodes[rnd.IntN(3)]
-		switch rnd.IntN(14) {
+		kind := rnd.IntN(14)
+		if i < early { // jobs alone, one after the other
+			kind = 0
+		}
+		switch kind {
 		case 0, 1, 2, 3:
-			j := randomJob(rnd, fmt.Sprintf("j-%d", i))
+			j := randomJob(rnd, fmt.Sprintf("j-%d", i), tasks)
 			if a := s.Submit(n, j); a.Status == 201 || a.Status == 200 {
 				accepted[j.ID] = true
 				services[j.ID] = j.Shape == wire.Service
@@ -70,7 +84,9 @@
 				m.Hang = !m.Hang
 			}
 		}
-		s.Run(standin.Micros(rnd.IntN(30)) * tick)
+		if i >= early {
+			s.Run(standin.Micros(rnd.IntN(30)) * tick)
+		}
 	}
 	s.state.SetDown(s.now, false)
 	s.world.CloudOff = false
@@ -99,17 +115,18 @@
 	for _, b := range s.world.Broken {
 		t.Error(b)
 	}
+	t.Logf("%d machines rented, %d changes", s.world.Rented, s.state.Revision())
 	if t.Failed() {
 		t.Log(s.Show())
 	}
 }
 
-func randomJob(rnd *rand.Rand, id string) *standin.JobIn {
+func randomJob(rnd *rand.Rand, id string, tasks int) *standin.JobIn {
 	j := &standin.JobIn{Run: standin.Micros(1+rnd.IntN(8)) * standin.Second}
 	j.Job = wire.Job{ID: id, Class: "c", Team: []string{"red", "blue"}[rnd.IntN(2)],
 		Shape:    []string{wire.Array, wire.Array, wire.Gang, wire.Service}[rnd.IntN(4)],
 		Priority: []string{wire.Production, wire.High, wire.Normal, wire.Low}[rnd.IntN(4)],
-		Tasks:    1 + rnd.IntN(4), CPUs: 1, GPUs: float64(1 + rnd.IntN(2)), MemoryGB: 1, Image: "i", ImageGB: 1,
+		Tasks:    1 + rnd.IntN(tasks), CPUs: 1, GPUs: float64(1 + rnd.IntN(2)), MemoryGB: 1, Image: "i", ImageGB: 1,
 		OneZone: rnd.IntN(3) == 0, Spread: rnd.IntN(4) == 0, Spot: rnd.IntN(2) == 0, EstimateS: 3}
 	if j.OneZone {
 		j.Spread = false
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -29,6 +29,9 @@
 	held   []func()
 	told   map[string]string // the final phase that a user was told
 	limits map[string]float64
+	scale  int     // how many times the machines and teams' limits of a script
+	quota  float64 // changes a second that the state service takes; 0: any number
+	tokens float64 // what is left of them
 	seeds  uint64
 	late   wire.Report // held back by a script
 }
@@ -51,9 +54,16 @@
 }
 
 // NewSim returns a world with so many nodes, all running.
-func NewSim(nodes int) *Sim {
-	s := &Sim{now: standin.Second, state: standin.NewState(), world: standin.NewWorld(),
-		told: map[string]string{}, limits: map[string]float64{"red": 24, "blue": 8}}
+func NewSim(nodes int) *Sim { return newSim(nodes, 1, 0) }
+
+// newSim returns a world that is scale times the usual one, with a state service
+// that takes no more than quota changes a second, if quota isn't 0.
+func newSim(nodes, scale int, quota float64) *Sim {
+	s := &Sim{now: standin.Second, state: standin.NewState(), world: standin.NewWorld(), scale: scale, quota: quota,
+		told: map[string]string{}, limits: map[string]float64{"red": float64(24 * scale), "blue": float64(8 * scale)}}
+	for z := range s.world.Capacity {
+		s.world.Capacity[z] *= scale
+	}
 	for i := range nodes {
 		s.nodes = append(s.nodes, &node{name: fmt.Sprintf("n%d", i+1), cut: map[string]string{}})
 	}
@@ -73,7 +83,8 @@
 	}
 	c.Cluster = config.Cluster{
 		Zones: []string{"a", "b"},
-		Teams: []config.Team{{Name: "red", GPUs: 8, GPUsMax: 24}, {Name: "blue", GPUs: 8, GPUsMax: 8}},
+		Teams: []config.Team{{Name: "red", GPUs: s.limits["blue"], GPUsMax: s.limits["red"]},
+			{Name: "blue", GPUs: s.limits["blue"], GPUsMax: s.limits["blue"]}},
 		Workers: config.Workers{ReportS: 1, LeaseS: float64(s.world.Lease) / 1e6, GangWaitS: float64(s.world.GangWait) / 1e6,
 			GangPeerS: 2, CancelS: float64(s.world.CancelIn) / 1e6},
 		State: config.State{RPS: 100, WriteRPS: 50, ValueKB: 4, TxnOps: 8},
@@ -127,6 +138,7 @@
 func (s *Sim) Run(d standin.Micros) {
 	for end := s.now + d; s.now < end; {
 		s.now += tick
+		s.tokens = min(s.quota, s.tokens+s.quota*float64(tick)/float64(standin.Second))
 		s.state.Expire(s.now)
 		s.world.Tick(s.now)
 		s.reports()
@@ -286,6 +298,13 @@
 func (s *Sim) commit(n *node, x core.Commit) {
 	d := core.CommitDone{ID: x.ID, Outcome: core.Refused}
 	places := s.guarded(&x.Txn)
+	if changes := float64(len(x.Txn.Changes)); s.quota > 0 && changes > 0 {
+		if s.tokens < changes {
+			s.post(n, d)
+			return
+		}
+		s.tokens -= changes
+	}
 	switch n.cut["state"] {
 	case "":
 		status, a := s.state.Commit(x.Txn)
@@ -453,7 +472,7 @@
 		s.world.Broken = append(s.world.Broken, "went_back "+id)
 	}
 	if st.Status == wire.Done && !s.world.Done(id) {
-		s.world.Broken = append(s.world.Broken, "not_done "+id)
+		s.world.Broken = append(s.world.Broken, "not_done "+id+" "+s.world.Jobs[id].Shape)
 	}
 	if j := s.world.Jobs[id]; st.Status == wire.Cancelled && j != nil && j.Cancelled == 0 {
 		j.Cancelled = s.now
--- /dev/null
+++ b/internal/scenario/scale_test.go
@@ -0,0 +1,203 @@
+package scenario
+
+import (
+	"fmt"
+	"testing"
+
+	"coralhub/internal/core"
+	"coralhub/internal/core/job"
+	"coralhub/internal/standin"
+	"coralhub/wire"
+)
+
+// The sizes that are compared: about 36 and 400 machines.
+var sizes = []struct {
+	name  string
+	scale int
+}{{"earlier", 6}, {"grown", 67}}
+
+// busy returns a world whose machines are all in use, with jobs that wait for
+// their team's limit, and its leader and another node.
+func busy(tb testing.TB, scale int) (s *Sim, leader, other *node) {
+	s = newSim(3, scale, 0)
+	s.Run(3 * standin.Second)
+	for i := range 3 * scale {
+		j := &standin.JobIn{Run: 1000 * standin.Second}
+		j.Job = wire.Job{ID: fmt.Sprintf("j-%d", i), Class: "c", Team: "red", Shape: wire.Array, Priority: wire.Normal, Tasks: 8,
+			CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 1000}
+		if i%10 == 9 {
+			j.Tasks = 40 // beyond the limit
+		}
+		if a := s.Submit(s.nodes[i%3], j); a.Status != 201 {
+			tb.Fatalf("not accepted: %v", a)
+		}
+	}
+	s.Run(15 * standin.Second)
+	leader = s.node(s.Leader())
+	for _, n := range s.nodes {
+		if n != leader {
+			other = n
+		}
+	}
+	if used := s.world.Used("red"); used < s.limits["red"] {
+		tb.Fatalf("%v GPUs in use of %v", used, s.limits["red"])
+	}
+	return s, leader, other
+}
+
+// stepper hands inputs to a node at ever later times.
+func (s *Sim) stepper(n *node) func(standin.Micros, core.Input) []core.Effect {
+	at := s.now - n.born + 1
+	return func(after standin.Micros, in core.Input) []core.Effect {
+		at += after
+		return n.core.Step(at, in)
+	}
+}
+
+// reporter returns a report of a machine that repeats what it said before.
+func (s *Sim) reporter() func() core.Input {
+	m := s.world.Machines[s.world.Names()[0]]
+	return func() core.Input { return core.ReportIn{Req: 1, Report: m.Status(), Forwarded: true} }
+}
+
+// news returns a new version of the record of a job that waits.
+func (s *Sim) news(tb testing.TB) func() wire.Change {
+	key := job.RecordKey("j-0")
+	it := s.state.Get(key)
+	if it.Version == 0 {
+		tb.Fatal("no such job")
+	}
+	version := s.state.Revision()
+	return func() wire.Change {
+		version++
+		return wire.Change{Put: key, Value: it.Value, Version: version}
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, leader, _ := busy(b, size.scale)
+			step, report := s.stepper(leader), s.reporter()
+			b.ReportAllocs()
+			for b.Loop() {
+				step(1, report())
+			}
+		})
+	}
+}
+
+func BenchmarkPass(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, leader, _ := busy(b, size.scale)
+			step, news := s.stepper(leader), s.news(b)
+			b.ReportAllocs()
+			for b.Loop() {
+				step(100*1000, core.Hint{Event: news()})
+			}
+		})
+	}
+}
+
+func BenchmarkChange(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, _, other := busy(b, size.scale)
+			step, news := s.stepper(other), s.news(b)
+			b.ReportAllocs()
+			for b.Loop() {
+				step(1, core.Changed{Events: []wire.Change{news()}})
+			}
+		})
+	}
+}
+
+// BenchmarkTakeover reads all records, claims and reads them again.
+func BenchmarkTakeover(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, leader, other := busy(b, size.scale)
+			items := s.state.List(job.Root)
+			var kept []wire.Item
+			for _, it := range items {
+				if it.Key != job.Root+"leader" {
+					kept = append(kept, it)
+				}
+			}
+			rev := s.state.Revision()
+			_ = leader
+			b.ReportAllocs()
+			for b.Loop() {
+				c := core.New(s.config(other.name), 0)
+				c.Step(1, core.Snapshot{Items: kept, Revision: rev})
+				c.Step(standin.Second, core.Tick{Wall: s.now})
+				ready := false
+				for _, e := range c.Step(standin.Second+1, core.LeaseDone{Outcome: core.OK, Lease: 99}) {
+					if claim, ok := e.(core.Commit); ok {
+						c.Step(standin.Second+2, core.CommitDone{ID: claim.ID, Outcome: core.OK, Revision: rev + 1})
+						c.Step(standin.Second+3, core.Snapshot{Items: kept, Revision: rev + 1})
+						ready = true
+					}
+				}
+				if !ready {
+					b.Fatal("no claim was made")
+				}
+			}
+		})
+	}
+}
+
+// What a report and a moment without news cost must not grow with the fleet.
+// Memory reserved is counted, for it needs no clock.
+func TestWorkDoesNotGrowWithTheFleet(t *testing.T) {
+	var report, quiet [2]float64
+	for i, size := range sizes {
+		s, leader, _ := busy(t, size.scale)
+		step, next := s.stepper(leader), s.reporter()
+		report[i] = testing.AllocsPerRun(200, func() { step(1, next()) })
+		quiet[i] = testing.AllocsPerRun(5, func() { step(1, core.PeerHeard{Node: "n9"}) })
+	}
+	if report[1] > report[0]*1.1+2 {
+		t.Errorf("a report takes %v allocations at the earlier size and %v at the grown one", report[0], report[1])
+	}
+	if quiet[1] > quiet[0]+2 {
+		t.Errorf("a step without news takes %v allocations at the earlier size and %v at the grown one", quiet[0], quiet[1])
+	}
+}
+
+// Tasks that end one by one must not cost a change of their job's record each:
+// the changes of all jobs' records go with the jobs, and the log of ended attempts
+// goes with time.
+func TestChangesGoWithJobsNotWithTasks(t *testing.T) {
+	const jobs = 4
+	var records [2]int
+	for i, tasks := range []int{3, 30} {
+		s := newSim(3, 24, 0)
+		s.Run(3 * standin.Second)
+		began := s.now
+		for k := range jobs {
+			j := &standin.JobIn{Run: 2 * standin.Second, Steps: standin.Second / 2}
+			j.Job = wire.Job{ID: fmt.Sprintf("j-%d", k), Class: "c", Team: "red", Shape: wire.Array, Priority: wire.Normal, Tasks: tasks,
+				CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 2}
+			s.Submit(s.nodes[0], j)
+		}
+		for range 600 {
+			if s.Run(tick); s.world.Done("j-0") && s.world.Done("j-1") && s.world.Done("j-2") && s.world.Done("j-3") {
+				break
+			}
+		}
+		s.Run(5 * standin.Second)
+		seconds := int((s.now - began) / standin.Second)
+		records[i] = len(s.state.Since(job.Root+"job/", 0))
+		if pages := len(s.state.Since(job.Root+"ended/", 0)); pages > 10*(seconds+1)+4 {
+			t.Errorf("%d changes of the log in %d s", pages, seconds)
+		}
+		for _, b := range s.world.Broken {
+			t.Error(b)
+		}
+	}
+	if records[1] > records[0]+2*jobs {
+		t.Errorf("%d jobs of 3 tasks cost %d changes of records, of 30 tasks %d", jobs, records[0], records[1])
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -33,6 +33,7 @@
 	wire.Job
 	Cancelled Micros // when the user was told; 0: not
 	Run       Micros // how long a task runs
+	Steps     Micros // how much longer each task of an array runs than the one before
 	Mistaken  bool   // fails wherever it runs
 	Starts    int    // how often its tasks have been started
 }
@@ -179,12 +180,8 @@
 	case wire.Running:
 		if w.Fails[m.Name] || j.Mistaken {
 			w.exit(m, t, wire.CauseError)
-		} else if j.Shape != wire.Service && now-t.began >= j.Run {
-			if w.done[id] == nil {
-				w.done[id] = map[int]bool{}
-			}
-			w.done[id][n] = true
-			w.exit(m, t, wire.Done)
+		} else if j.Shape == wire.Array && now-t.began >= j.Run+Micros(n)*j.Steps {
+			w.complete(m, t)
 		}
 	case wire.Saving:
 		if now-t.began >= Second {
@@ -194,11 +191,21 @@
 	}
 }
 
+func (w *World) complete(m *Machine, t *task) {
+	id, n, _ := wire.ParseTaskName(t.Task)
+	if w.done[id] == nil {
+		w.done[id] = map[int]bool{}
+	}
+	w.done[id][n] = true
+	w.exit(m, t, wire.Done)
+}
+
 func (w *World) exit(m *Machine, t *task, cause string) {
 	t.State, t.Cause, m.changed = wire.Exited, cause, true
 }
 
-// gangs starts gangs that are complete and ends those that lost a task.
+// gangs starts gangs that are complete, and ends those that are through or have
+// lost a task, be it only to a machine that hangs.
 func (w *World) gangs(now Micros) {
 	type member struct {
 		m *Machine
@@ -217,20 +224,26 @@
 	}
 	for _, ms := range all {
 		id, _, _ := wire.ParseTaskName(ms[0].t.Task)
-		waiting, running := 0, 0
+		waiting, running, ran := 0, 0, Micros(0)
 		for _, x := range ms {
-			switch x.t.State {
-			case wire.Waiting:
+			switch {
+			case x.m.Hang:
+			case x.t.State == wire.Waiting:
 				waiting++
-			case wire.Running:
+			case x.t.State == wire.Running:
 				running++
+				ran = now - x.t.began
 			}
 		}
 		size := w.Jobs[id].Tasks
 		for _, x := range ms {
-			if waiting == size {
+			switch {
+			case x.m.Hang:
+			case waiting == size:
 				x.t.State, x.t.began, x.m.changed = wire.Running, now, true
-			} else if running > 0 && len(ms) < size {
+			case running == size && ran >= w.Jobs[id].Run:
+				w.complete(x.m, x.t)
+			case running > 0 && running < size && x.t.State == wire.Running:
 				w.exit(x.m, x.t, wire.CausePeers)
 			}
 		}
