A placement whose end is known but not committed is never started

Cause: preempted before its start got through, a task's end is proven by a report without it. That closing forgot that the task was to be stopped, and until it was committed the worker's next report was answered with the start after all; the task was then placed elsewhere too. The gap was a few milliseconds, and up to 0.2 s since ends go into the log.

Ruled out: late messages, the log's lines, mail, takeovers.

--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -364,16 +364,19 @@
 	}
 }
 
+// isClosing tells whether a placement's end is known and not committed yet.
+func (j *Job) isClosing(key job.Key, machine string) bool {
+	return slices.ContainsFunc(j.closes, func(cl closing) bool { return cl.key == key && cl.machine == machine })
+}
+
 // close notes proof that a placement is over.
 func (c *Core) close(key job.Key, machine string, done bool) {
 	j := c.jobs[key.Job]
 	if j == nil {
 		return
 	}
-	for _, o := range j.closes {
-		if o.key == key && o.machine == machine {
-			return
-		}
+	if j.isClosing(key, machine) {
+		return
 	}
 	j.closes = append(j.closes, closing{key: key, machine: machine, done: done})
 	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang {
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -137,10 +137,8 @@
 
 // exited closes a placement whose task has ended, by the worker's word.
 func (c *Core) exited(m *zone.Machine, j *Job, key job.Key, t *zone.Task) {
-	for _, cl := range j.closes {
-		if cl.key == key && cl.machine == m.Name {
-			return
-		}
+	if j.isClosing(key, m.Name) {
+		return
 	}
 	c.passDue = true
 	switch t.Cause {
@@ -236,6 +234,11 @@
 		if _, seen := m.Tasks[key]; seen || expected[key].Session != m.Session {
 			continue
 		}
+		if j := c.jobs[key.Job]; j != nil && j.isClosing(key, m.Name) {
+			// Its end is proven and only not committed yet: a start now would run
+			// beside the one that follows elsewhere.
+			continue
+		}
 		if _, unwanted := c.shouldStop(m, key, nil); !unwanted {
 			orders = append(orders, wire.Order{Verb: wire.Start, Task: wire.TaskName(key.Job, key.Task), Attempt: key.Attempt})
 			continue
