--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -121,6 +121,7 @@
 	SilentReleaseS  float64 `json:"silent_release_s"`
 	MemoryShare     float64 `json:"memory_share"`
 	BootGiveUpTimes float64 `json:"boot_give_up_times"`
+	RentSurplus     float64 `json:"rent_surplus"`
 }
 
 // Config is everything that a node is told at its start.
@@ -136,7 +137,7 @@
 	return Settings{
 		AgeWeight: 1, ShareWeight: 1, AgeCapS: 300, UsageWindowS: 60, ScanPeriodS: 10,
 		PassIntervalMS: 100, LeaderLeaseMS: 3000, IdleReturnS: 0, SilentReleaseS: 0,
-		MemoryShare: 0.6, BootGiveUpTimes: 3,
+		MemoryShare: 0.6, BootGiveUpTimes: 3, RentSurplus: 0.5,
 	}
 }
 
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -494,6 +495,10 @@
 	for _, name := range slices.Sorted(maps.Keys(c.catalog)) {
 		types = append(types, c.catalog[name])
 	}
+	for i := range s.needs { // more of the same arrives while the machines boot
+		n := &s.needs[i]
+		n.Count += int(math.Ceil(float64(n.Count) * c.cfg.Settings.RentSurplus))
+	}
 	rent := c.fleet.Plan(c.now, s.needs, booting, count, types)
 	c.fleet.Ask(c.token, rent)
 	for _, r := range c.fleet.Due(c.now) {
