--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -21,6 +21,10 @@
 	endedPrefix = job.Root + "ended/"
 	// endedShare is the part of all changes that the log may take.
 	endedShare = 0.2
+	// pageBits is how many bits of a page's number count the pages of a leader. The
+	// others are its first token: a number that came back after its page was
+	// deleted could be taken for the old page grown longer.
+	pageBits = 20
 	// maxPages is how many pages there may be before the jobs in the oldest are
 	// written for its sake.
 	maxPages = 10
@@ -52,7 +56,7 @@
 // endedLog holds the pages and, in the leader, what is to be written.
 type endedLog struct {
 	pages   map[uint64]*endedPage
-	last    uint64 // highest number of a page
+	begun   uint64 // how many pages this leader has begun
 	current uint64 // the page that the leader fills; 0: none
 	fresh   []endedLine
 	txn     *wire.Commit // has not been settled
@@ -87,7 +91,6 @@
 		p = &endedPage{}
 		c.ended.pages[n] = p
 	}
-	c.ended.last = max(c.ended.last, n)
 	p.version = ev.Version
 	for _, l := range lines[min(len(p.facts), len(lines)):] { // a page only grows
 		f := &fact{endedLine: l}
@@ -183,7 +186,8 @@
 	}
 	value := c.fitEnded(lines)
 	if version == 0 || value == nil { // the first page, or the next
-		e.current, version = e.last+1, 0
+		e.begun++
+		e.current, version = c.baseToken<<pageBits|e.begun, 0
 		if value = c.fitEnded(nil); value == nil {
 			return
 		}
--- a/internal/scenario/scale_test.go
+++ b/internal/scenario/scale_test.go
@@ -117,7 +117,7 @@
 func BenchmarkTakeover(b *testing.B) {
 	for _, size := range sizes {
 		b.Run(size.name, func(b *testing.B) {
-			s, leader, other := busy(b, size.scale)
+			s, _, other := busy(b, size.scale)
 			items := s.state.List(job.Root)
 			var kept []wire.Item
 			for _, it := range items {
@@ -126,7 +126,6 @@
 				}
 			}
 			rev := s.state.Revision()
-			_ = leader
 			b.ReportAllocs()
 			for b.Loop() {
 				c := core.New(s.config(other.name), 0)
