A home counts the time that its copy of the records has waited in the queue

Cause, found by reading: how recent a home's copy is was counted from when the answer to its watch was handled; on a node that has fallen behind, that is later than when it came.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,10 +38,16 @@
 	Do(core.Effect) bool
 }
 
+// queued is an input that waits for the loop.
+type queued struct {
+	core.Input
+	at time.Time
+}
+
 // Node is a running controller.
 type Node struct {
 	cfg      *config.Config
-	inputs   chan core.Input
+	inputs   chan queued
 	core     *core.Core
 	adapters []adapter
 	store    *store.Store
@@ -54,8 +60,8 @@
 
 // New returns a node that is not running yet.
 func New(cfg *config.Config) *Node {
-	n := &Node{cfg: cfg, inputs: make(chan core.Input, queueLength), core: core.New(cfg, rand.Uint64()), start: time.Now()}
-	post := func(in core.Input) { n.inputs <- in }
+	n := &Node{cfg: cfg, inputs: make(chan queued, queueLength), core: core.New(cfg, rand.Uint64()), start: time.Now()}
+	post := func(in core.Input) { n.inputs <- queued{in, time.Now()} }
 	n.store = store.New(cfg, post)
 	n.peers = peer.New(cfg, post)
 	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() })
@@ -70,7 +76,7 @@
 		return false
 	}
 	select {
-	case n.inputs <- in:
+	case n.inputs <- queued{in, time.Now()}:
 		return true
 	default:
 		return false
@@ -127,7 +133,12 @@
 	for {
 		var in core.Input
 		select {
-		case in = <-n.inputs:
+		case q := <-n.inputs:
+			in = q.Input
+			if c, ok := in.(core.Changed); ok { // homes go by how old their copy is
+				c.Age += time.Since(q.at).Microseconds()
+				in = c
+			}
 		case <-tick.C:
 			in = core.Tick{Wall: time.Now().UnixMicro()}
 		case err := <-failed:
