Only jobs that are placed use up what a pass may ask of the state service

Cause, found by reading: each job that was tried counted against the changes of a pass, placed or not. Forty jobs that found no room kept all that rank lower from starting, though they fitted. Now a job counts when it gets its first place. Scenario many_wait fails without the change.

What homes remember of workers is pruned by age, not dropped at a size.

--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -144,18 +144,19 @@
 	return true
 }
 
-// maxRemembered bounds what is remembered of workers, most of them long gone.
+// maxRemembered is how many workers are remembered before those that are of no
+// more use are forgotten.
 const maxRemembered = 1000
 
 func (c *Core) forgetWorkers() {
 	if len(c.visits) > maxRemembered {
-		clear(c.visits)
+		maps.DeleteFunc(c.visits, func(_ string, v visit) bool { return c.now > max(v.stayUntil, v.sent+3*unheard) })
 	}
 	if len(c.taken) > maxRemembered {
-		clear(c.taken)
+		maps.DeleteFunc(c.taken, func(_ string, t taken) bool { return c.now-t.at > takenFor })
 	}
 	if len(c.mailed) > maxRemembered {
-		clear(c.mailed)
+		maps.DeleteFunc(c.mailed, func(_ string, l mailLine) bool { return c.now-l.at > c.silence() })
 	}
 }
 
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -271,7 +271,6 @@
 	// highest have gone first. The rest hold their places in this pass, so that
 	// nothing ranking lower takes them and machines are rented for what is left.
 	commit := s.budget > 0
-	s.budget--
 	for len(tasks) > 0 {
 		bid := c.auction(s, j, e, q, tasks, inZone)
 		if bid == nil {
@@ -283,6 +282,9 @@
 			}
 			return
 		}
+		if commit && len(j.plan) == 0 {
+			s.budget-- // its record is written
+		}
 		for i, r := range bid.Rooms {
 			r.Free = r.Free.Plus(q.Needs, -1)
 			r.Idle = false
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -17,7 +17,8 @@
 // TestScenarios plays every script of testdata. The commands:
 //
 //	world nodes=3                   a new world, run until there is a leader
-//	submit id=j-1 shape=array ...   a user submits; prints the answer
+//	submit id=j-1 shape=array ...   a user submits; prints the answer; count=3
+//	                                adds j-11 and j-12
 //	poll id=j-1 node=n2             a user asks
 //	cancel id=j-1                   a user cancels, again until it is final
 //	run for=5s                      time passes
@@ -99,7 +100,13 @@
 	d.MaybeScanArgs(t, "id", &id)
 	switch d.Cmd {
 	case "submit":
-		return describe(s.Submit(pick(t, s, d), description(t, d, id)))
+		count := 1
+		d.MaybeScanArgs(t, "count", &count)
+		out := describe(s.Submit(pick(t, s, d), description(t, d, id)))
+		for n := 1; n < count; n++ {
+			s.Submit(pick(t, s, d), description(t, d, fmt.Sprintf("%s%d", id, n)))
+		}
+		return out
 	case "poll":
 		a := s.Ask(pick(t, s, d), func(req uint64) core.Input { return core.PollIn{Req: req, ID: id} })
 		s.judge(id, a)
