--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -87,14 +87,40 @@
 	CancelS   float64 `toml:"cancel_s"`
 }
 
-// State holds the limits of the state service.
+// State holds the limits of the state service, and those that it will have from
+// some moment on that nobody announces; a limit of 0 stays as it is.
 type State struct {
 	RPS      float64 `toml:"rps"`
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	Next     struct {
+		RPS      float64 `toml:"rps"`
+		WriteRPS float64 `toml:"write_rps"`
+		ValueKB  float64 `toml:"value_kb"`
+		TxnOps   int     `toml:"txn_ops"`
+	} `toml:"next"`
 }
 
+func lower[N int | float64](now, next N) N {
+	if next > 0 {
+		return min(now, next)
+	}
+	return now
+}
+
+// ValueBytes is how large a value may be, now and later.
+func (s *State) ValueBytes() int { return int(lower(s.ValueKB, s.Next.ValueKB) * 1024) }
+
+// Ops is how many changes a transaction may have, now and later.
+func (s *State) Ops() int { return lower(s.TxnOps, s.Next.TxnOps) }
+
+// LeastRPS is the lower of the request rates, now and later.
+func (s *State) LeastRPS() float64 { return lower(s.RPS, s.Next.RPS) }
+
+// LeastWriteRPS is the lower of the rates of changes, now and later.
+func (s *State) LeastWriteRPS() float64 { return lower(s.WriteRPS, s.Next.WriteRPS) }
+
 // Cloud holds the limits of the cloud's interface.
 type Cloud struct {
 	RPS      float64 `toml:"rps"`
@@ -122,6 +148,7 @@
 	MemoryShare     float64 `json:"memory_share"`
 	BootGiveUpTimes float64 `json:"boot_give_up_times"`
 	RentSurplus     float64 `json:"rent_surplus"`
+	HoldFormat      bool    `json:"hold_format"`
 }
 
 // Config is everything that a node is told at its start.
@@ -268,6 +295,8 @@
 		name string
 		v    float64
 	}{
+		{"cluster.state.next.rps", cl.State.Next.RPS}, {"cluster.state.next.write_rps", cl.State.Next.WriteRPS},
+		{"cluster.state.next.value_kb", cl.State.Next.ValueKB}, {"cluster.state.next.txn_ops", float64(cl.State.Next.TxnOps)},
 		{"cluster.skew_ms", cl.SkewMS}, {"cluster.cloud.list_lag_s", cl.Cloud.ListLagS},
 		{"cluster.machine_limits.cores", cl.Limits.Cores}, {"cluster.machine_limits.memory_mb", cl.Limits.MemoryMB},
 		{"cluster.machine_limits.max_connections", float64(cl.Limits.MaxConnections)},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -28,6 +29,9 @@
 	catalogKey = job.Root + "catalog"
 )
 
+// slackBytes is what values stay below the state service's limit.
+const slackBytes = 32
+
 // Core is one node's state.
 type Core struct {
 	cfg *config.Config
@@ -52,6 +56,7 @@
 
 	front
 	leadership
+	upgrade
 	ended endedLog
 	deputy
 
@@ -73,6 +78,7 @@
 	delayed   map[string]bool // those that can't be committed before the next tick
 	urgent    []*zone.Machine // those with commands that should not wait
 	writing   int             // changes to jobs on their way
+	tight     int             // values stay below this, see tighten
 	reign     uint64          // counts the times that this node began anew
 }
 
@@ -84,11 +90,12 @@
 	parts   []part // from part 1 on; part 0 is in Rec
 
 	// For the leader: what has been learnt or decided and is to be committed.
-	active   bool
-	created  Micros // as it stands in the order of active jobs
-	done     int    // done tasks
-	open     int    // open placements
-	within   bool   // its team's guarantee, as of the last pass
+	active  bool
+	created Micros // as it stands in the order of active jobs
+	done    int    // done tasks
+	open    int    // open placements
+	chain
+	within   bool // its team's guarantee, as of the last pass
 	types    typeSet
 	closes   []closing
 	facts    []*fact           // lines of the log of ended attempts
@@ -109,6 +116,7 @@
 	preempted  Micros          // victims are leaving until then
 	reserved   map[string]bool // machines that they leave
 	cancelling bool
+	tooLarge   bool // its record was once found too large to be written
 }
 
 type part struct {
@@ -139,6 +147,7 @@
 		jobs:    map[string]*Job{},
 		teams:   map[string]*config.Team{},
 		dirty:   map[string]bool{},
+		tight:   math.MaxInt32,
 	}
 	for i := range cfg.Cluster.Teams {
 		t := &cfg.Cluster.Teams[i]
@@ -152,6 +161,7 @@
 		c.location[p.Node] = p.Location
 	}
 	c.ended.pages = map[uint64]*endedPage{}
+	c.upgrade = upgrade{format: job.Placements, announced: map[string]job.Format{}}
 	c.jitter = Micros(seed % 200_000)
 	c.nonce = seed
 	c.resetLeader()
@@ -259,12 +269,14 @@
 	c.forgetWorkers()
 	c.sendBeat()
 	c.sendMail()
+	c.announceFormat()
 	c.tickLeadership()
 	if c.catalog == nil && c.now-c.catalogAsked > config.Second || c.ready && c.now-c.catalogAsked > 30*config.Second {
 		c.catalogAsked = c.now
 		c.emit(FetchCatalog{})
 	}
 	if c.ready {
+		c.raiseFormat()
 		c.wakeJobs()
 		c.tickLeader()
 	}
@@ -321,6 +333,13 @@
 			c.setCatalog(&cat)
 		}
 		return
+	case key == formatKey:
+		c.formatIn(ev)
+		return
+	}
+	if name, ok := strings.CutPrefix(key, announcePrefix); ok {
+		c.announcementIn(name, ev)
+		return
 	}
 	if name, ok := strings.CutPrefix(key, hintPrefix); ok {
 		c.hintsIn(name, ev)
@@ -349,7 +368,7 @@
 		return
 	}
 	var rec job.Record
-	if err := job.Decode(ev.Value, &rec); err != nil {
+	if err := job.DecodeRecord(ev.Value, &rec); err != nil {
 		c.log("unreadable record", "job", id, "error", err.Error())
 		return
 	}
@@ -368,21 +387,28 @@
 // setRecord takes a newer record of a job.
 func (c *Core) setRecord(id string, rec job.Record, version uint64) {
 	j := c.job(id)
+	old := j.Rec.Open
+	j.Rec, j.Version = rec, version
 	if rec.Spec != nil {
-		j.applyFacts(0, &rec.Part)
+		j.applyFacts(0, &j.Rec.Part)
 	}
-	c.reindex(j, j.Rec.Open, rec.Open)
-	j.Rec, j.Version = rec, version
+	c.reindex(j, old, j.Rec.Open)
 	j.outdatePlan()
 	c.setActive(j, rec.Spec != nil)
-	if rec.Created > 0 && c.wallAhead > 0 {
+	if rec.Created > 0 && c.wallAhead > 0 && !j.needsOthers() {
 		j.arrived = min(c.now, rec.Created-c.wallAhead)
 	}
+	c.link(j)
 	if rec.Final() {
-		if rec.Spec == nil { // nothing of it is left
-			j.parts, j.stops, j.started, j.failedOn, j.closes, j.reserved = nil, nil, nil, nil, nil, nil
+		if rec.Spec == nil { // nothing of it is left, but for parts to be deleted
+			j.stops, j.started, j.failedOn, j.closes, j.reserved = nil, nil, nil, nil, nil
+			for n := range j.parts {
+				c.reindex(j, j.parts[n].Open, nil)
+				j.parts[n].Part = job.Part{}
+			}
 		}
 		c.answerWaiters(j)
+		c.settled(j)
 	}
 	j.recount()
 	c.passDue = true
@@ -409,6 +435,9 @@
 	}
 }
 
+// over tells whether a job is over and nothing is left of it but its phase.
+func (j *Job) over() bool { return j.Rec.Final() && j.Rec.Spec == nil }
+
 // recount keeps the counts of a job's tasks.
 func (j *Job) recount() {
 	j.done, j.open = j.Rec.Part.Count(), len(j.Rec.Open)
@@ -423,6 +452,9 @@
 	for len(j.parts) < n {
 		j.parts = append(j.parts, part{})
 	}
+	if j.over() {
+		p = job.Part{} // what it says of tasks is out of date
+	}
 	j.applyFacts(n, &p)
 	c.reindex(j, j.parts[n-1].Open, p.Open)
 	j.parts[n-1] = part{p, version}
@@ -450,13 +482,12 @@
 	}
 	var p job.Part
 	if ev.Put == "" {
-		if j.Rec.Final() {
-			return
+		if n <= len(j.parts) {
+			c.setPart(j, n, p, 0)
 		}
-		c.setPart(j, n, p, 0)
 		return
 	}
-	if err := job.Decode(ev.Value, &p); err != nil {
+	if err := job.DecodePart(ev.Value, &p); err != nil {
 		c.log("unreadable part", "job", id, "part", n, "error", err.Error())
 		return
 	}
@@ -553,7 +584,7 @@
 	c.setCatalog(&x.Catalog)
 	if c.ready && (!same || c.catalogVersion == 0) {
 		value, err := job.Encode(&x.Catalog)
-		if err != nil || wire.JSONSize(value) > c.valueLimit() {
+		if err != nil || !c.fits(value) {
 			return
 		}
 		c.commit(wire.Commit{Changes: []wire.Change{{Put: catalogKey, Value: value}}}, func(d CommitDone) {
@@ -564,4 +595,20 @@
 	}
 }
 
-func (c *Core) valueLimit() int { return int(c.cfg.Cluster.State.ValueKB * 1024) }
+// room is how large a value may be: within the limits that the state service has
+// and those that it will have, since nobody tells when they change.
+func (c *Core) room() int { return min(c.cfg.Cluster.State.ValueBytes(), c.tight) - slackBytes }
+
+// fits tells whether an encoded value may be put.
+func (c *Core) fits(value []byte) bool { return wire.JSONSize(value) <= c.room() }
+
+// ops is how many changes a transaction may have.
+func (c *Core) ops() int { return c.cfg.Cluster.State.Ops() }
+
+// tighten is told of a transaction that the state service has refused as
+// malformed: a defect, or limits below those that this node was told of. The
+// same bytes must not be sent for ever; so values become smaller, down to a bound.
+func (c *Core) tighten(what string) {
+	c.log("refused as malformed by the state service", "key", what, "value_bytes", c.room())
+	c.tight = max(1024, min(c.tight, c.cfg.Cluster.State.ValueBytes())*3/4)
+}
--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -323,7 +323,7 @@
 		return lines[i].news(c.mailed[lines[i].Machine]) && !lines[j].news(c.mailed[lines[j].Machine])
 	})
 	value, err := job.Encode(lines)
-	for err == nil && wire.JSONSize(value) > c.valueLimit() {
+	for err == nil && !c.fits(value) {
 		if len(lines) == 1 {
 			delete(c.mailbox, lines[0].Machine) // never fits: the leader has to hear of it otherwise
 			return
@@ -340,6 +340,9 @@
 		Changes: []wire.Change{{Put: mailPrefix + c.cfg.Node, Value: value}},
 	}, func(d CommitDone) {
 		c.mailOut = false
+		if d.Outcome == Invalid {
+			c.tighten(mailPrefix + c.cfg.Node)
+		}
 		if d.Outcome != OK {
 			return
 		}
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/wire"
 )
@@ -25,9 +26,9 @@
 	// others are its first token: a number that came back after its page was
 	// deleted could be taken for the old page grown longer.
 	pageBits = 20
-	// maxPages is how many pages there may be before the jobs in the oldest are
+	// maxLogBytes is how much the pages may hold before the jobs in the oldest are
 	// written for its sake.
-	maxPages = 10
+	maxLogBytes = 64 << 10
 )
 
 // endedLine says that an attempt of a task is not on a machine any more.
@@ -112,9 +113,9 @@
 func (c *Core) learn(f *fact) {
 	j := c.job(f.Job)
 	j.facts = append(j.facts, f)
-	n := f.Task / job.PartTasks
-	if n > len(j.parts) {
-		return // the part comes later, or not at all
+	n := j.Rec.PartOf(f.Task)
+	if j.Version == 0 || j.over() || n > len(j.parts) {
+		return // the record or the part comes later, or not at all
 	}
 	p, _ := j.part(n)
 	q := p.Clone()
@@ -144,7 +145,7 @@
 // applyFacts brings the stored value of a job's n-th part up to the log.
 func (j *Job) applyFacts(n int, p *job.Part) {
 	for _, f := range j.facts {
-		if f.Task/job.PartTasks == n {
+		if j.Rec.PartOf(f.Task) == n {
 			f.apply(p)
 		}
 	}
@@ -205,7 +206,7 @@
 func (c *Core) fitEnded(lines []endedLine) []byte {
 	for n := len(c.ended.fresh); n > 0; n /= 2 {
 		value, err := job.Encode(append(lines[:len(lines):len(lines)], c.ended.fresh[:n]...))
-		if err == nil && wire.JSONSize(value) <= c.valueLimit() {
+		if err == nil && c.fits(value) {
 			return value
 		}
 	}
@@ -241,6 +242,12 @@
 					}
 				})
 			}
+		case Invalid:
+			// An earlier sending may have been applied: the watch tells. What isn't in
+			// the log by then goes into a new page.
+			c.tighten(key)
+			e.current = 0
+			e.writeAt = c.now + config.Second
 		default:
 			e.writeAt = c.now + commitPause
 		}
@@ -256,7 +263,7 @@
 	for _, l := range e.fresh {
 		j := c.jobs[l.Job]
 		if j != nil && j.Rec.Spec != nil {
-			if p, _ := j.part(l.Task / job.PartTasks); p.IsOpen(l.Task, l.Attempt, l.Machine) {
+			if p, _ := j.part(j.Rec.PartOf(l.Task)); p.IsOpen(l.Task, l.Attempt, l.Machine) {
 				left = append(left, l)
 				continue
 			}
@@ -287,7 +294,7 @@
 				continue
 			}
 			needed = true
-			if i == 0 && len(c.ended.pages) > maxPages && !j.mergeNow {
+			if i == 0 && len(c.ended.pages)*c.room() > maxLogBytes && !j.mergeNow {
 				j.mergeNow = true
 				c.dirty[j.ID] = true
 			}
--- a/internal/core/front.go
+++ b/internal/core/front.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"maps"
 	"net/http"
 	"slices"
@@ -56,6 +57,17 @@
 	c.emit(Answer{Req: req, Status: http.StatusServiceUnavailable, Body: wire.Error{Error: why}, RetryAfter: retryAfter})
 }
 
+// laterVersion is why a node whose version is too old for the records doesn't serve.
+const laterVersion = "the records are of a later version"
+
+func (c *Core) notServing(req uint64) {
+	if c.foreign {
+		c.later(req, laterVersion)
+		return
+	}
+	c.later(req, "starting")
+}
+
 // status tells a user about a job.
 func (c *Core) status(j *Job) wire.JobStatus {
 	s := wire.JobStatus{ID: j.ID}
@@ -87,8 +99,8 @@
 		c.answer(x.Req, http.StatusBadRequest, wire.Error{Error: err.Error()})
 		return
 	}
-	if !c.loaded {
-		c.later(x.Req, "starting")
+	if !c.serving() {
+		c.notServing(x.Req)
 		return
 	}
 	if j := c.jobs[spec.ID]; j != nil && j.Rec.Final() {
@@ -101,34 +113,127 @@
 		refusal, why = http.StatusBadRequest, err.Error()
 	case c.catalog == nil:
 		refusal, why = http.StatusServiceUnavailable, "machine types not known yet"
+	case len(spec.Needs) > 0 && c.upgrading():
+		// An older node would lose what the job needs.
+		refusal, why = http.StatusServiceUnavailable, "needed jobs are not taken before every node has been upgraded"
 	default:
 		refusal, why = c.impossible(&spec)
 	}
-	if refusal != 0 || c.jobs[spec.ID] != nil {
-		// Existence comes before validity: a job that is known is answered
-		// with 200 whatever its retry holds.
-		c.current(x.Req, spec.ID, func(j *Job) {
-			switch {
-			case j != nil:
-				c.answer(x.Req, http.StatusOK, c.status(j))
-			case refusal == 0 || refusal == http.StatusServiceUnavailable:
-				c.later(x.Req, why)
-			default:
-				c.answer(x.Req, refusal, wire.Error{Error: why})
-			}
-		})
+	if j := c.jobs[spec.ID]; refusal != 0 || j != nil && j.Version != 0 {
+		c.refuse(x, spec.ID, refusal, why)
+		return
+	}
+	if len(spec.Needs) == 0 {
+		c.create(x, &spec)
 		return
 	}
-	c.create(x, &spec)
+	c.needed(spec.Needs, func(missing string, o Outcome) {
+		switch {
+		case o != OK:
+			c.later(x.Req, "state service not available")
+		case missing != "":
+			c.refuse(x, spec.ID, http.StatusUnprocessableEntity, "needs "+missing+", which was never accepted")
+		default:
+			c.create(x, &spec)
+		}
+	})
+}
+
+// refuse answers a submission that can't be taken. Existence comes before
+// validity: a job that is known is answered with 200 whatever its retry holds.
+func (c *Core) refuse(x SubmitIn, id string, refusal int, why string) {
+	c.current(x.Req, id, func(j *Job) {
+		switch {
+		case j != nil:
+			c.tellStatus(x.Req, j)
+		case refusal == 0 || refusal == http.StatusServiceUnavailable:
+			c.later(x.Req, why)
+		default:
+			c.answer(x.Req, refusal, wire.Error{Error: why})
+		}
+	})
+}
+
+// firstRecord is the record of a job as it is accepted. What it needs is kept as
+// far as it isn't done. If any of that is cancelled, so is the job from the start.
+func (c *Core) firstRecord(x SubmitIn, spec *wire.Job) (*job.Record, error) {
+	var left []string
+	for _, id := range spec.Needs {
+		n := c.jobs[id] // nil: it exists, and its record is on its way here
+		if n != nil && (n.Rec.Phase == job.Cancelled || n.doomed) {
+			return &job.Record{Phase: job.Cancelled}, nil
+		}
+		if n == nil || n.Rec.Phase != job.Done {
+			left = append(left, id)
+		}
+	}
+	spec.Needs = left
+	rec := &job.Record{Spec: spec, Created: x.Wall}
+	value, err := job.EncodeRecord(rec, c.format)
+	if err != nil {
+		return nil, err
+	}
+	size := wire.JSONSize(value)
+	if c.format < job.Grouped {
+		if size > c.roomBefore() {
+			return nil, errTooLarge
+		}
+		return rec, nil
+	}
+	tasks := min(spec.Tasks, job.PartTasks)
+	if spec.Shape != wire.Gang {
+		tasks = min(tasks, leastTasks) // the rest waits if need be
+	}
+	rec.Apart = size+tasks*c.placementSize() > c.room()
+	if size+recordRest > c.room() {
+		return nil, errTooLarge
+	}
+	return rec, nil
+}
+
+var errTooLarge = errors.New("description too large")
+
+const (
+	// recordRest is what a record holds beside its description and placements.
+	recordRest = 120
+	// leastTasks is how many tasks of an array or a service a record has to have
+	// room for, or else they are kept apart.
+	leastTasks = 16
+	// placementBytes is what a placement takes at most, but for its zone, with a
+	// machine's name of usual length.
+	placementBytes = 46
+)
+
+func (c *Core) placementSize() int {
+	longest := 0
+	for _, z := range c.cfg.Cluster.Zones {
+		longest = max(longest, len(z))
+	}
+	return placementBytes + longest
+}
+
+// roomBefore is how large a description may be in the first format, whose parts
+// are never apart. Its limits are those that the state service has now: lower
+// ones come after the upgrade, when a record can be packed.
+func (c *Core) roomBefore() int {
+	return int(c.cfg.Cluster.State.ValueKB*1024) - job.PartTasks*(c.placementSize()-6) - recordRest
 }
 
 func (c *Core) create(x SubmitIn, spec *wire.Job) {
-	rec := job.Record{Spec: spec, Created: x.Wall}
-	value, err := job.Encode(&rec)
-	if err != nil || wire.JSONSize(value) > c.recordRoom() {
-		c.answer(x.Req, http.StatusBadRequest, wire.Error{Error: "description too large"})
+	rec, err := c.firstRecord(x, spec)
+	if err != nil {
+		c.answer(x.Req, http.StatusBadRequest, wire.Error{Error: err.Error()})
 		return
 	}
+	value, err := job.EncodeRecord(rec, c.format)
+	if err != nil {
+		c.later(x.Req, "try again")
+		return
+	}
+	status := wire.Queued
+	if rec.Final() {
+		status = wire.Cancelled
+	}
 	key := job.RecordKey(spec.ID)
 	c.commit(wire.Commit{
 		Guards:  []wire.Guard{{Key: key, Version: 0}},
@@ -139,31 +244,18 @@
 			ev := wire.Change{Put: key, Value: value, Version: d.Revision}
 			c.apply(&ev)
 			c.tell(ev)
-			c.answer(x.Req, http.StatusCreated, wire.JobStatus{ID: spec.ID, Status: wire.Queued})
+			c.answer(x.Req, http.StatusCreated, wire.JobStatus{ID: spec.ID, Status: status})
 		case Conflict:
-			c.current(x.Req, spec.ID, func(j *Job) {
-				if j == nil {
-					c.later(x.Req, "try again")
-					return
-				}
-				c.answer(x.Req, http.StatusOK, c.status(j))
-			})
+			c.refuse(x, spec.ID, 0, "try again")
+		case Invalid:
+			c.tighten(key)
+			c.later(x.Req, "try again")
 		default:
 			c.later(x.Req, "state service not available")
 		}
 	})
 }
 
-// recordRoom is how large a description may be, so that the record stays
-// within a value when all of part 0 is placed.
-func (c *Core) recordRoom() int {
-	longest := 0
-	for _, z := range c.cfg.Cluster.Zones {
-		longest = max(longest, len(z))
-	}
-	return c.valueLimit() - job.PartTasks*(longest+40) - 120
-}
-
 // tell gives the leader a copy of what was just written, ahead of its watch.
 func (c *Core) tell(ev wire.Change) {
 	if c.leader.node != "" && c.leader.node != c.cfg.Node {
@@ -249,8 +341,8 @@
 	switch {
 	case !wire.ValidJobID(x.ID):
 		c.answer(x.Req, http.StatusNotFound, wire.Error{Error: "no such job"})
-	case !c.loaded:
-		c.later(x.Req, "starting")
+	case !c.serving():
+		c.notServing(x.Req)
 	case c.jobs[x.ID] != nil && c.jobs[x.ID].Rec.Final():
 		c.answer(x.Req, http.StatusOK, c.status(c.jobs[x.ID]))
 	case len(c.checks) >= maxChecks:
@@ -265,7 +357,7 @@
 	if c.checking || len(c.checks) == 0 || c.now < c.checkAt {
 		return
 	}
-	most := wire.GuardFactor * c.cfg.Cluster.State.TxnOps
+	most := wire.GuardFactor * c.ops()
 	ids := map[string]uint64{}
 	n := 0
 	for ; n < len(c.checks) && len(ids) < most; n++ {
@@ -312,11 +404,27 @@
 }
 
 func (c *Core) answerPoll(p poll, j *Job) {
-	if j == nil {
+	if j == nil || j.Version == 0 { // nothing is known of it but that others need it
 		c.answer(p.req, http.StatusNotFound, wire.Error{Error: "no such job"})
 		return
 	}
-	c.answer(p.req, http.StatusOK, c.status(j))
+	c.tellStatus(p.req, j)
+}
+
+// tellStatus answers with a job's state, which is known to be current. A job
+// before which one is cancelled is cancelled in its own record first: then every
+// node says the same from then on, whatever it knows of the others.
+func (c *Core) tellStatus(req uint64, j *Job) {
+	switch {
+	case j.Rec.Final():
+		c.answer(req, http.StatusOK, c.status(j))
+	case j.doomed:
+		c.mark(req, j)
+	case c.stale(j):
+		c.later(req, "not sure about the jobs that it needs")
+	default:
+		c.answer(req, http.StatusOK, c.status(j))
+	}
 }
 
 // cancel handles POST /v1/jobs/{id}/withdraw. The mark is committed first and
@@ -327,8 +435,8 @@
 		c.answer(x.Req, http.StatusNotFound, wire.Error{Error: "no such job"})
 		return
 	}
-	if !c.loaded {
-		c.later(x.Req, "starting")
+	if !c.serving() {
+		c.notServing(x.Req)
 		return
 	}
 	if j := c.jobs[x.ID]; j != nil && j.Version != 0 {
@@ -358,14 +466,15 @@
 func (c *Core) mark(req uint64, j *Job) {
 	rec := j.Rec.Clone()
 	rec.Cancel = true
-	if len(rec.Open) == 0 && rec.Spec.Tasks <= job.PartTasks {
+	if rec.Attempt == 0 || len(rec.Open) == 0 && rec.Spec.Tasks <= job.PartTasks && !rec.Apart {
 		// Nothing of it is on any machine, and the guard on the record's
 		// version keeps it so: no leader is needed.
 		rec.Phase, rec.Count = job.Cancelled, rec.Part.Count()
 		rec.Shrink()
 	}
-	value, err := job.Encode(&rec)
-	if err != nil {
+	value, err := job.EncodeRecord(&rec, c.format)
+	if err != nil || !c.fits(value) {
+		c.log("record too large to be marked", "job", j.ID, "limit", c.room())
 		c.later(req, "try again")
 		return
 	}
@@ -388,6 +497,9 @@
 				}
 				c.later(req, "try again")
 			})
+		case Invalid:
+			c.tighten(key)
+			c.later(req, "try again")
 		default:
 			c.later(req, "state service not available")
 		}
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -83,12 +83,17 @@
 	c.commitLater(wire.Commit{
 		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}},
 		Changes: []wire.Change{{Put: hintPrefix + strconv.Itoa(n), Value: value}},
-	}, func(d CommitDone) { p.changed = p.changed || d.Outcome != OK })
+	}, func(d CommitDone) {
+		p.changed = p.changed || d.Outcome != OK
+		if d.Outcome == Invalid {
+			c.tighten(hintPrefix + strconv.Itoa(n))
+		}
+	})
 }
 
 // writePause is the time between changes that may take a share of all changes.
 func (c *Core) writePause(share float64) Micros {
-	return config.FromSeconds(1 / max(0.01, share*c.cfg.Cluster.State.WriteRPS))
+	return config.FromSeconds(1 / max(0.01, share*c.cfg.Cluster.State.LeastWriteRPS()))
 }
 
 // fitHints encodes hints so that they fit a value: images go first, then the
@@ -102,10 +107,10 @@
 		switch {
 		case err != nil:
 			return nil
-		case wire.JSONSize(value) <= c.valueLimit():
+		case c.fits(value):
 			return value
 		case most == 0:
-			hints = hints[:len(hints)/2]
+			hints = hints[:len(hints)*7/8]
 		}
 	}
 }
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -12,13 +12,14 @@
 // Outcome tells how a call to another system went.
 type Outcome int
 
-// The outcomes. Refused means certainly not executed, Unknown may have been
-// executed or may still be.
+// The outcomes. Refused means certainly not executed, Invalid that besides the
+// same request never will be, Unknown may have been executed or may still be.
 const (
 	OK Outcome = iota
 	Conflict
 	Gone
 	Refused
+	Invalid
 	Unknown
 )
 
@@ -216,6 +217,8 @@
 		Node  string
 		Heard []Heard
 	}
+	// Retire tells that this node can't serve: the records are of a later version.
+	Retire struct{}
 	// Log is a line for the operator.
 	Log struct {
 		Debug bool
@@ -236,6 +239,7 @@
 func (Rent) effect()         {}
 func (Release) effect()      {}
 func (Tell) effect()         {}
+func (Retire) effect()       {}
 func (Log) effect()          {}
 func (Forward) effect()      {}
 func (Beat) effect()         {}
--- /dev/null
+++ b/internal/core/job/format.go
@@ -0,0 +1,117 @@
+package job
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"coralhub/wire"
+)
+
+// Format is how values are written. Nodes of different versions run side by
+// side during an upgrade, and one that doesn't know a field drops it when it
+// rewrites a value. So a node writes what the format in force says, which is
+// raised once every node has announced that it reads the next; it reads all
+// formats up to Newest.
+type Format int
+
+const (
+	// Placements is the first format: each open placement stands for itself, and
+	// no job needs another. Its writer, and this name, may go once no deployment
+	// is left that has not raised its format; its reader once no value of it is.
+	Placements Format = 1
+	// Grouped puts the tasks that one machine has of a job into one group, and
+	// descriptions may name needed jobs.
+	Grouped Format = 2
+	// Newest is the last format that this version reads.
+	Newest = Grouped
+)
+
+// group is the tasks of a part that share a machine and an attempt.
+type group struct {
+	//lint:ignore U1000 read by the encoder: a group is a list, to be short
+	_msgpack struct{} `msgpack:",as_array"`
+	First    int      // task number that bit 0 stands for
+	Tasks    string
+	Attempt  uint64
+	Machine  string
+	Session  uint64
+	Zone     string
+}
+
+// pack returns the part as the format writes it.
+func (p Part) pack(f Format) Part {
+	if f < Grouped || len(p.Open) == 0 {
+		return p
+	}
+	type at struct {
+		attempt, session uint64
+		machine, zone    string
+	}
+	var order []at
+	masks := map[at]uint64{}
+	first := p.Open[0].Task / PartTasks * PartTasks
+	for _, o := range p.Open {
+		k := at{o.Attempt, o.Session, o.Machine, o.Zone}
+		if masks[k] == 0 {
+			order = append(order, k)
+		}
+		masks[k] |= 1 << uint(o.Task%PartTasks)
+	}
+	q := Part{Done: p.Done}
+	for _, k := range order {
+		q.Groups = append(q.Groups, group{First: first, Tasks: strconv.FormatUint(masks[k], 16), Attempt: k.attempt,
+			Machine: k.machine, Session: k.session, Zone: k.zone})
+	}
+	return q
+}
+
+// unpack turns groups into placements.
+func (p *Part) unpack() {
+	for _, g := range p.Groups {
+		mask, _ := strconv.ParseUint(g.Tasks, 16, 64)
+		for i := range PartTasks {
+			if mask>>uint(i)&1 == 1 {
+				p.Open = append(p.Open, Placement{Task: g.First + i, Attempt: g.Attempt, Machine: g.Machine, Session: g.Session, Zone: g.Zone})
+			}
+		}
+	}
+	if p.Groups != nil {
+		p.Groups = nil
+		slices.SortStableFunc(p.Open, func(a, b Placement) int { return a.Task - b.Task })
+	}
+}
+
+// EncodeRecord turns a record into a value.
+func EncodeRecord(r *Record, f Format) ([]byte, error) {
+	c := *r
+	c.Part = r.pack(f)
+	return Encode(&c)
+}
+
+// EncodePart turns a part into a value.
+func EncodePart(p *Part, f Format) ([]byte, error) {
+	q := p.pack(f)
+	return Encode(&q)
+}
+
+// DecodeRecord reads a record of any format.
+func DecodeRecord(b []byte, r *Record) error {
+	err := Decode(b, r)
+	r.unpack()
+	return err
+}
+
+// DecodePart reads a part of any format.
+func DecodePart(b []byte, p *Part) error {
+	err := Decode(b, p)
+	p.unpack()
+	return err
+}
+
+// Encode turns anything else that is stored into a value.
+func Encode(v any) ([]byte, error) { return msgpack.Marshal(v) }
+
+// Decode is the reverse of Encode.
+func Decode(b []byte, v any) error { return wire.Unmarshal(b, v) }
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -9,13 +9,11 @@
 	"strconv"
 	"strings"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"coralhub/wire"
 )
 
-// PartTasks is how many tasks share one value of the state service: with the
-// open placements of this many tasks a record stays below 4 KiB.
+// PartTasks is how many tasks share one value of the state service: the open
+// placements of this many tasks fit into 2 KiB with names of usual length.
 const PartTasks = 32
 
 // Phases of a record; Active is every phase that is not final.
@@ -48,10 +46,12 @@
 func (p Placement) Key(job string) Key { return Key{job, p.Task, p.Attempt} }
 
 // Part holds the state of PartTasks tasks. Part 0 is kept inside the record,
-// the others have keys of their own.
+// the others have keys of their own. Of Open and Groups, a value has the one or
+// the other; in memory it is always Open.
 type Part struct {
-	Done string      `msgpack:"d,omitempty"` // hexadecimal bit set
-	Open []Placement `msgpack:"o,omitempty"`
+	Done   string      `msgpack:"d,omitempty"` // hexadecimal bit set
+	Open   []Placement `msgpack:"o,omitempty"`
+	Groups []group     `msgpack:"g,omitempty"`
 }
 
 // IsDone tells whether the i-th task of the part is done.
@@ -91,7 +91,7 @@
 }
 
 // Clone returns a copy that shares nothing with p.
-func (p *Part) Clone() Part { return Part{p.Done, append([]Placement(nil), p.Open...)} }
+func (p *Part) Clone() Part { return Part{Done: p.Done, Open: append([]Placement(nil), p.Open...)} }
 
 // Remove closes the placement of a task's attempt on a machine.
 func (p *Part) Remove(task int, attempt uint64, machine string) bool {
@@ -123,9 +123,39 @@
 	Created int64     `msgpack:"t,omitempty"` // time of day of the submission, in microseconds
 	Attempt uint64    `msgpack:"a,omitempty"` // highest attempt placed so far
 	Count   int       `msgpack:"n,omitempty"` // done tasks, for display
+	// Apart tells that the description leaves no room for tasks: they are all in
+	// parts, from 1 on. Written from Grouped on.
+	Apart bool `msgpack:"p,omitempty"`
 	Part
 }
 
+// PartOf tells which part a task is in.
+func (r *Record) PartOf(task int) int {
+	if r.Apart {
+		return task/PartTasks + 1
+	}
+	return task / PartTasks
+}
+
+// Span tells which tasks part n of a job of so many tasks holds: the first, and
+// how many.
+func (r *Record) Span(n, tasks int) (first, count int) {
+	if r.Apart {
+		n--
+	}
+	first = n * PartTasks
+	return first, min(PartTasks, tasks-first)
+}
+
+// Parts tells which parts a job of so many tasks has: the first, and the one
+// after the last.
+func (r *Record) Parts(tasks int) (first, end int) {
+	if r.Apart {
+		first = 1
+	}
+	return first, first + (tasks+PartTasks-1)/PartTasks
+}
+
 // Final tells whether the record's phase can't change any more.
 func (r *Record) Final() bool { return r.Phase != Active }
 
@@ -141,9 +171,6 @@
 	*r = Record{Phase: r.Phase, Count: r.Count}
 }
 
-// Parts tells how many parts a job of n tasks has.
-func Parts(n int) int { return (n + PartTasks - 1) / PartTasks }
-
 // Keys of the state service.
 const (
 	Root       = "ch/"
@@ -170,9 +197,3 @@
 	n, err := strconv.Atoi(num)
 	return id, n, ok && err == nil && n > 0 && wire.ValidJobID(id)
 }
-
-// Encode turns a record or a part into a value.
-func Encode(v any) ([]byte, error) { return msgpack.Marshal(v) }
-
-// Decode is the reverse of Encode.
-func Decode(b []byte, v any) error { return wire.Unmarshal(b, v) }
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -47,7 +47,7 @@
 func (c *Core) leaseTTL() Micros { return config.FromMillis(c.cfg.Settings.LeaderLeaseMS) }
 
 func (c *Core) tickLeadership() {
-	if !c.loaded {
+	if !c.serving() {
 		return
 	}
 	if c.lease != 0 && !c.renewing && c.now-c.renewSent > c.leaseTTL()/4 {
@@ -139,7 +139,7 @@
 			// must not come to the same machine twice: the gang starts anew.
 			j.deadGang = max(j.deadGang, j.Rec.Attempt)
 		}
-		if !j.Rec.Final() || j.Rec.Spec != nil {
+		if !j.over() || len(j.parts) > 0 {
 			c.dirty[id] = true
 		}
 	}
@@ -271,7 +271,7 @@
 			c.token = d.Revision
 			c.leader.version, c.leader.nonce = d.Revision, c.nonce
 			c.log("token raised", "from", old, "to", c.token)
-		case Refused:
+		case Refused, Invalid:
 			c.wantRaise = true
 		default:
 			c.stepDown("claim lost")
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -138,7 +138,7 @@
 func (c *Core) couldStop(s *scan, j *Job) {
 	spec := j.Rec.Spec
 	needs := taskRes(spec)
-	level := queue.Level(spec.Priority, j.within)
+	level := queue.Level(j.priority(), j.within)
 	var gang *zone.Victim // the same one in every zone that it is in
 	listed := map[string]bool{}
 	j.eachOpen(func(p job.Placement) {
@@ -179,7 +179,7 @@
 		spec := j.Rec.Spec
 		team := c.teams[spec.Team]
 		j.within = false
-		if j.Rec.Final() || team == nil {
+		if j.Rec.Final() || team == nil || j.held() {
 			continue
 		}
 		if !queue.HasGuarantee(team) {
@@ -196,11 +196,11 @@
 	var out []queue.Entry
 	for _, j := range c.active {
 		spec := j.Rec.Spec
-		if j.done+j.open >= spec.Tasks || j.Rec.Final() || j.Rec.Cancel || j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 ||
+		if j.held() || j.done+j.open >= spec.Tasks || j.Rec.Final() || j.Rec.Cancel || j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 ||
 			c.now < max(j.holdUntil, j.retryAt) || c.teams[spec.Team] == nil {
 			continue
 		}
-		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(spec.Priority, j.within), Created: j.Rec.Created,
+		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.priority(), j.within), Created: j.Rec.Created,
 			Credit: queue.Credit(&c.cfg.Settings, c.now-j.arrived, c.usage.Share(spec.Team))})
 	}
 	return out
@@ -210,14 +210,15 @@
 // transaction can hold.
 func (c *Core) missing(j *Job) []int {
 	most := job.PartTasks
-	if j.Rec.Spec.Shape == wire.Gang {
-		most = job.PartTasks * (c.cfg.Cluster.State.TxnOps - 1)
+	if j.Rec.Spec.Shape == wire.Gang || c.format >= job.Grouped {
+		most = job.PartTasks * (c.ops() - 1)
 	}
+	tasks := j.Rec.Spec.Tasks
 	var out []int
-	for n := range job.Parts(j.Rec.Spec.Tasks) {
+	for n, end := j.Rec.Parts(tasks); n < end; n++ {
 		p, _ := j.part(n)
-		first := n * job.PartTasks
-		for _, i := range p.Missing(min(job.PartTasks, j.Rec.Spec.Tasks-first)) {
+		first, count := j.Rec.Span(n, tasks)
+		for _, i := range p.Missing(count) {
 			if out = append(out, first+i); len(out) == most {
 				return out
 			}
@@ -359,14 +360,14 @@
 		q.Keep = j.reserved
 		return q
 	}
-	own := queue.Level(spec.Priority, true)
+	own := queue.Level(j.priority(), true)
 	q.May = func(v *zone.Victim) bool {
 		of := c.jobs[v.Job]
 		victim := of.Rec.Spec
 		if victim.Team != spec.Team && !of.within && j.within && queue.HasGuarantee(c.teams[spec.Team]) {
 			return true // what another team has borrowed
 		}
-		return queue.Level(victim.Priority, true) < own && v.Level < e.Level
+		return queue.Level(of.priority(), true) < own && v.Level < e.Level
 	}
 	return q
 }
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -15,6 +15,7 @@
 	token  uint64
 	closes []closing
 	rec    *job.Record // nil: unchanged
+	whole  bool        // the record says something new
 	parts  map[int]job.Part
 	ends   bool // it would do nothing but close placements of a job that goes on
 
@@ -64,7 +65,7 @@
 		return false
 	}
 	c.assure(j)
-	t, more := c.next(j)
+	t, more := c.fitting(j)
 	if t == nil {
 		// A cancellation waits for workers to be heard: look again.
 		return !j.Rec.Cancel || j.Rec.Final()
@@ -73,7 +74,7 @@
 		c.note(j, t.closes)
 		return !more
 	}
-	if len(j.plan) == 0 && !j.Rec.Cancel && c.writing >= c.mostWriting() {
+	if len(j.plan) == 0 && !j.Rec.Cancel && len(j.neededBy) == 0 && c.writing >= c.mostWriting() {
 		return false
 	}
 	j.txn = t
@@ -81,17 +82,59 @@
 	return !more
 }
 
+// fitting returns a job's next transaction, made so small that every value of it
+// may be put: a plan is cut down, and ends go by the log.
+func (c *Core) fitting(j *Job) (*txn, bool) {
+	for {
+		t, more := c.next(j)
+		if t == nil || t.ends || c.putable(&t.commit) {
+			return t, more
+		}
+		if !j.tooLarge {
+			j.tooLarge = true
+			c.log("record too large to be written whole", "job", j.ID, "limit", c.room())
+		}
+		switch {
+		case len(j.plan) > 1 && j.Rec.Spec.Shape != wire.Gang:
+			j.plan = j.plan[:len(j.plan)/2]
+		case len(j.plan) > 0:
+			j.plan = nil
+			j.holdUntil = c.now + 10*config.Second
+		case len(t.closes) > 0 && !j.Rec.Final():
+			t.ends = true
+			return t, more
+		default:
+			j.mergeNow = false
+			j.retryAt = c.now + 10*config.Second
+			return nil, false
+		}
+	}
+}
+
+// putable tells whether every value of a transaction may be put.
+func (c *Core) putable(t *wire.Commit) bool {
+	for i := range t.Changes {
+		if t.Changes[i].Put != "" && !c.fits(t.Changes[i].Value) {
+			return false
+		}
+	}
+	return true
+}
+
 // next builds the transaction that brings a job's record up to what is known.
 func (c *Core) next(j *Job) (*txn, bool) {
 	if j.Rec.Spec == nil {
-		return nil, false
+		return c.leftover(j)
+	}
+	if t := c.finish(j); t != nil {
+		return t, true
 	}
 	rec := j.Rec.Clone()
 	t := &txn{token: c.token, parts: map[int]job.Part{}}
-	room := c.cfg.Cluster.State.TxnOps - 1
+	room := c.ops() - 1
 	more, changed := false, false
 	part := func(task int) *job.Part {
-		n := task / job.PartTasks
+		n := rec.PartOf(task)
 		if n == 0 {
 			return &rec.Part
 		}
@@ -108,8 +151,10 @@
 		return &p
 	}
 	keep := func(task int, p *job.Part) {
-		if n := task / job.PartTasks; n > 0 {
+		if n := rec.PartOf(task); n > 0 {
 			t.parts[n] = *p
+		} else {
+			t.whole = true
 		}
 		changed = true
 	}
@@ -132,10 +177,11 @@
 	if j.mergeNow {
 		changed = true
 		for _, f := range j.facts {
-			if f.Task >= job.PartTasks && !f.merged {
-				if p := part(f.Task); p != nil {
-					keep(f.Task, p)
-				}
+			if f.merged {
+				continue
+			}
+			if p := part(f.Task); p != nil {
+				keep(f.Task, p)
 			}
 		}
 	}
@@ -146,6 +192,7 @@
 				continue
 			}
 			p.Open = append(p.Open, pl)
+			t.whole = t.whole || pl.Attempt > rec.Attempt
 			rec.Attempt = max(rec.Attempt, pl.Attempt)
 			keep(pl.Task, p)
 		}
@@ -168,16 +215,16 @@
 	}
 	if rec.Spec.Shape == wire.Gang && done > 0 && !rec.Final() {
 		// A gang completes together: if one task is done, so are all.
-		rec.Phase, rec.Count, changed, t.ends = job.Done, rec.Spec.Tasks, true, false
+		rec.Phase, rec.Count, changed, t.ends, t.whole = job.Done, rec.Spec.Tasks, true, false, true
 	}
 	if done >= rec.Spec.Tasks && !rec.Final() {
-		rec.Phase, rec.Count, changed, t.ends = job.Done, done, true, false
+		rec.Phase, rec.Count, changed, t.ends, t.whole = job.Done, done, true, false, true
 	}
 	if j.cancelling && !rec.Final() {
-		rec.Phase, rec.Count, changed, t.ends = job.Cancelled, done, true, false
+		rec.Phase, rec.Count, changed, t.ends, t.whole = job.Cancelled, done, true, false, true
 	}
-	if rec.Final() && open == 0 {
-		t.ends = false
+	if rec.Final() && open == 0 { // with the first format alone: finish does it otherwise
+		t.ends, t.whole = false, true
 		if n := c.dropParts(j, t, room); n > 0 {
 			more, changed = true, true
 			j.retryAt = c.now + dropPause
@@ -201,6 +248,56 @@
 	return t, more
 }
 
+// finish returns the transaction that ends a job, if what is known completes it
+// and nothing of it stays open: its record shrinks at once, whichever tasks are
+// in how many parts. The parts are void from then on and deleted at leisure. With
+// the first format, whose readers take a part at its word, they go before.
+func (c *Core) finish(j *Job) *txn {
+	if c.format < job.Grouped {
+		return nil
+	}
+	done, open := j.done, j.open
+	for _, cl := range j.closes {
+		p, _ := j.part(j.Rec.PartOf(cl.key.Task))
+		if p.IsOpen(cl.key.Task, cl.key.Attempt, cl.machine) {
+			open--
+		}
+		if cl.done && !p.IsDone(cl.key.Task%job.PartTasks) {
+			done++
+		}
+	}
+	spec := j.Rec.Spec
+	rec := &job.Record{Phase: j.Rec.Phase, Count: max(j.Rec.Count, done)}
+	switch {
+	case open > 0:
+		return nil
+	case rec.Final():
+	case done >= spec.Tasks || spec.Shape == wire.Gang && done > 0:
+		rec.Phase, rec.Count = job.Done, spec.Tasks
+	case j.cancelling || j.doomed:
+		rec.Phase = job.Cancelled
+	default:
+		return nil
+	}
+	t := &txn{token: c.token, closes: slices.Clone(j.closes), whole: true}
+	if err := c.fill(j, t, rec); err != nil {
+		c.log("record not written", "job", j.ID, "error", err.Error())
+		return nil
+	}
+	return t
+}
+
+// leftover returns the deletion of what parts are left of a job that is over.
+func (c *Core) leftover(j *Job) (*txn, bool) {
+	t := &txn{token: c.token}
+	if !j.over() || c.dropParts(j, t, c.ops()) == 0 {
+		return nil, false
+	}
+	t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: leaderKey, Version: c.token})
+	j.retryAt = c.now + dropPause
+	return t, true
+}
+
 // dropParts puts the deletion of parts into t, as many as there is room for.
 // It returns how many are left or dropped; 0 means that none existed.
 func (c *Core) dropParts(j *Job, t *txn, room int) int {
@@ -222,18 +319,23 @@
 
 // fill turns the new values into guards and changes.
 func (c *Core) fill(j *Job, t *txn, rec *job.Record) error {
-	value, err := job.Encode(rec)
-	if err != nil {
-		return err
-	}
 	key := job.RecordKey(j.ID)
-	t.rec = rec
 	t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: leaderKey, Version: c.token}, wire.Guard{Key: key, Version: j.Version})
-	t.commit.Changes = append(t.commit.Changes, wire.Change{Put: key, Value: value})
+	// A record that says nothing new is guarded and not written. In the first
+	// format it always is.
+	if t.whole || c.format < job.Grouped {
+		value, err := job.EncodeRecord(rec, c.format)
+		if err != nil {
+			return err
+		}
+		t.rec = rec
+		t.commit.Changes = append(t.commit.Changes, wire.Change{Put: key, Value: value})
+	}
 	nums := slices.Sorted(maps.Keys(t.parts))
 	for _, n := range nums {
 		p := t.parts[n]
-		if value, err = job.Encode(&p); err != nil {
+		value, err := job.EncodePart(&p, c.format)
+		if err != nil {
 			return err
 		}
 		_, version := j.part(n)
@@ -247,13 +349,14 @@
 // the state service takes in about half a second. More would wait in a line that
 // knows no ranks.
 func (c *Core) mostWriting() int {
-	return max(c.cfg.Cluster.State.TxnOps, int(c.cfg.Cluster.State.WriteRPS/2))
+	return max(c.ops(), int(c.cfg.Cluster.State.LeastWriteRPS()/2))
 }
 
 func (c *Core) send(j *Job, t *txn) {
 	reign := c.reign
 	c.writing += len(t.commit.Changes)
-	c.commitLater(t.commit, func(d CommitDone) {
+	// What others wait for doesn't give way.
+	c.transact(t.commit, len(j.neededBy) == 0, func(d CommitDone) {
 		if reign == c.reign {
 			c.writing -= len(t.commit.Changes)
 		}
@@ -275,6 +378,19 @@
 			j.txn, j.plan = nil, nil
 			c.passDue = true
 			c.conflict(j, t, d.Failed)
+		case Invalid:
+			// Whether an earlier sending was applied is to be read: the same bytes
+			// will not be from now on.
+			c.tighten(job.RecordKey(j.ID))
+			j.txn, j.plan = nil, nil
+			c.passDue = true
+			var keys []string
+			for _, g := range t.commit.Guards {
+				if g.Key != leaderKey {
+					keys = append(keys, g.Key)
+				}
+			}
+			c.conflict(j, t, keys)
 		default:
 			j.txn, j.plan = nil, nil
 			j.retryAt = c.now + commitPause
@@ -305,7 +421,7 @@
 			c.setPart(j, n, job.Part{}, 0)
 		}
 	}
-	if j.Version < revision {
+	if t.rec != nil && j.Version < revision {
 		c.setRecord(j.ID, *t.rec, revision)
 	}
 }
--- /dev/null
+++ b/internal/core/upgrade.go
@@ -0,0 +1,105 @@
+package core
+
+import (
+	"coralhub/internal/config"
+	"coralhub/internal/core/job"
+	"coralhub/wire"
+)
+
+// The format of the records is raised once, while nodes of both versions serve.
+// Each node announces for good which format it reads; a node without an
+// announcement reads the first. When all in the settings read a later one, the
+// leader raises the format in a transaction guarded by its claim. It never goes
+// back. Until then everything is written as the older version reads it, and
+// nothing is accepted that the older version would lose.
+
+const (
+	formatKey      = job.Root + "format"
+	announcePrefix = job.Root + "nodes/"
+	// formatPause is between tries to announce or raise.
+	formatPause = config.Second
+)
+
+// formatMark is the value of the format's key and of the announcements.
+type formatMark struct {
+	Format job.Format `msgpack:"format"`
+}
+
+type upgrade struct {
+	format        job.Format // in force, as far as this node knows
+	formatVersion uint64
+	announced     map[string]job.Format // by node
+	formatAt      Micros                // when to try again
+	foreign       bool                  // the format is one that this node can't read
+}
+
+func (c *Core) formatIn(ev *wire.Change) {
+	var m formatMark
+	if ev.Put == "" || ev.Version <= c.formatVersion || job.Decode(ev.Value, &m) != nil {
+		return
+	}
+	c.format, c.formatVersion = m.Format, ev.Version
+	c.passDue = true
+	if m.Format > job.Newest && !c.foreign {
+		c.foreign = true
+		c.log("not serving: the records have a later format", "format", int(m.Format), "newest_known", int(job.Newest))
+		c.emit(Retire{})
+		c.stepDown("records of a later version")
+	}
+}
+
+func (c *Core) announcementIn(node string, ev *wire.Change) {
+	var m formatMark
+	if ev.Put != "" && job.Decode(ev.Value, &m) == nil {
+		c.announced[node] = max(c.announced[node], m.Format)
+	}
+}
+
+// putFormat writes a format under a key of the upgrade.
+func (c *Core) putFormat(key string, f job.Format, guards []wire.Guard, then func(CommitDone)) {
+	value, err := job.Encode(formatMark{f})
+	if err != nil {
+		panic(err) // a struct of a number always encodes
+	}
+	c.formatAt = c.now + formatPause
+	c.commit(wire.Commit{Guards: guards, Changes: []wire.Change{{Put: key, Value: value}}}, func(d CommitDone) {
+		if d.Outcome == OK {
+			c.apply(&wire.Change{Put: key, Value: value, Version: d.Revision})
+			then(d)
+		}
+	})
+}
+
+// announceFormat tells for good that this node reads the newest format.
+func (c *Core) announceFormat() {
+	if !c.loaded || c.foreign || c.cfg.Settings.HoldFormat || c.announced[c.cfg.Node] >= job.Newest || c.now < c.formatAt {
+		return
+	}
+	c.putFormat(announcePrefix+c.cfg.Node, job.Newest, nil, func(CommitDone) {
+		c.log("announced", "reads_format", int(job.Newest))
+	})
+}
+
+// raiseFormat raises the format if every node reads a later one.
+func (c *Core) raiseFormat() {
+	if c.format >= job.Newest || c.raising || c.now < c.formatAt {
+		return
+	}
+	least := c.announced[c.cfg.Node]
+	for _, p := range c.cfg.Peers {
+		least = min(least, c.announced[p.Node])
+	}
+	if least = min(least, job.Newest); least <= c.format {
+		return
+	}
+	guards := []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: formatKey, Version: c.formatVersion}}
+	c.putFormat(formatKey, least, guards, func(CommitDone) {
+		c.log("format raised: no way back to older versions", "format", int(least))
+	})
+}
+
+// upgrading tells whether some node has not announced yet.
+func (c *Core) upgrading() bool { return c.format < job.Newest }
+
+// serving tells whether this node may answer users and workers.
+func (c *Core) serving() bool { return c.loaded && !c.foreign }
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -28,6 +28,10 @@
 // 200 from anybody else would hold the worker there while its lease runs out.
 func (c *Core) report(x ReportIn) {
 	r := &x.Report
+	if c.foreign {
+		c.later(x.Req, laterVersion)
+		return
+	}
 	if !c.ready {
 		if c.leader.node != "" && c.leader.node != c.cfg.Node && r.Machine != "" {
 			c.relay(x)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	api      *httpapi.API
 	loaded   atomic.Bool
 	isolated atomic.Bool // the state service is out of reach for this node alone
+	retired  atomic.Bool // the records are of a later version
 	start    time.Time
 }
 
@@ -64,7 +65,7 @@
 	post := func(in core.Input) { n.inputs <- queued{in, time.Now()} }
 	n.store = store.New(cfg, post)
 	n.peers = peer.New(cfg, post)
-	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() })
+	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() && !n.retired.Load() })
 	n.adapters = []adapter{n.api, n.store, worker.New(post), cloud.New(cfg, post), n.peers}
 	return n
 }
@@ -164,6 +165,10 @@
 			slog.Log(context.Background(), level, l.Text, l.Args...)
 			continue
 		}
+		if _, ok := e.(core.Retire); ok {
+			n.retired.Store(true)
+			continue
+		}
 		for _, a := range n.adapters {
 			if a.Do(e) {
 				break
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -89,6 +90,9 @@
 	return true
 }
 
+// answered lists the statuses whose bodies tell more.
+var answered = []int{http.StatusOK, http.StatusConflict, http.StatusNotFound, http.StatusBadRequest}
+
 // errRefused marks calls that were certainly not executed.
 var errRefused = errors.New("refused")
 
@@ -111,8 +115,8 @@
 	} else {
 		s.badAt.Store(0)
 	}
-	if out != nil && (status == http.StatusOK || status == http.StatusConflict || status == http.StatusNotFound) && len(raw) > 0 {
-		if err := wire.Unmarshal(raw, out); err != nil && status != http.StatusNotFound {
+	if out != nil && slices.Contains(answered, status) && len(raw) > 0 {
+		if err := wire.Unmarshal(raw, out); err != nil && status != http.StatusNotFound && status != http.StatusBadRequest {
 			return 0, err
 		}
 	}
@@ -141,7 +145,10 @@
 	defer cancel()
 	done := core.CommitDone{ID: x.ID, Outcome: core.Refused}
 	if s.calls.Wait(ctx) == nil && s.turn(ctx, &x) == nil {
-		var a wire.CommitAnswer
+		var a struct {
+			wire.CommitAnswer
+			wire.Error
+		}
 		status, err := s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
 		done.Outcome, done.Revision, done.Failed = outcome(status, err), a.Revision, a.Failed
 		if x.Later {
@@ -151,8 +158,10 @@
 		case err != nil:
 		case status == http.StatusConflict:
 			done.Outcome = core.Conflict
-		case status == http.StatusBadRequest && len(x.Txn.Changes) > 0 && x.Txn.Changes[0].Lease != 0:
+		case status == http.StatusBadRequest && a.Error.Error == wire.NoSuchLease:
 			done.Outcome = core.Gone
+		case status == http.StatusBadRequest:
+			done.Outcome = core.Invalid
 		}
 	}
 	s.post(done)
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -275,8 +275,8 @@
 			continue
 		}
 		var was, is job.Record
-		_ = job.Decode(s.state.Get(c.Put).Value, &was) // absent: nothing open
-		if err := job.Decode(c.Value, &is); err != nil {
+		_ = job.DecodeRecord(s.state.Get(c.Put).Value, &was) // absent: nothing open
+		if err := job.DecodeRecord(c.Value, &is); err != nil {
 			s.world.Broken = append(s.world.Broken, "unreadable value for "+c.Put)
 		}
 		tasks := map[int]bool{}
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -19,6 +20,10 @@
 // maxTypes bounds the list of machine types of a submission.
 const maxTypes = 16
 
+// MaxNeeds bounds the jobs that a submission may name as needed, so that
+// checking them stays a small part of what the state service allows.
+const MaxNeeds = 256
+
 // ValidJobID tells whether s has the form of a job id: "j-" and digits.
 func ValidJobID(s string) bool {
 	digits, ok := strings.CutPrefix(s, "j-")
@@ -104,6 +109,9 @@
 	if (j.Shape == Service) && j.EstimateS != 0 {
 		j.EstimateS = 0
 	}
+	if slices.Contains(j.Needs, j.ID) {
+		return j, errors.New(`field "awaits": the job itself`)
+	}
 	return j, nil
 }
 
@@ -158,31 +166,60 @@
 		return ok, err
 	},
 	"rigs": func(j *Job, b []byte) (bool, error) {
-		if isNil(b) {
-			j.Types = nil
-			return false, nil
+		types, ok, err := texts(b, maxTypes)
+		if ok && err == nil && len(types) == 0 {
+			err = errors.New("no machine types")
 		}
-		d := msgpack.NewDecoder(bytes.NewReader(b))
-		if c, _ := d.PeekCode(); !msgpcode.IsFixedArray(c) && c != msgpcode.Array16 && c != msgpcode.Array32 {
-			return true, errors.New("not a list")
-		}
-		n, err := d.DecodeArrayLen()
-		if err != nil || n < 1 || n > maxTypes {
-			return true, errors.New("not a list of machine types")
+		j.Types = types
+		return ok, err
+	},
+	"awaits": func(j *Job, b []byte) (bool, error) {
+		ids, ok, err := texts(b, MaxBody)
+		if err != nil {
+			return ok, err
 		}
-		types := make([]string, 0, n)
-		for range n {
-			s, err := text(d)
-			if err != nil {
-				return true, err
+		j.Needs = nil
+		seen := make(map[string]bool, len(ids))
+		for _, id := range ids {
+			switch {
+			case !ValidJobID(id):
+				return true, errors.New("not a job id")
+			case !seen[id]:
+				seen[id] = true
+				j.Needs = append(j.Needs, id)
 			}
-			types = append(types, s)
 		}
-		j.Types = types
-		return true, nil
+		if len(j.Needs) > MaxNeeds {
+			return true, fmt.Errorf("more than %d jobs", MaxNeeds)
+		}
+		return ok, nil
 	},
 }
 
+// texts reads a list of at most so many texts; false if it is null.
+func texts(b []byte, most int) ([]string, bool, error) {
+	if isNil(b) {
+		return nil, false, nil
+	}
+	d := msgpack.NewDecoder(bytes.NewReader(b))
+	if c, _ := d.PeekCode(); !msgpcode.IsFixedArray(c) && c != msgpcode.Array16 && c != msgpcode.Array32 {
+		return nil, true, errors.New("not a list")
+	}
+	n, err := d.DecodeArrayLen()
+	if err != nil || n < 0 || n > most {
+		return nil, true, errors.New("not a list of that kind")
+	}
+	out := make([]string, 0, n)
+	for range n {
+		s, err := text(d)
+		if err != nil {
+			return nil, true, err
+		}
+		out = append(out, s)
+	}
+	return out, true, nil
+}
+
 func isMap(c byte) bool {
 	return msgpcode.IsFixedMap(c) || c == msgpcode.Map16 || c == msgpcode.Map32
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"math"
+	"strconv"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -116,6 +117,7 @@
 	CheckpointS float64  `msgpack:"bookmark_s"`
 	SaveS       float64  `msgpack:"stash_s"`
 	DeadlineS   *float64 `msgpack:"due_s,omitempty"`
+	Needs       []string `msgpack:"awaits,omitempty"` // jobs that have to be done before any task of this one starts
 }
 
 // JobStatus answers submissions, polls and cancellations.
@@ -126,6 +128,10 @@
 	Running *int   `msgpack:"running,omitempty"`
 }
 
+// NoSuchLease is the state service's error for a write under a lease that has
+// ended; any other 400 means that the request itself is at fault.
+const NoSuchLease = "no such lease"
+
 // Error is the body of a refusal.
 type Error struct {
 	Error string `msgpack:"error"`
@@ -341,13 +347,25 @@
 			n += jsonSize(k) + jsonSize(e) + 2
 		}
 		return n
-	case int8, uint8:
-		return 4
-	case int16, uint16:
-		return 6
-	case int32, uint32:
-		return 11
+	case int8:
+		return digits(int64(x))
+	case int16:
+		return digits(int64(x))
+	case int32:
+		return digits(int64(x))
+	case int64:
+		return digits(x)
+	case uint8:
+		return digits(int64(x))
+	case uint16:
+		return digits(int64(x))
+	case uint32:
+		return digits(int64(x))
+	case uint64:
+		return len(strconv.FormatUint(x, 10))
 	default:
 		return 24
 	}
 }
+
+func digits(n int64) int { return len(strconv.FormatInt(n, 10)) }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -12,6 +13,28 @@
 		"one_zone": true, "spread": false, "loaners": true, "expect_s": 240.0, "bookmark_s": 30.0, "stash_s": 4.0, "due_s": 900.0}
 }
 
+func manyIDs(n int) []string {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = "j-" + strconv.Itoa(i)
+	}
+	return ids
+}
+
+// An id that is named twice is one job to wait for.
+func TestNeedsCountOnce(t *testing.T) {
+	m := submission()
+	m["awaits"] = []string{"j-7", "j-8", "j-7"}
+	raw, err := Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	j, err := ParseJob(raw)
+	if err != nil || len(j.Needs) != 2 {
+		t.Fatal(j.Needs, err)
+	}
+}
+
 func TestParseJob(t *testing.T) {
 	deep := any(1)
 	for range 5000 {
@@ -54,6 +77,17 @@
 		{"number in types", "rigs", []any{1}, false},
 		{"deep in a known field", "desk", deep, false},
 		{"deadline as text", "due_s", "soon", false},
+		{"needs", "awaits", []string{"j-1", "j-2"}, true},
+		{"needs named twice", "awaits", []string{"j-1", "j-1"}, true},
+		{"needs null", "awaits", nil, true},
+		{"needs nothing", "awaits", []string{}, true},
+		{"needs itself", "awaits", []string{"j-1", "j-000412"}, false},
+		{"needs as text", "awaits", "j-1", false},
+		{"needs a number", "awaits", []any{1}, false},
+		{"needs a bad id", "awaits", []string{"k-1"}, false},
+		{"needs a null id", "awaits", []any{nil}, false},
+		{"needs too many", "awaits", manyIDs(MaxNeeds + 1), false},
+		{"needs most", "awaits", manyIDs(MaxNeeds), true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
