Scenarios and chaos for chains, upgrades and falling limits; records that part

The stand-in state service has limits that can fall midway (400), the world watches too_early, orphaned and cancellations that nobody asked for, and nodes can be held to the older format. TestChaosInUpgrade upgrades node by node while chains are submitted and cancelled, and lets the limits fall.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -117,6 +117,7 @@
 	reserved   map[string]bool // machines that they leave
 	cancelling bool
 	tooLarge   bool // its record was once found too large to be written
+	parting    bool // its tasks are to be moved out of its record
 }
 
 type part struct {
--- a/internal/core/front.go
+++ b/internal/core/front.go
@@ -113,6 +113,8 @@
 		refusal, why = http.StatusBadRequest, err.Error()
 	case c.catalog == nil:
 		refusal, why = http.StatusServiceUnavailable, "machine types not known yet"
+	case c.needsService(&spec):
+		refusal, why = http.StatusUnprocessableEntity, "needs a service, which is never done"
 	case len(spec.Needs) > 0 && c.upgrading():
 		// An older node would lose what the job needs.
 		refusal, why = http.StatusServiceUnavailable, "needed jobs are not taken before every node has been upgraded"
@@ -139,6 +141,15 @@
 	})
 }
 
+// needsService tells whether a submission names a service, as far as this node
+// knows. One that slips through waits, and is cancelled with the service.
+func (c *Core) needsService(spec *wire.Job) bool {
+	return slices.ContainsFunc(spec.Needs, func(id string) bool {
+		n := c.jobs[id]
+		return n != nil && n.Rec.Spec != nil && n.Rec.Spec.Shape == wire.Service
+	})
+}
+
 // refuse answers a submission that can't be taken. Existence comes before
 // validity: a job that is known is answered with 200 whatever its retry holds.
 func (c *Core) refuse(x SubmitIn, id string, refusal int, why string) {
@@ -174,6 +185,12 @@
 		return nil, err
 	}
 	size := wire.JSONSize(value)
+	if size+recordRest > c.room() && c.slim(rec) {
+		if value, err = job.EncodeRecord(rec, c.format); err != nil {
+			return nil, err
+		}
+		size = wire.JSONSize(value)
+	}
 	if c.format < job.Grouped {
 		if size > c.roomBefore() {
 			return nil, errTooLarge
@@ -473,6 +490,13 @@
 		rec.Shrink()
 	}
 	value, err := job.EncodeRecord(&rec, c.format)
+	if err == nil && !c.fits(value) && rec.Spec != nil {
+		// Nothing of it starts again: what is only for placing may go.
+		spec := *rec.Spec
+		spec.Types, spec.Class, spec.Image, spec.Needs = nil, "", "", nil
+		rec.Spec = &spec
+		value, err = job.EncodeRecord(&rec, c.format)
+	}
 	if err != nil || !c.fits(value) {
 		c.log("record too large to be marked", "job", j.ID, "limit", c.room())
 		c.later(req, "try again")
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -95,6 +95,9 @@
 			c.log("record too large to be written whole", "job", j.ID, "limit", c.room())
 		}
 		switch {
+		case j.Rec.Spec != nil && c.slim(&j.Rec):
+		case c.canPart(j):
+			j.parting = true
 		case len(j.plan) > 1 && j.Rec.Spec.Shape != wire.Gang:
 			j.plan = j.plan[:len(j.plan)/2]
 		case len(j.plan) > 0:
@@ -111,6 +114,33 @@
 	}
 }
 
+// slim takes out of a description what no longer decides anything: machine types
+// that there are none of. It returns false if that is nothing.
+func (c *Core) slim(rec *job.Record) bool {
+	var known []string
+	for _, name := range rec.Spec.Types {
+		if c.catalog[name] != nil {
+			known = append(known, name)
+		}
+	}
+	if len(known) == len(rec.Spec.Types) || len(known) == 0 {
+		return false
+	}
+	spec := *rec.Spec
+	spec.Types = known
+	rec.Spec = &spec
+	return true
+}
+
+// canPart tells whether the tasks can be moved out of a job's record in one
+// transaction: if they are all in it.
+func (c *Core) canPart(j *Job) bool {
+	if j.parting || j.Rec.Apart || c.format < job.Grouped {
+		return false
+	}
+	return !slices.ContainsFunc(j.parts, func(p part) bool { return p.version != 0 })
+}
+
 // putable tells whether every value of a transaction may be put.
 func (c *Core) putable(t *wire.Commit) bool {
 	for i := range t.Changes {
@@ -133,6 +163,10 @@
 	t := &txn{token: c.token, parts: map[int]job.Part{}}
 	room := c.ops() - 1
 	more, changed := false, false
+	if j.parting && !rec.Apart {
+		rec.Apart, t.whole, changed = true, true, true
+		t.parts[1], rec.Part = rec.Part, job.Part{}
+	}
 	part := func(task int) *job.Part {
 		n := rec.PartOf(task)
 		if n == 0 {
@@ -173,7 +207,7 @@
 		}
 	}
 	// A service wants its replicas back at once; the log takes its time.
-	t.ends = changed && !j.mergeNow && len(j.plan) == 0 && (rec.Spec.Shape != wire.Service || rec.Cancel || rec.Final())
+	t.ends = changed && !j.parting && !j.mergeNow && len(j.plan) == 0 && (rec.Spec.Shape != wire.Service || rec.Cancel || rec.Final())
 	if j.mergeNow {
 		changed = true
 		for _, f := range j.facts {
@@ -409,7 +443,10 @@
 // committed takes over what a transaction has written.
 func (c *Core) committed(j *Job, t *txn, revision uint64) {
 	j.forget(t.closes)
-	j.mergeNow = false
+	j.mergeNow, j.parting = false, false
+	if t.rec != nil && j.Version < revision { // first: tasks may have moved out of it
+		c.setRecord(j.ID, *t.rec, revision)
+	}
 	nums := slices.Sorted(maps.Keys(t.parts))
 	for _, n := range nums {
 		if _, v := j.part(n); v < revision {
@@ -421,9 +458,6 @@
 			c.setPart(j, n, job.Part{}, 0)
 		}
 	}
-	if t.rec != nil && j.Version < revision {
-		c.setRecord(j.ID, *t.rec, revision)
-	}
 }
 
 // conflict reads what has changed under us.
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -145,10 +145,7 @@
 	defer cancel()
 	done := core.CommitDone{ID: x.ID, Outcome: core.Refused}
 	if s.calls.Wait(ctx) == nil && s.turn(ctx, &x) == nil {
-		var a struct {
-			wire.CommitAnswer
-			wire.Error
-		}
+		var a wire.CommitAnswer
 		status, err := s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
 		done.Outcome, done.Revision, done.Failed = outcome(status, err), a.Revision, a.Failed
 		if x.Later {
@@ -158,7 +155,7 @@
 		case err != nil:
 		case status == http.StatusConflict:
 			done.Outcome = core.Conflict
-		case status == http.StatusBadRequest && a.Error.Error == wire.NoSuchLease:
+		case status == http.StatusBadRequest && a.Error == wire.NoSuchLease:
 			done.Outcome = core.Gone
 		case status == http.StatusBadRequest:
 			done.Outcome = core.Invalid
--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -33,29 +33,52 @@
 	}
 }
 
+// TestChaosInUpgrade begins with every node held to the older format. They are
+// upgraded one by one while all else goes on, jobs that need others are submitted
+// throughout, and the state service's limits fall at some moment after that.
+func TestChaosInUpgrade(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			quota := []float64{0, 25}[seed%2]
+			chaos(t, newSimFor(3, 2, quota, []string{"n1", "n2", "n3"}), rand.New(rand.NewPCG(seed, 55)), 5, 120, 70)
+		})
+	}
+}
+
 func chaos(t *testing.T, s *Sim, rnd *rand.Rand, early, events, tasks int) {
 	s.Run(2 * standin.Second)
+	var needable []string // accepted, and no service
 	accepted := map[string]bool{}
 	services := map[string]bool{}
 	for i := range early + events {
 		n := s.nodes[rnd.IntN(3)]
 		kind := rnd.IntN(14)
+		if s.announced && i >= early {
+			s.progress(n, i-early, events)
+		}
 		if i < early { // jobs alone, one after the other
 			kind = 0
 		}
 		switch kind {
 		case 0, 1, 2, 3:
 			j := randomJob(rnd, fmt.Sprintf("j-%d", i), tasks)
+			for s.announced && len(needable) > 0 && len(j.Needs) < 4 && rnd.IntN(2) == 0 {
+				j.Needs = append(j.Needs, needable[rnd.IntN(len(needable))])
+			}
 			if a := s.Submit(n, j); a.Status == 201 || a.Status == 200 {
 				accepted[j.ID] = true
 				services[j.ID] = j.Shape == wire.Service
+				if j.Shape != wire.Service {
+					needable = append(needable, j.ID)
+				}
 			} else if j.Cancelled == 0 {
 				accepted[j.ID] = false // it may be known all the same
 			}
 		case 4:
 			id := fmt.Sprintf("j-%d", rnd.IntN(i+1))
 			if s.world.Jobs[id] != nil {
-				s.judge(id, s.Ask(n, func(req uint64) core.Input { return core.CancelIn{Req: req, ID: id} }))
+				s.Cancel(n, id)
 			}
 		case 5, 6:
 			id := fmt.Sprintf("j-%d", rnd.IntN(i+1))
@@ -92,6 +115,9 @@
 	s.world.CloudOff = false
 	for _, n := range s.nodes {
 		n.cut = map[string]string{}
+		if n.held {
+			n.alive, n.held = false, false
+		}
 		if !n.alive {
 			s.start(n)
 		}
@@ -100,7 +126,7 @@
 	s.Run(60 * standin.Second)
 	for id := range accepted {
 		for try := 0; services[id] && s.told[id] != wire.Cancelled && try < 20; try++ {
-			s.judge(id, s.Ask(s.nodes[0], func(req uint64) core.Input { return core.CancelIn{Req: req, ID: id} }))
+			s.Cancel(s.nodes[0], id)
 		}
 	}
 	s.Run(120 * standin.Second)
@@ -115,12 +141,33 @@
 	for _, b := range s.world.Broken {
 		t.Error(b)
 	}
+	if s.state.Refused > 0 {
+		t.Errorf("%d transactions refused for their size", s.state.Refused)
+	}
 	t.Logf("%d machines rented, %d changes", s.world.Rented, s.state.Revision())
 	if t.Failed() {
 		t.Log(s.Show())
 	}
 }
 
+// progress upgrades a node when its turn has come, one in each seventh of the
+// events, and lets the limits fall after the last.
+func (s *Sim) progress(n *node, at, events int) {
+	upgraded := 0
+	for _, x := range s.nodes {
+		if !x.held {
+			upgraded++
+		}
+	}
+	switch {
+	case n.held && at > events/7*(upgraded+1):
+		n.held = false
+		s.start(n)
+	case upgraded == len(s.nodes) && at > events*5/7:
+		s.SetLimits(true)
+	}
+}
+
 func randomJob(rnd *rand.Rand, id string, tasks int) *standin.JobIn {
 	j := &standin.JobIn{Run: standin.Micros(1+rnd.IntN(8)) * standin.Second}
 	j.Job = wire.Job{ID: id, Class: "c", Team: []string{"red", "blue"}[rnd.IntN(2)],
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -32,8 +32,10 @@
 	scale  int     // how many times the machines and teams' limits of a script
 	quota  float64 // changes a second that the state service takes; 0: any number
 	tokens float64 // what is left of them
-	seeds  uint64
-	late   wire.Report // held back by a script
+	// The settings tell of the state service's coming limits.
+	announced bool
+	seeds     uint64
+	late      wire.Report // held back by a script
 }
 
 type node struct {
@@ -41,6 +43,7 @@
 	core    *core.Core
 	alive   bool
 	born    standin.Micros
+	held    bool              // to the first format, as during an upgrade
 	cut     map[string]string // link -> "drop" or "hold"
 	rev     uint64
 	answers map[uint64]core.Answer
@@ -53,20 +56,43 @@
 	in   core.Input
 }
 
+// The limits that the state service of an announced change has from SetLimits on.
+const (
+	nextKB  = 2
+	nextOps = 4
+)
+
+// SetLimits has the state service refuse what goes beyond its limits, the present
+// ones or the coming ones.
+func (s *Sim) SetLimits(next bool) {
+	s.state.ValueBytes, s.state.TxnOps = 4*1024, 8
+	if next {
+		s.state.ValueBytes, s.state.TxnOps = nextKB*1024, nextOps
+	}
+}
+
 // NewSim returns a world with so many nodes, all running.
 func NewSim(nodes int) *Sim { return newSim(nodes, 1, 0) }
 
 // newSim returns a world that is scale times the usual one, with a state service
 // that takes no more than quota changes a second, if quota isn't 0.
 func newSim(nodes, scale int, quota float64) *Sim {
-	s := &Sim{now: standin.Second, state: standin.NewState(), world: standin.NewWorld(), scale: scale, quota: quota,
+	return newSimFor(nodes, scale, quota, nil)
+}
+
+// newSimFor does the same for a change of the state service's limits, with some
+// nodes held to the first format; nil: no such change.
+func newSimFor(nodes, scale int, quota float64, held []string) *Sim {
+	s := &Sim{announced: held != nil, now: standin.Second, state: standin.NewState(), world: standin.NewWorld(), scale: scale, quota: quota,
 		told: map[string]string{}, limits: map[string]float64{"red": float64(24 * scale), "blue": float64(8 * scale)}}
 	for z := range s.world.Capacity {
 		s.world.Capacity[z] *= scale
 	}
 	for i := range nodes {
-		s.nodes = append(s.nodes, &node{name: fmt.Sprintf("n%d", i+1), cut: map[string]string{}})
+		name := fmt.Sprintf("n%d", i+1)
+		s.nodes = append(s.nodes, &node{name: name, cut: map[string]string{}, held: slices.Contains(held, name)})
 	}
+	s.SetLimits(false)
 	for _, n := range s.nodes {
 		s.start(n)
 	}
@@ -76,6 +102,7 @@
 func (s *Sim) config(name string) *config.Config {
 	c := &config.Config{Settings: config.Defaults()}
 	c.Node, c.Location = name, location(name)
+	c.Settings.HoldFormat = s.node(name).held
 	for _, n := range s.nodes {
 		if n.name != name {
 			c.Peers = append(c.Peers, config.Peer{Node: n.name, Location: location(n.name)})
@@ -90,6 +117,9 @@
 		State: config.State{RPS: 100, WriteRPS: 50, ValueKB: 4, TxnOps: 8},
 		Cloud: config.Cloud{RPS: 10, ListLagS: 2},
 	}
+	if s.announced {
+		c.Cluster.State.Next.ValueKB, c.Cluster.State.Next.TxnOps, c.Cluster.State.Next.WriteRPS = nextKB, nextOps, 20
+	}
 	return c
 }
 
@@ -184,13 +214,15 @@
 	s.settle()
 }
 
-func outcome(status int) core.Outcome {
-	switch status {
-	case 200:
+func outcome(status int, text string) core.Outcome {
+	switch {
+	case status == 200:
 		return core.OK
-	case 404, 400:
+	case status == 404, text == wire.NoSuchLease:
 		return core.Gone
-	case 409:
+	case status == 400:
+		return core.Invalid
+	case status == 409:
 		return core.Conflict
 	}
 	return core.Refused
@@ -211,13 +243,13 @@
 		d := core.LeaseDone{Outcome: core.Refused}
 		if n.cut["state"] == "" {
 			status, id := s.state.Grant(s.now, x.TTL)
-			d.Outcome, d.Lease = outcome(status), id
+			d.Outcome, d.Lease = outcome(status, ""), id
 		}
 		s.post(n, d)
 	case core.RenewLease:
 		d := core.LeaseDone{Outcome: core.Refused, Lease: x.Lease, Renewal: true}
 		if n.cut["state"] == "" {
-			d.Outcome = outcome(s.state.Extend(s.now, x.Lease))
+			d.Outcome = outcome(s.state.Extend(s.now, x.Lease), "")
 		}
 		s.post(n, d)
 	case core.Relist:
@@ -308,7 +340,7 @@
 	switch n.cut["state"] {
 	case "":
 		status, a := s.state.Commit(x.Txn)
-		d.Outcome, d.Revision, d.Failed = outcome(status), a.Revision, a.Failed
+		d.Outcome, d.Revision, d.Failed = outcome(status, a.Error), a.Revision, a.Failed
 		if n.cut["answer"] != "" && places { // one answer is lost
 			d = core.CommitDone{ID: x.ID, Outcome: core.Unknown}
 			delete(n.cut, "answer")
@@ -459,6 +491,16 @@
 	return a
 }
 
+// Cancel has a user cancel a job.
+func (s *Sim) Cancel(n *node, id string) core.Answer {
+	if j := s.world.Jobs[id]; j != nil {
+		j.Asked = true
+	}
+	a := s.Ask(n, func(req uint64) core.Input { return core.CancelIn{Req: req, ID: id} })
+	s.judge(id, a)
+	return a
+}
+
 // judge watches what users are told.
 func (s *Sim) judge(id string, a core.Answer) {
 	st, ok := a.Body.(wire.JobStatus)
@@ -471,6 +513,12 @@
 	if old := s.told[id]; (old == wire.Done || old == wire.Cancelled) && st.Status != old {
 		s.world.Broken = append(s.world.Broken, "went_back "+id)
 	}
+	if st.Status == wire.Cancelled && !s.world.MayBeCancelled(id) {
+		s.world.Broken = append(s.world.Broken, "went_back "+id+" is called cancelled and nobody has asked for it")
+	}
+	if at := s.world.CancelledAt(id); at != 0 && s.now-at > s.world.CancelIn && (st.Status == wire.Queued || st.Status == wire.Running) {
+		s.world.Broken = append(s.world.Broken, "orphaned "+id)
+	}
 	if st.Status == wire.Done && !s.world.Done(id) {
 		s.world.Broken = append(s.world.Broken, "not_done "+id+" "+s.world.Jobs[id].Shape)
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -16,13 +16,18 @@
 
 // TestScenarios plays every script of testdata. The commands:
 //
-//	world nodes=3                   a new world, run until there is a leader
+//	world nodes=3                   a new world, run until there is a leader;
+//	                                held=n1+n2: lower limits are announced, and
+//	                                these nodes are held to the first format
+//	announce                        nodes that start from now on are told of limits to come
+//	limits next                     the state service has its new limits
+//	keys under=ch/part/             how many keys there are
 //	submit id=j-1 shape=array ...   a user submits; prints the answer; count=3
 //	                                adds j-11 and j-12
 //	poll id=j-1 node=n2             a user asks
 //	cancel id=j-1                   a user cancels, again until it is final
 //	run for=5s                      time passes
-//	node n1 kill|start              a node ends or starts
+//	node n1 kill|start|upgrade      a node ends or starts, held to no format any more
 //	cut node=n1 link=state mode=hold / heal node=n1
 //	  links: state, watch, answer (to one transaction), workers, peers, cloud
 //	state down|up, cloud down|up    outages
@@ -38,9 +43,12 @@
 		var s *Sim
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "world" {
-				nodes := 3
+				nodes, held := 3, ""
 				d.MaybeScanArgs(t, "nodes", &nodes)
-				s = NewSim(nodes)
+				if s = NewSim(nodes); d.HasArg("held") {
+					d.MaybeScanArgs(t, "held", &held)
+					s = newSimFor(nodes, 1, 0, strings.Split(held, "+"))
+				}
 				s.Run(3 * standin.Second)
 				return "leader " + s.Leader() + "\n"
 			}
@@ -112,9 +120,17 @@
 		s.judge(id, a)
 		return describe(a)
 	case "cancel":
-		a := s.Ask(pick(t, s, d), func(req uint64) core.Input { return core.CancelIn{Req: req, ID: id} })
-		s.judge(id, a)
-		return describe(a)
+		return describe(s.Cancel(pick(t, s, d), id))
+	case "announce": // nodes that start from now on are told of the coming limits
+		s.announced = true
+		return ""
+	case "limits":
+		s.SetLimits(d.HasArg("next"))
+		return ""
+	case "keys":
+		under := ""
+		d.MaybeScanArgs(t, "under", &under)
+		return fmt.Sprintf("%d keys, %d refused for their size\n", len(s.state.List(under)), s.state.Refused)
 	case "run":
 		s.Run(length(t, d, "for", "1s"))
 		return ""
@@ -128,9 +144,13 @@
 		return "never\n"
 	case "node":
 		n := pick(t, s, d)
-		if d.HasArg("kill") {
+		switch {
+		case d.HasArg("kill"):
 			n.alive = false
-		} else {
+		case d.HasArg("upgrade"):
+			n.held = false
+			s.start(n)
+		default:
 			s.start(n)
 		}
 		return n.name + "\n"
@@ -242,11 +262,23 @@
 	d.MaybeScanArgs(t, "tasks", &tasks)
 	d.MaybeScanArgs(t, "gpus", &gpus)
 	d.MaybeScanArgs(t, "save", &save)
-	zone := ""
+	zone, needs, cpus := "", "", 1
 	d.MaybeScanArgs(t, "zone", &zone)
+	d.MaybeScanArgs(t, "needs", &needs)
+	d.MaybeScanArgs(t, "cpus", &cpus)
 	j := &standin.JobIn{Run: length(t, d, "run", "3s"), Mistaken: d.HasArg("mistaken")}
-	j.Job = wire.Job{ID: id, Class: "c", Team: team, Shape: shape, Priority: rank, Tasks: tasks, CPUs: 1, GPUs: float64(gpus),
+	j.Job = wire.Job{ID: id, Class: "c", Team: team, Shape: shape, Priority: rank, Tasks: tasks, CPUs: float64(cpus), GPUs: float64(gpus),
 		MemoryGB: 1, Image: "i", ImageGB: 1, Zone: zone, OneZone: d.HasArg("one_zone"), Spread: d.HasArg("spread"),
 		Spot: d.HasArg("spot"), EstimateS: float64(j.Run) / 1e6, SaveS: float64(save), CheckpointS: float64(save)}
+	if d.HasArg("wordy") { // the longest texts that there may be
+		j.Class = strings.Repeat("c", 128)
+		j.Types = []string{"t4"}
+		for i := range 15 {
+			j.Types = append(j.Types, fmt.Sprintf("%0128d", i))
+		}
+	}
+	if needs != "" {
+		j.Needs = strings.Split(needs, "+")
+	}
 	return j
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -5,6 +5,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"sort"
 	"strings"
 
@@ -19,12 +20,15 @@
 
 // State is a state service.
 type State struct {
-	Down    bool // an outage: everybody gets 503
-	rev     uint64
-	keys    map[string]wire.Item
-	leases  map[uint64]*lease
-	next    uint64
-	changes []wire.Change
+	Down bool // an outage: everybody gets 503
+	// Limits of values, in bytes of their JSON, and of changes a transaction; 0: none.
+	ValueBytes, TxnOps int
+	Refused            int // transactions that went beyond a limit
+	rev                uint64
+	keys               map[string]wire.Item
+	leases             map[uint64]*lease
+	next               uint64
+	changes            []wire.Change
 }
 
 type lease struct {
@@ -89,9 +93,13 @@
 	}
 	for _, c := range t.Changes {
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
-			return 400, wire.CommitAnswer{}
+			return 400, wire.CommitAnswer{Error: wire.NoSuchLease}
 		}
 	}
+	if s.beyond(&t) {
+		s.Refused++
+		return 400, wire.CommitAnswer{Error: "too large"}
+	}
 	if len(failed) > 0 {
 		return 409, wire.CommitAnswer{Failed: failed, Revision: s.rev}
 	}
@@ -110,6 +118,29 @@
 	return 200, wire.CommitAnswer{Revision: s.rev}
 }
 
+// beyond tells whether a transaction goes beyond the limits.
+func (s *State) beyond(t *wire.Commit) bool {
+	if s.TxnOps > 0 && (len(t.Changes) > s.TxnOps || len(t.Guards) > wire.GuardFactor*s.TxnOps) {
+		return true
+	}
+	if s.ValueBytes == 0 {
+		return false
+	}
+	for _, c := range t.Changes {
+		var v any
+		if c.Put == "" {
+			continue
+		}
+		if err := wire.Unmarshal(c.Value, &v); err != nil {
+			return true
+		}
+		if raw, err := json.Marshal(v); err != nil || len(raw) > s.ValueBytes {
+			return true
+		}
+	}
+	return false
+}
+
 // Get returns a key; its version is 0 if there is none.
 func (s *State) Get(key string) wire.Item { return s.keys[key] }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -32,6 +32,7 @@
 type JobIn struct {
 	wire.Job
 	Cancelled Micros // when the user was told; 0: not
+	Asked     bool   // the user has asked to cancel it
 	Run       Micros // how long a task runs
 	Steps     Micros // how much longer each task of an array runs than the one before
 	Mistaken  bool   // fails wherever it runs
@@ -148,8 +149,8 @@
 		}
 	}
 	w.gangs(now)
-	for id, j := range w.Jobs {
-		if j.Cancelled != 0 && now-j.Cancelled > w.CancelIn {
+	for id := range w.Jobs {
+		if told := w.CancelledAt(id); told != 0 && now-told > w.CancelIn {
 			for _, n := range w.On(id, true) {
 				w.broken(now, "ran_cancelled %s", n)
 			}
@@ -347,6 +348,11 @@
 		return
 	}
 	j.Starts++
+	for _, need := range j.Needs {
+		if !w.Done(need) {
+			w.broken(now, "too_early %s before %s", o.Task, need)
+		}
+	}
 	if j.Cancelled != 0 && now-j.Cancelled > w.CancelIn {
 		w.broken(now, "ran_cancelled %s starts", o.Task)
 	}
@@ -369,6 +375,39 @@
 	}
 }
 
+// CancelledAt tells when a user was told that a job, or one that it needs,
+// directly or not, is cancelled; 0: nobody was.
+func (w *World) CancelledAt(id string) Micros {
+	first := Micros(0)
+	w.eachBefore(id, func(j *JobIn) {
+		if j.Cancelled != 0 && (first == 0 || j.Cancelled < first) {
+			first = j.Cancelled
+		}
+	})
+	return first
+}
+
+// MayBeCancelled tells whether a user has asked to cancel a job or one before it.
+func (w *World) MayBeCancelled(id string) bool {
+	asked := false
+	w.eachBefore(id, func(j *JobIn) { asked = asked || j.Asked })
+	return asked
+}
+
+// eachBefore calls f for a job and all that it needs, directly or not.
+func (w *World) eachBefore(id string, f func(*JobIn)) {
+	seen := map[string]bool{}
+	for todo := []string{id}; len(todo) > 0; {
+		x := todo[len(todo)-1]
+		todo = todo[:len(todo)-1]
+		if j := w.Jobs[x]; j != nil && !seen[x] {
+			seen[x] = true
+			f(j)
+			todo = append(todo, j.Needs...)
+		}
+	}
+}
+
 // On lists where a job's tasks are; all includes those on hanging machines.
 func (w *World) On(id string, all bool) []string {
 	var out []string
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -276,6 +276,7 @@
 type CommitAnswer struct {
 	Revision uint64   `msgpack:"ledger_rev"`
 	Failed   []string `msgpack:"failed"`
+	Error    string   `msgpack:"error,omitempty"`
 }
 
 // LeaseRequest asks for a lease.
