--- /dev/null
+++ b/internal/core/upgrade_test.go
@@ -0,0 +1,174 @@
+package core
+
+import (
+	"encoding/hex"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"coralhub/internal/config"
+	"coralhub/internal/core/job"
+	"coralhub/wire"
+)
+
+func production(t *testing.T, name string) []byte {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/production/" + name + ".hex")
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := hex.DecodeString(strings.TrimSpace(string(raw)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+func productionRecord() job.Record {
+	due := 900.0
+	spec := &wire.Job{ID: "j-000412", Class: "train", Team: "red", Shape: wire.Gang, Priority: wire.High, Tasks: 40, CPUs: 8, GPUs: 1,
+		MemoryGB: 64, Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, Zone: "a", OneZone: true, Spot: true, EstimateS: 240,
+		CheckpointS: 30, SaveS: 4, DeadlineS: &due}
+	return job.Record{Spec: spec, Cancel: true, Created: 1764600000000000, Attempt: 3, Count: 2, Part: job.Part{Done: "5",
+		Open: []job.Placement{{Task: 1, Attempt: 2, Machine: "m-000231", Session: 1, Zone: "a"},
+			{Task: 3, Attempt: 2, Machine: "m-000231", Session: 1, Zone: "a"}, {Task: 31, Attempt: 3, Machine: "m-000240", Session: 4, Zone: "b"}}}}
+}
+
+var productionPart = job.Part{Done: "1", Open: []job.Placement{{Task: 33, Attempt: 3, Machine: "m-000240", Session: 4, Zone: "b"}}}
+
+// What the version in production has written means the same to this one.
+func TestReadsProduction(t *testing.T) {
+	var rec, final job.Record
+	var p job.Part
+	if err := job.DecodeRecord(production(t, "record"), &rec); err != nil || !reflect.DeepEqual(rec, productionRecord()) {
+		t.Errorf("%v %+v", err, rec)
+	}
+	if err := job.DecodeRecord(production(t, "final"), &final); err != nil || !reflect.DeepEqual(final, job.Record{Phase: job.Done, Count: 40}) {
+		t.Errorf("%v %+v", err, final)
+	}
+	if err := job.DecodePart(production(t, "part"), &p); err != nil || !reflect.DeepEqual(p, productionPart) {
+		t.Errorf("%v %+v", err, p)
+	}
+	var ended []endedLine
+	if err := job.Decode(production(t, "ended"), &ended); err != nil || !reflect.DeepEqual(ended, []endedLine{
+		{Job: "j-000412", Task: 33, Attempt: 3, Machine: "m-000240", Done: true}, {Job: "j-7", Attempt: 1, Machine: "m-1"}}) {
+		t.Errorf("%v %+v", err, ended)
+	}
+	var hints []machineHint
+	if err := job.Decode(production(t, "hints"), &hints); err != nil || !reflect.DeepEqual(hints, []machineHint{
+		{Name: "m-000231", Addr: "10.1.0.232:9000", Type: "g8", Zone: "a", Spot: true, Images: []string{"img-07", "img-08"}}}) {
+		t.Errorf("%v %+v", err, hints)
+	}
+	var mail []mailLine
+	notice := 7.5
+	if err := job.Decode(production(t, "mail"), &mail); err != nil || !reflect.DeepEqual(mail, []mailLine{{Machine: "m-000231", Session: 2,
+		Seq: 88, Token: 41, NoticeS: &notice, Tasks: []mailTask{{Task: "j-000412/3", Attempt: 2, State: wire.Exited, Cause: wire.CauseStopped, Saved: true}}}}) {
+		t.Errorf("%v %+v", err, mail)
+	}
+	var cl claim
+	if err := job.Decode(production(t, "claim"), &cl); err != nil || cl != (claim{"n1", 7}) {
+		t.Errorf("%v %+v", err, cl)
+	}
+}
+
+// In the first format this version writes the very bytes of the one in
+// production: it reads them with nothing lost.
+func TestWritesAsProduction(t *testing.T) {
+	rec := productionRecord()
+	if got, err := job.EncodeRecord(&rec, job.Placements); err != nil || string(got) != string(production(t, "record")) {
+		t.Errorf("%v %x", err, got)
+	}
+	part := productionPart
+	if got, err := job.EncodePart(&part, job.Placements); err != nil || string(got) != string(production(t, "part")) {
+		t.Errorf("%v %x", err, got)
+	}
+	final := job.Record{Phase: job.Done, Count: 40}
+	for _, f := range []job.Format{job.Placements, job.Grouped} {
+		if got, err := job.EncodeRecord(&final, f); err != nil || string(got) != string(production(t, "final")) {
+			t.Errorf("%v %x", err, got)
+		}
+	}
+}
+
+// The newest format keeps all of a record, in less room.
+func TestGrouped(t *testing.T) {
+	rec := productionRecord()
+	rec.Apart = true
+	rec.Spec.Needs = []string{"j-1", "j-2"}
+	value, err := job.EncodeRecord(&rec, job.Grouped)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got job.Record
+	if err := job.DecodeRecord(value, &got); err != nil || !reflect.DeepEqual(got, rec) {
+		t.Fatalf("%v %+v", err, got)
+	}
+	old, err := job.EncodeRecord(&rec, job.Placements)
+	if err != nil || wire.JSONSize(value) >= wire.JSONSize(old) {
+		t.Fatalf("%v: %d bytes grouped, %d before", err, wire.JSONSize(value), wire.JSONSize(old))
+	}
+	var fields map[string]any
+	if err := msgpack.Unmarshal(value, &fields); err != nil || fields["o"] != nil || fields["g"] == nil {
+		t.Fatalf("%v %v", err, fields)
+	}
+}
+
+// The part of a job with all of its tasks on machines of their own stays below
+// 2 KiB, and so does the record of such a gang with a description of usual length.
+func TestRoomForAPart(t *testing.T) {
+	rec := productionRecord()
+	rec.Open, rec.Done = nil, ""
+	for i := range job.PartTasks {
+		rec.Open = append(rec.Open, job.Placement{Task: i, Attempt: 12, Machine: "m-000231"[:7] + string(rune('A'+i)), Session: 12, Zone: "portland-rack"})
+	}
+	for _, f := range []job.Format{job.Placements, job.Grouped} {
+		value, err := job.EncodeRecord(&rec, f)
+		if err != nil || wire.JSONSize(value) > 2048-slackBytes {
+			t.Errorf("format %d: %v, %d bytes", f, err, wire.JSONSize(value))
+		}
+	}
+}
+
+// A node that finds a format that it doesn't know serves nobody, and says why.
+func TestLaterFormat(t *testing.T) {
+	cfg := &config.Config{Settings: config.Defaults()}
+	cfg.Node = "n1"
+	cfg.Cluster.State = config.State{RPS: 10, WriteRPS: 10, ValueKB: 4, TxnOps: 8}
+	c := New(cfg, 1)
+	value, err := job.Encode(formatMark{job.Newest + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	retired, told := false, false
+	for _, e := range c.Step(1, Snapshot{Items: []wire.Item{{Key: formatKey, Value: value, Version: 3}}, Revision: 3}) {
+		switch x := e.(type) {
+		case Retire:
+			retired = true
+		case Log:
+			told = told || strings.Contains(x.Text, "later format")
+		}
+	}
+	if !retired || !told {
+		t.Fatalf("retired %v, told %v", retired, told)
+	}
+	for _, in := range []Input{PollIn{Req: 1, ID: "j-1"}, CancelIn{Req: 1, ID: "j-1"}, ReportIn{Req: 1, Report: wire.Report{Machine: "m", Session: 1}}} {
+		out := c.Step(2, in)
+		if len(out) != 1 {
+			t.Fatalf("%+v", out)
+		}
+		if a, ok := out[0].(Answer); !ok || a.Status != 503 || a.RetryAfter == 0 {
+			t.Errorf("%T: %+v", in, out[0])
+		}
+	}
+	for range 100 {
+		for _, e := range c.Step(10_000_000, Tick{}) {
+			switch e.(type) {
+			case Commit, GrantLease:
+				t.Fatalf("it still does %+v", e)
+			}
+		}
+	}
+}
