What waits for an answer gets past a quota that falls; its pace follows

Change: only ends that others wait for and cancellations go first; what the pace recovers to follows refusals down, as far as the limit that was announced; a refused urgent transaction is tried again after 80 ms, three times at most.

--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -74,7 +74,7 @@
 		c.note(j, t.closes)
 		return !more
 	}
-	if len(j.plan) == 0 && !j.Rec.Cancel && len(j.neededBy) == 0 && c.writing >= c.mostWriting() {
+	if len(j.plan) == 0 && !j.Rec.Cancel && !j.doomed && len(j.neededBy) == 0 && c.writing >= c.mostWriting() {
 		return false
 	}
 	j.txn = t
@@ -389,8 +389,10 @@
 func (c *Core) send(j *Job, t *txn) {
 	reign := c.reign
 	c.writing += len(t.commit.Changes)
-	// What others wait for doesn't give way.
-	c.transact(t.commit, len(j.neededBy) == 0, func(d CommitDone) {
+	// An end that others wait for doesn't give way, nor does a cancellation that
+	// a job before this one has brought.
+	first := t.rec != nil && t.rec.Final() && (len(j.neededBy) > 0 || j.doomed)
+	c.transact(t.commit, !first, func(d CommitDone) {
 		if reign == c.reign {
 			c.writing -= len(t.commit.Changes)
 		}
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,8 @@
 const (
 	callTimeout  = 2 * time.Second
 	renewTimeout = time.Second
+	quotaTries   = 3 // again, when the quota is used up for the moment
+	quotaPause   = 80 * time.Millisecond
 	watchWait    = 3 * time.Second // homes answer workers by how recent the last one is
 	maxAnswer    = 64 << 20
 )
@@ -51,8 +54,8 @@
 		base: "http://" + cfg.External.State, post: post,
 		http:   call.Client(callTimeout, 16, 64),
 		calls:  rate.NewLimiter(rate.Limit(s.RPS*0.5), max(1, int(s.RPS*0.5))),
-		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.7), max(1, int(s.WriteRPS*0.7), s.TxnOps)),
-		later:  newPaced(s.WriteRPS*0.9, max(1, int(s.WriteRPS*0.2), s.TxnOps)),
+		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.7), max(1, int(s.LeastWriteRPS()*0.7), s.Ops())),
+		later:  newPaced(s),
 		relist: make(chan struct{}, 1),
 		pace:   100 * time.Millisecond,
 		start:  time.Now(),
@@ -147,9 +150,15 @@
 	if s.calls.Wait(ctx) == nil && s.turn(ctx, &x) == nil {
 		var a wire.CommitAnswer
 		status, err := s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
+		// The quota allows bursts: a moment later there is mostly room again for
+		// what somebody waits for.
+		for try := 0; !x.Later && status == http.StatusTooManyRequests && try < quotaTries; try++ {
+			sleep(ctx, quotaPause)
+			status, err = s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
+		}
 		done.Outcome, done.Revision, done.Failed = outcome(status, err), a.Revision, a.Failed
-		if x.Later {
-			s.later.took(status == http.StatusTooManyRequests)
+		if refused := status == http.StatusTooManyRequests; x.Later || refused {
+			s.later.took(refused)
 		}
 		switch {
 		case err != nil:
@@ -179,22 +188,37 @@
 }
 
 // paced is a limiter that slows down when it is refused and recovers with each
-// time that it isn't.
+// time that it isn't. What it recovers to follows the quota down, when that falls
+// from some moment on: refusals are then frequent, and those who wait for answers
+// would be refused as well.
 type paced struct {
-	limiter     *rate.Limiter
-	least, most rate.Limit
+	limiter  *rate.Limiter
+	mu       sync.Mutex
+	least    rate.Limit // however often it is refused
+	low, top rate.Limit // between these goes what it recovers to
+	most     rate.Limit // what it recovers to
 }
 
-func newPaced(most float64, burst int) *paced {
-	return &paced{rate.NewLimiter(rate.Limit(most), burst), rate.Limit(most / 8), rate.Limit(most)}
+func newPaced(s *config.State) *paced {
+	top := rate.Limit(s.WriteRPS * 0.9)
+	low := top
+	if s.LeastWriteRPS() < s.WriteRPS {
+		low = rate.Limit(s.LeastWriteRPS() * 0.8)
+	}
+	return &paced{limiter: rate.NewLimiter(top, max(1, int(s.LeastWriteRPS()*0.2), s.Ops())), least: top / 8, low: low, top: top, most: top}
 }
 
+// took is told whether the service has refused a transaction for its quota.
 func (p *paced) took(refused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	limit := p.limiter.Limit()
 	if refused {
-		p.limiter.SetLimit(max(p.least, limit*0.7))
+		p.most = max(p.low, p.most*0.96)
+		p.limiter.SetLimit(max(p.least, min(limit, p.most)*0.7))
 		return
 	}
+	p.most = min(p.top, p.most+p.top*0.001)
 	p.limiter.SetLimit(min(p.most, limit+p.most/10))
 }
 
