--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -157,8 +157,8 @@
 		t.Guards = append(t.Guards, wire.Guard{Key: job.RecordKey(id)})
 	}
 	c.commit(t, func(d CommitDone) {
-		if d.Outcome != OK && d.Outcome != Conflict {
-			then("", d.Outcome)
+		if d.Outcome != OK && (d.Outcome != Conflict || len(d.Failed) == 0) {
+			then("", Unknown)
 			return
 		}
 		left := slices.Clone(ids)
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -206,11 +206,15 @@
 	return out
 }
 
-// missing lists the tasks that have no place, at most as many as one
-// transaction can hold.
+// missing lists the tasks that have no place, at most as many as one transaction
+// can hold. A gang needs room for all: what its transaction can't hold is placed
+// in the next pass, under the same attempt.
 func (c *Core) missing(j *Job) []int {
 	most := job.PartTasks
-	if j.Rec.Spec.Shape == wire.Gang || c.format >= job.Grouped {
+	switch {
+	case j.Rec.Spec.Shape == wire.Gang:
+		most = j.Rec.Spec.Tasks
+	case c.format >= job.Grouped:
 		most = job.PartTasks * (c.ops() - 1)
 	}
 	tasks := j.Rec.Spec.Tasks
