--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -154,44 +154,64 @@
 	}
 }
 
-// TestThreeNodes runs jobs through real nodes, sockets and stand-ins, ends a
-// node in between and checks what each kind of request is answered.
-func TestThreeNodes(t *testing.T) {
-	r := newRig(t)
-	job := func(id, shape string, tasks int) *wire.Job {
-		j := &wire.Job{ID: id, Class: "c", Team: "red", Shape: shape, Priority: wire.Normal, Tasks: tasks, CPUs: 1, GPUs: 1,
-			MemoryGB: 1, Image: "i", ImageGB: 1}
-		r.servers.With(func() {
-			r.servers.World.Jobs[id] = &standin.JobIn{Job: *j, Run: 200_000}
-		})
-		return j
-	}
-	submit := func(node int, j *wire.Job) {
-		t.Helper()
-		r.eventually("accepted "+j.ID, func() bool {
-			status, _, _ := r.call(node, http.MethodPost, wire.PathJobs, j)
-			return status == 201 || status == 200
-		})
-	}
-	reaches := func(node int, id, want string) {
-		t.Helper()
-		r.eventually(id+" "+want, func() bool {
-			_, st, _ := r.call(node, http.MethodGet, wire.PathJobs+"/"+id, nil)
-			return st.Status == want
-		})
-	}
+// ready waits until every node serves.
+func (r *rig) ready() {
+	r.t.Helper()
 	for i := range r.configs {
 		r.eventually("ready", func() bool {
 			status, _, _ := r.call(i, http.MethodGet, wire.PathReady, nil)
 			return status == 200
 		})
 	}
-	submit(0, job("j-1", wire.Array, 5))
-	submit(1, job("j-2", wire.Gang, 2))
-	submit(2, job("j-3", wire.Service, 2))
-	reaches(1, "j-1", wire.Done)
-	reaches(2, "j-2", wire.Done)
-	reaches(0, "j-3", wire.Running)
+}
+
+// job returns a description that the workers know.
+func (r *rig) job(id, shape string, tasks int, needs ...string) *wire.Job {
+	j := &wire.Job{ID: id, Class: "c", Team: "red", Shape: shape, Priority: wire.Normal, Tasks: tasks, CPUs: 1, GPUs: 1,
+		MemoryGB: 1, Image: "i", ImageGB: 1, Needs: needs}
+	r.servers.With(func() {
+		r.servers.World.Jobs[id] = &standin.JobIn{Job: *j, Run: 200_000}
+	})
+	return j
+}
+
+func (r *rig) submit(node int, j *wire.Job) {
+	r.t.Helper()
+	r.eventually("accepted "+j.ID, func() bool {
+		status, _, _ := r.call(node, http.MethodPost, wire.PathJobs, j)
+		return status == 201 || status == 200
+	})
+}
+
+func (r *rig) reaches(node int, id, want string) {
+	r.t.Helper()
+	r.eventually(id+" "+want, func() bool {
+		_, st, _ := r.call(node, http.MethodGet, wire.PathJobs+"/"+id, nil)
+		return st.Status == want
+	})
+}
+
+// kept checks that no rule was broken.
+func (r *rig) kept() {
+	r.t.Helper()
+	r.servers.With(func() {
+		for _, b := range r.servers.World.Broken {
+			r.t.Error(b)
+		}
+	})
+}
+
+// TestThreeNodes runs jobs through real nodes, sockets and stand-ins, ends a
+// node in between and checks what each kind of request is answered.
+func TestThreeNodes(t *testing.T) {
+	r := newRig(t)
+	r.ready()
+	r.submit(0, r.job("j-1", wire.Array, 5))
+	r.submit(1, r.job("j-2", wire.Gang, 2))
+	r.submit(2, r.job("j-3", wire.Service, 2))
+	r.reaches(1, "j-1", wire.Done)
+	r.reaches(2, "j-2", wire.Done)
+	r.reaches(0, "j-3", wire.Running)
 
 	for _, tt := range []struct {
 		method, path string
@@ -212,8 +232,8 @@
 	}
 
 	r.stops[0]() // one node ends
-	submit(1, job("j-4", wire.Array, 2))
-	reaches(2, "j-4", wire.Done)
+	r.submit(1, r.job("j-4", wire.Array, 2))
+	r.reaches(2, "j-4", wire.Done)
 	r.eventually("cancelled", func() bool {
 		status, st, _ := r.call(2, http.MethodPost, wire.PathJobs+"/j-3/"+wire.CancelVerb, nil)
 		return status == 200 && st.Status == wire.Cancelled
@@ -225,13 +245,50 @@
 	})
 
 	r.servers.With(func() { r.servers.State.Down = true })
-	status, _, head := r.call(1, http.MethodPost, wire.PathJobs, job("j-5", wire.Array, 1))
+	status, _, head := r.call(1, http.MethodPost, wire.PathJobs, r.job("j-5", wire.Array, 1))
 	if status != 503 || head.Get("Retry-After") == "" {
 		t.Errorf("without the state service: %d, Retry-After %q", status, head.Get("Retry-After"))
 	}
-	r.servers.With(func() {
-		for _, b := range r.servers.World.Broken {
-			t.Error(b)
+	r.kept()
+}
+
+// TestChain submits jobs that need others, as a user would, to nodes that have
+// raised the format among themselves.
+func TestChain(t *testing.T) {
+	r := newRig(t)
+	r.ready()
+	r.submit(0, r.job("j-1", wire.Array, 3))
+	r.submit(1, r.job("j-2", wire.Gang, 2, "j-1"))
+	r.submit(2, r.job("j-3", wire.Array, 1, "j-2", "j-1"))
+	r.reaches(0, "j-3", wire.Done)
+	r.submit(0, r.job("j-4", wire.Service, 1))
+	r.servers.With(func() { r.servers.World.Boot = 3600 * standin.Second }) // what follows finds no room
+	r.submit(0, r.job("j-5", wire.Array, 15))
+	r.submit(1, r.job("j-6", wire.Array, 1, "j-5"))
+	r.submit(2, r.job("j-7", wire.Array, 1, "j-6"))
+	ask := func(node int, needs any) int {
+		status, _, _ := r.call(node, http.MethodPost, wire.PathJobs, map[string]any{"ref": "j-8", "docket": "c", "desk": "red",
+			"shape": wire.Array, "rank": wire.Low, "lots": 1, "cores": 1, "gpus": 0, "ram_gb": 1, "build": "i", "pull_gb": 1, "one_zone": false,
+			"spread": false, "loaners": false, "expect_s": 1, "bookmark_s": 0, "stash_s": 0, "awaits": needs})
+		return status
+	}
+	for _, tt := range []struct {
+		needs any
+		want  int
+	}{
+		{"j-1", 400}, {[]any{1}, 400}, {[]string{"x"}, 400}, {[]string{"j-8"}, 400}, {map[string]any{}, 400},
+		{[]string{"j-1", "j-99"}, 422}, {[]string{"j-4"}, 422}, {[]string{"j-1"}, 201}, {[]string{"j-99"}, 200},
+	} {
+		if status := ask(1, tt.needs); status != tt.want {
+			t.Errorf("needs %v: %d, want %d", tt.needs, status, tt.want)
 		}
-	})
+	}
+	if status, st, _ := r.call(1, http.MethodPost, wire.PathJobs+"/j-6/"+wire.CancelVerb, nil); status != 200 || st.Status != wire.Cancelled {
+		t.Errorf("cancelled in the middle: %d %s", status, st.Status)
+	}
+	r.reaches(0, "j-7", wire.Cancelled)
+	if _, st, _ := r.call(2, http.MethodGet, wire.PathJobs+"/j-5", nil); st.Status == wire.Cancelled {
+		t.Error("a cancellation went backwards")
+	}
+	r.kept()
 }
