--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -147,7 +147,9 @@
 	c.passDue = true
 	switch t.Cause {
 	case wire.Done:
-		clear(m.Errors)
+		if m.Absolves(j.started[key.Task]) {
+			clear(m.Errors)
+		}
 		j.failures = 0
 	case wire.CauseError:
 		c.failed(m, j)
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -126,6 +126,17 @@
 	}
 }
 
+// Absolves tells whether the success of a task that began to run at that time says
+// that the machine is sound: one that ran before others failed says nothing.
+func (m *Machine) Absolves(began Micros) bool {
+	for _, failed := range m.Errors {
+		if began <= failed {
+			return false
+		}
+	}
+	return true
+}
+
 // Settled tells whether no start that was sent to the worker can still take
 // effect without the newest message showing its attempt.
 func (m *Machine) Settled() bool { return m.settled && !m.DirectStart }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -240,7 +240,7 @@
 		m.Hang = false
 		s.Release()
 	case d.HasArg("fail"):
-		s.world.Fails[name] = true
+		s.world.Fails[name] = s.now
 	case d.HasArg("die"):
 		s.world.Release([]string{name})
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -19,7 +19,7 @@
 	Capacity map[string]int    // ordinary machines left, by zone
 	Jobs     map[string]*JobIn // what users have submitted
 	Machines map[string]*Machine
-	Fails    map[string]bool // machines that fail every task
+	Fails    map[string]Micros // machines that fail every task that starts after that
 	CloudOff bool
 	Broken   []string
 	Rented   int
@@ -67,7 +67,7 @@
 			Price: 4, SpotPrice: 2, BootS: 2, Zones: []string{"a", "b"}}},
 		Lease: 4 * Second, GangWait: 10 * Second, CancelIn: 20 * Second, Boot: 2 * Second,
 		Capacity: map[string]int{"a": 8, "b": 8}, Jobs: map[string]*JobIn{}, Machines: map[string]*Machine{},
-		Fails: map[string]bool{}, asked: map[string][]string{}, done: map[string]map[int]bool{},
+		Fails: map[string]Micros{}, asked: map[string][]string{}, done: map[string]map[int]bool{},
 	}
 }
 
@@ -179,7 +179,7 @@
 			w.exit(m, t, wire.CauseIncomplete)
 		}
 	case wire.Running:
-		if w.Fails[m.Name] || j.Mistaken {
+		if since, bad := w.Fails[m.Name]; bad && t.began > since || j.Mistaken {
 			w.exit(m, t, wire.CauseError)
 		} else if j.Shape == wire.Array && now-t.began >= j.Run+Micros(n)*j.Steps {
 			w.complete(m, t)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -6,8 +6,8 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math"
-	"strconv"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -348,25 +348,9 @@
 			n += jsonSize(k) + jsonSize(e) + 2
 		}
 		return n
-	case int8:
-		return digits(int64(x))
-	case int16:
-		return digits(int64(x))
-	case int32:
-		return digits(int64(x))
-	case int64:
-		return digits(x)
-	case uint8:
-		return digits(int64(x))
-	case uint16:
-		return digits(int64(x))
-	case uint32:
-		return digits(int64(x))
-	case uint64:
-		return len(strconv.FormatUint(x, 10))
+	case int8, int16, int32, int64, uint8, uint16, uint32, uint64:
+		return len(fmt.Sprint(x))
 	default:
 		return 24
 	}
 }
-
-func digits(n int64) int { return len(strconv.FormatInt(n, 10)) }
