A refusal of a repeated transaction says nothing of its first sending

Found while reading the argument for parts that are written without their record: a placement without an answer is sent again, and when that sending was refused (429, 503) the plan was dropped. The first sending, held back by a cut, could still take effect while others had used the team's limit. Now it stays counted and is repeated until it is settled. Scenario refused_after_unknown breaks "quota" without the change.

Besides, a job that was put off until some moment has a pass made then; it waited for the next event, or a scan of 10 s.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -29,7 +29,7 @@
 		}
 		c.returnMachines()
 	}
-	if c.now-c.lastPass >= config.FromSeconds(s.ScanPeriodS) {
+	if c.now-c.lastPass >= config.FromSeconds(s.ScanPeriodS) || c.passAt != 0 && c.now >= c.passAt {
 		c.passDue = true
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,6 +67,7 @@
 	usage     *queue.Usage
 	fleet     *fleet.Fleet
 	passDue   bool
+	passAt    Micros // when one is due though nothing happens; 0: never
 	lastPass  Micros
 	lastList  Micros
 	pages     [hintPages]hintPage
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -46,7 +46,7 @@
 // pass ranks the pending jobs and places what it can. A job that finds no
 // place waits; the next is tried.
 func (c *Core) pass() {
-	c.passDue, c.lastPass = false, c.now
+	c.passDue, c.lastPass, c.passAt = false, c.now, 0
 	if c.catalog == nil || c.raising {
 		return
 	}
@@ -197,7 +197,14 @@
 	for _, j := range c.active {
 		spec := j.Rec.Spec
 		if j.held() || j.done+j.open >= spec.Tasks || j.Rec.Final() || j.Rec.Cancel || j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 ||
-			c.now < max(j.holdUntil, j.retryAt) || c.teams[spec.Team] == nil {
+			c.teams[spec.Team] == nil {
+			continue
+		}
+		if at := max(j.holdUntil, j.retryAt); c.now < at {
+			// When its time has come it should not wait for an event or a scan as well.
+			if c.passAt == 0 || at < c.passAt {
+				c.passAt = at
+			}
 			continue
 		}
 		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.priority(), j.within), Created: j.Rec.Created,
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -20,6 +20,7 @@
 	ends   bool // it would do nothing but close placements of a job that goes on
 
 	resendAt Micros // 0: no answer is missing
+	unsure   bool   // a sending of it had no answer
 }
 
 const (
@@ -409,7 +410,7 @@
 			// It may be applied later. The same transaction again: either it
 			// or the late one fails by its guards, and until then what it
 			// places is counted.
-			t.resendAt = c.now + commitPause
+			t.unsure, t.resendAt = true, c.now+commitPause
 		case Conflict:
 			j.txn, j.plan = nil, nil
 			c.passDue = true
@@ -428,6 +429,10 @@
 			}
 			c.conflict(j, t, keys)
 		default:
+			if t.unsure { // this sending was refused; an earlier one may still be applied
+				t.resendAt = c.now + commitPause
+				return
+			}
 			j.txn, j.plan = nil, nil
 			j.retryAt = c.now + commitPause
 			c.passDue = true
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -28,7 +28,8 @@
 //	cancel id=j-1                   a user cancels, again until it is final
 //	run for=5s                      time passes
 //	node n1 kill|start|upgrade      a node ends or starts, held to no format any more
-//	cut node=n1 link=state mode=hold / heal node=n1
+//	cut node=n1 link=state mode=hold / heal node=n1; with keep, what was held
+//	                                back stays so until the next heal
 //	  links: state, watch, answer (to one transaction), workers, peers, cloud
 //	state down|up, cloud down|up    outages
 //	machine name=m-000000 hang|resume|fail|die
@@ -162,7 +163,9 @@
 		return n.name + "\n"
 	case "heal":
 		pick(t, s, d).cut = map[string]string{}
-		s.Release()
+		if !d.HasArg("keep") {
+			s.Release()
+		}
 		return ""
 	case "state":
 		s.state.SetDown(s.now, d.HasArg("down"))
