--- a/internal/core/job/format.go
+++ b/internal/core/job/format.go
@@ -19,7 +19,8 @@
 const (
 	// Placements is the first format: each open placement stands for itself, and
 	// no job needs another. Its writer, and this name, may go once no deployment
-	// is left that has not raised its format; its reader once no value of it is.
+	// is left that has not raised its format; its reader once no value of it is. What
+	// serves it alone asks whether the format is below Grouped.
 	Placements Format = 1
 	// Grouped puts the tasks that one machine has of a job into one group, and
 	// descriptions may name needed jobs.
