One place hears of malformed transactions; an acceptance is encoded once

What is refused as malformed was told to tighten by six callers; the one place that all transactions go through does it now, and logs those too that had no caller for it (catalog, claims, format, deletions of pages). The first record of a job comes with its value instead of being encoded again on the way of every acceptance. A method that nothing called goes. Behaviour is otherwise as it was.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -115,9 +115,6 @@
 // Ops is how many changes a transaction may have, now and later.
 func (s *State) Ops() int { return lower(s.TxnOps, s.Next.TxnOps) }
 
-// LeastRPS is the lower of the request rates, now and later.
-func (s *State) LeastRPS() float64 { return lower(s.RPS, s.Next.RPS) }
-
 // LeastWriteRPS is the lower of the rates of changes, now and later.
 func (s *State) LeastWriteRPS() float64 { return lower(s.WriteRPS, s.Next.WriteRPS) }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -255,7 +255,12 @@
 
 func (c *Core) transact(t wire.Commit, later bool, then func(CommitDone)) {
 	c.nextID++
-	c.commits[c.nextID] = then
+	c.commits[c.nextID] = func(d CommitDone) {
+		if d.Outcome == Invalid {
+			c.tighten(&t)
+		}
+		then(d)
+	}
 	c.emit(Commit{c.nextID, t, later})
 }
 
@@ -610,7 +615,16 @@
 // tighten is told of a transaction that the state service has refused as
 // malformed: a defect, or limits below those that this node was told of. The
 // same bytes must not be sent for ever; so values become smaller, down to a bound.
-func (c *Core) tighten(what string) {
-	c.log("refused as malformed by the state service", "key", what, "value_bytes", c.room())
+func (c *Core) tighten(t *wire.Commit) {
+	var puts []string
+	for i := range t.Changes {
+		if t.Changes[i].Put != "" {
+			puts = append(puts, t.Changes[i].Put)
+		}
+	}
+	c.log("refused as malformed by the state service", "puts", strings.Join(puts, " "), "value_bytes", c.room())
+	if len(puts) == 0 {
+		return // no value is at fault
+	}
 	c.tight = max(1024, min(c.tight, c.cfg.Cluster.State.ValueBytes())*3/4)
 }
--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -340,9 +340,6 @@
 		Changes: []wire.Change{{Put: mailPrefix + c.cfg.Node, Value: value}},
 	}, func(d CommitDone) {
 		c.mailOut = false
-		if d.Outcome == Invalid {
-			c.tighten(mailPrefix + c.cfg.Node)
-		}
 		if d.Outcome != OK {
 			return
 		}
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -245,7 +245,6 @@
 		case Invalid:
 			// An earlier sending may have been applied: the watch tells. What isn't in
 			// the log by then goes into a new page.
-			c.tighten(key)
 			e.current = 0
 			e.writeAt = c.now + config.Second
 		default:
--- a/internal/core/front.go
+++ b/internal/core/front.go
@@ -165,14 +165,17 @@
 	})
 }
 
-// firstRecord is the record of a job as it is accepted. What it needs is kept as
-// far as it isn't done. If any of that is cancelled, so is the job from the start.
-func (c *Core) firstRecord(x SubmitIn, spec *wire.Job) (*job.Record, error) {
+// firstRecord is the record of a job as it is accepted, and its value. What it
+// needs is kept as far as it isn't done. If any of that is cancelled, so is the job
+// from the start.
+func (c *Core) firstRecord(x SubmitIn, spec *wire.Job) (*job.Record, []byte, error) {
 	var left []string
 	for _, id := range spec.Needs {
 		n := c.jobs[id] // nil: it exists, and its record is on its way here
 		if n != nil && (n.Rec.Phase == job.Cancelled || n.doomed) {
-			return &job.Record{Phase: job.Cancelled}, nil
+			rec := &job.Record{Phase: job.Cancelled}
+			value, err := job.EncodeRecord(rec, c.format)
+			return rec, value, err
 		}
 		if n == nil || n.Rec.Phase != job.Done {
 			left = append(left, id)
@@ -182,30 +185,32 @@
 	rec := &job.Record{Spec: spec, Created: x.Wall}
 	value, err := job.EncodeRecord(rec, c.format)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	size := wire.JSONSize(value)
 	if size+recordRest > c.room() && c.slim(rec) {
 		if value, err = job.EncodeRecord(rec, c.format); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		size = wire.JSONSize(value)
 	}
 	if c.format < job.Grouped {
 		if size > c.roomBefore() {
-			return nil, errTooLarge
+			return nil, nil, errTooLarge
 		}
-		return rec, nil
+		return rec, value, nil
+	}
+	if size+recordRest > c.room() {
+		return nil, nil, errTooLarge
 	}
 	tasks := min(spec.Tasks, job.PartTasks)
 	if spec.Shape != wire.Gang {
 		tasks = min(tasks, leastTasks) // the rest waits if need be
 	}
-	rec.Apart = size+tasks*c.placementSize() > c.room()
-	if size+recordRest > c.room() {
-		return nil, errTooLarge
+	if rec.Apart = size+tasks*c.placementSize() > c.room(); rec.Apart {
+		value, err = job.EncodeRecord(rec, c.format)
 	}
-	return rec, nil
+	return rec, value, err
 }
 
 var errTooLarge = errors.New("description too large")
@@ -237,16 +242,11 @@
 }
 
 func (c *Core) create(x SubmitIn, spec *wire.Job) {
-	rec, err := c.firstRecord(x, spec)
+	rec, value, err := c.firstRecord(x, spec)
 	if err != nil {
 		c.answer(x.Req, http.StatusBadRequest, wire.Error{Error: err.Error()})
 		return
 	}
-	value, err := job.EncodeRecord(rec, c.format)
-	if err != nil {
-		c.later(x.Req, "try again")
-		return
-	}
 	status := wire.Queued
 	if rec.Final() {
 		status = wire.Cancelled
@@ -265,7 +265,6 @@
 		case Conflict:
 			c.refuse(x, spec.ID, 0, "try again")
 		case Invalid:
-			c.tighten(key)
 			c.later(x.Req, "try again")
 		default:
 			c.later(x.Req, "state service not available")
@@ -522,7 +521,6 @@
 				c.later(req, "try again")
 			})
 		case Invalid:
-			c.tighten(key)
 			c.later(req, "try again")
 		default:
 			c.later(req, "state service not available")
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -83,12 +83,7 @@
 	c.commitLater(wire.Commit{
 		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}},
 		Changes: []wire.Change{{Put: hintPrefix + strconv.Itoa(n), Value: value}},
-	}, func(d CommitDone) {
-		p.changed = p.changed || d.Outcome != OK
-		if d.Outcome == Invalid {
-			c.tighten(hintPrefix + strconv.Itoa(n))
-		}
-	})
+	}, func(d CommitDone) { p.changed = p.changed || d.Outcome != OK })
 }
 
 // writePause is the time between changes that may take a share of all changes.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -418,7 +418,6 @@
 		case Invalid:
 			// Whether an earlier sending was applied is to be read: the same bytes
 			// will not be from now on.
-			c.tighten(job.RecordKey(j.ID))
 			j.txn, j.plan = nil, nil
 			c.passDue = true
 			var keys []string
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -98,7 +98,7 @@
 	})
 }
 
-// upgrading tells whether some node has not announced yet.
+// upgrading tells whether the format is still to be raised.
 func (c *Core) upgrading() bool { return c.format < job.Newest }
 
 // serving tells whether this node may answer users and workers.
