The debug log counts what a leader and its adapters are short of

Every 5 s the debug log now tells, of a leader: passes, placements, jobs held back by the state service or without room, machines by state; of its adapters: changes taken, refused and unsent by kind with the pace of those that give way, reports handed on and lost, connections to peers given up. Nothing changes in behaviour.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -14,6 +14,7 @@
 	s := &c.cfg.Settings
 	c.writeHints()
 	c.tidyEnded()
+	c.count()
 	c.announce()
 	c.probe()
 	if c.wantRaise && !c.raising && c.now-c.raised > 2*config.Second {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,6 +81,7 @@
 	writing   int             // changes to jobs on their way
 	tight     int             // values stay below this, see tighten
 	reign     uint64          // counts the times that this node began anew
+	counters  counters
 }
 
 // Job is a job as this node knows it.
--- /dev/null
+++ b/internal/core/counters.go
@@ -0,0 +1,50 @@
+package core
+
+import "coralhub/internal/config"
+
+// countEvery is how often the debug log tells what the leader is busy with.
+const countEvery = 5 * config.Second
+
+// counters tell, in one line of the debug log, what a leader is short of: a day
+// that goes badly without a broken rule is then explained by its log.
+type counters struct {
+	at      Micros
+	passes  int
+	placed  int // tasks
+	pending int // jobs that wanted places in the last pass
+	without int // of them, jobs that found none for some task
+	held    int // of them, jobs that had to wait for the state service
+}
+
+// count writes the line when it is due.
+func (c *Core) count() {
+	if c.now-c.counters.at < countEvery {
+		return
+	}
+	usable, quiet, mailed, sick, booting, leaving := 0, 0, 0, 0, 0, 0
+	for _, m := range c.machines.All() {
+		switch {
+		case m.Releasing || m.Failed || m.NoticeAt != 0:
+			leaving++
+		case m.Session == 0:
+			booting++
+		case c.sick(m):
+			sick++
+		case m.Mailed:
+			mailed++
+		case c.now-m.Spoke > c.suspectAfter():
+			quiet++
+		default:
+			usable++
+		}
+	}
+	closing := 0
+	for _, j := range c.active {
+		closing += len(j.closes)
+	}
+	n := &c.counters
+	c.debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held,
+		"writing", c.writing, "waiting", len(c.dirty)+len(c.delayed), "closing", closing, "log", len(c.ended.fresh),
+		"usable", usable, "quiet", quiet, "mailed", mailed, "sick", sick, "booting", booting, "leaving", leaving)
+	c.counters = counters{at: c.now}
+}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -54,6 +54,8 @@
 	c.usage.Observe(c.now, s.used)
 	entries := c.pending()
 	queue.Rank(entries)
+	c.counters.passes++
+	c.counters.pending, c.counters.without, c.counters.held = len(entries), 0, 0
 	for i := range entries {
 		c.place(s, &entries[i])
 	}
@@ -75,7 +77,7 @@
 		s.zones = append(s.zones, z)
 		byName[name] = z
 	}
-	suspect := config.FromSeconds(c.cfg.Cluster.Workers.ReportS*1.25) + 2*config.Second
+	suspect := c.suspectAfter()
 	rooms := make([]zone.Room, c.machines.Len())
 	for i, m := range c.machines.All() {
 		m.Room = nil
@@ -107,6 +109,11 @@
 	return s
 }
 
+// suspectAfter is how long a worker may say nothing before it gets no more work.
+func (c *Core) suspectAfter() Micros {
+	return config.FromSeconds(c.cfg.Cluster.Workers.ReportS*1.25) + 2*config.Second
+}
+
 // addUp adds up what is placed on a machine.
 func (c *Core) addUp(m *zone.Machine) {
 	m.Used, m.Stale = zone.Res{}, false
@@ -315,6 +322,11 @@
 				"age_ms", (c.now-j.arrived)/1000, "level", e.Level)
 			c.dirty[j.ID] = true
 		}
+		if commit {
+			c.counters.placed += len(bid.Rooms)
+		} else {
+			c.counters.held++
+		}
 		s.used[spec.Team] = s.used[spec.Team].Plus(taskAmount(spec), float64(len(bid.Rooms)))
 		tasks = tasks[len(bid.Rooms):]
 	}
@@ -322,6 +334,7 @@
 		j.preempted, j.reserved = 0, nil
 		return
 	}
+	c.counters.without++
 	s.needs = append(s.needs, fleet.Need{Task: q.Needs, Count: len(tasks), Types: q.Types, Zone: spec.Zone, Spot: spec.Spot})
 	if c.now < j.preempted {
 		for name := range j.reserved {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,8 @@
 	// reservedSockets are kept back for workers' direct calls, peers and the
 	// outside systems.
 	reservedSockets = 0.3
+	// countEvery is how often the debug log tells what the adapters were busy with.
+	countEvery = 5 * time.Second
 )
 
 // adapter carries out the effects that are its own.
@@ -131,6 +133,7 @@
 func (n *Node) loop(ctx context.Context, failed chan error) {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	counted := n.start
 	for {
 		var in core.Input
 		select {
@@ -141,7 +144,13 @@
 				in = c
 			}
 		case <-tick.C:
-			in = core.Tick{Wall: time.Now().UnixMicro()}
+			now := time.Now()
+			in = core.Tick{Wall: now.UnixMicro()}
+			if now.Sub(counted) >= countEvery && slog.Default().Enabled(ctx, slog.LevelDebug) {
+				counted = now
+				slog.Debug("changes", n.store.Counters()...)
+				slog.Debug("peers", append(n.peers.Counters(), "inputs", len(n.inputs))...)
+			}
 		case err := <-failed:
 			failed <- err
 			return
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coralhub/internal/config"
@@ -94,6 +95,15 @@
 	addrs map[string]string
 	conns map[string]*rpc.Client
 	sem   chan struct{}
+
+	handed, lost, full, closed atomic.Int64
+}
+
+// Counters tells, since it was last asked, how many reports the leader has
+// answered, how many it has not, how many messages found too many others on their
+// way, and how often a connection was given up. It is for the debug log.
+func (p *Peers) Counters() []any {
+	return []any{"handed", p.handed.Swap(0), "lost", p.lost.Swap(0), "full", p.full.Swap(0), "closed", p.closed.Swap(0)}
 }
 
 // New returns the peers of a node.
@@ -131,7 +141,11 @@
 	case core.Forward:
 		done := core.ForwardDone{Req: x.Req, Report: x.Report}
 		p.limited(func() {
-			done.Answer = p.forward(x)
+			if done.Answer = p.forward(x); done.Answer != nil {
+				p.handed.Add(1)
+			} else {
+				p.lost.Add(1)
+			}
 			p.post(done)
 		}, func() { go p.post(done) })
 	case core.Beat:
@@ -156,6 +170,7 @@
 			f()
 		}()
 	default:
+		p.full.Add(1)
 		instead()
 	}
 }
@@ -236,6 +251,7 @@
 		p.mu.Lock()
 		if p.conns[node] == c {
 			delete(p.conns, node)
+			p.closed.Add(1)
 		}
 		p.mu.Unlock()
 		_ = c.Close()
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"slices"
@@ -43,6 +44,37 @@
 	pace   time.Duration
 	badAt  atomic.Int64 // since when every call has failed; 0 if the last went well
 	start  time.Time
+	tally  tally
+}
+
+// tally counts what became of transactions that change something, since it was
+// last taken: by those that go first and those that give way.
+type tally struct {
+	taken, refused [2]atomic.Int64 // by the service
+	unsent         [2]atomic.Int64 // their turn would have come too late
+}
+
+const (
+	first = iota
+	givesWay
+)
+
+func (t *tally) of(later bool) int {
+	if later {
+		return givesWay
+	}
+	return first
+}
+
+// Counters tells what became of changes since it was last asked, and how many a
+// second those may take that give way. It is for the debug log.
+func (s *Store) Counters() []any {
+	t := &s.tally
+	return []any{
+		"first", t.taken[first].Swap(0), "first_refused", t.refused[first].Swap(0), "first_unsent", t.unsent[first].Swap(0),
+		"later", t.taken[givesWay].Swap(0), "later_refused", t.refused[givesWay].Swap(0), "later_unsent", t.unsent[givesWay].Swap(0),
+		"later_pace", math.Round(float64(s.later.limiter.Limit())*10) / 10,
+	}
 }
 
 // New returns a client that posts its results.
@@ -147,7 +179,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	done := core.CommitDone{ID: x.ID, Outcome: core.Refused}
-	if s.calls.Wait(ctx) == nil && s.turn(ctx, &x) == nil {
+	if s.calls.Wait(ctx) != nil || s.turn(ctx, &x) != nil {
+		s.tally.unsent[s.tally.of(x.Later)].Add(1)
+	} else {
 		var a wire.CommitAnswer
 		status, err := s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
 		// The quota allows bursts: a moment later there is mostly room again for
@@ -157,10 +191,17 @@
 			status, err = s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
 		}
 		done.Outcome, done.Revision, done.Failed = outcome(status, err), a.Revision, a.Failed
-		if refused := status == http.StatusTooManyRequests; x.Later || refused {
+		refused := status == http.StatusTooManyRequests
+		if x.Later || refused {
 			s.later.took(refused)
 		}
 		switch {
+		case refused:
+			s.tally.refused[s.tally.of(x.Later)].Add(1)
+		case len(x.Txn.Changes) > 0:
+			s.tally.taken[s.tally.of(x.Later)].Add(1)
+		}
+		switch {
 		case err != nil:
 		case status == http.StatusConflict:
 			done.Outcome = core.Conflict
