Passes look at what has changed; a survey is kept between them

Cause: each pass and each tick looked at every machine and every unfinished job: at 1,250 machines some 0.1 ms ten times a second, and it grows with the fleet.

Change: a machine or a job that anything changes goes on a list, and the next pass looks at the lists. Rooms stay in their zones, sorted by whole free GPUs, so that a plan looks only where its tasks may fit. A team's use is kept, and the border of its guarantee in its line of jobs moves instead of being added up (queue.Line). Silent workers are found from the oldest on; what may have to go back is listed. An heir counts idle machines from its takeover; before, one that it heard before its first tick went back at once (two scenarios said so).

--- /dev/null
+++ b/internal/core/audit.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"fmt"
+	"math"
+
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/queue"
+	"coralhub/internal/core/zone"
+)
+
+// Audit holds what passes go by against the records, added up from nothing. What is
+// on the lists to be looked at again is left out. It is for tests: a change that
+// nobody has put on a list would show here.
+func (c *Core) Audit() error {
+	if !c.ready || c.survey.whole || c.raising {
+		return nil
+	}
+	used := map[string]queue.Amount{}
+	guaranteed := map[string]queue.Amount{}
+	settled := len(c.survey.jobs) == 0
+	planned := map[string]zone.Res{}
+	for _, j := range c.active {
+		spec := j.Rec.Spec
+		n := j.open + len(j.plan)
+		used[spec.Team] = used[spec.Team].Plus(taskAmount(spec), float64(n))
+		for _, p := range j.plan {
+			planned[p.Machine] = planned[p.Machine].Plus(taskRes(spec), 1)
+		}
+		wants := !j.held() && j.done+j.open < spec.Tasks && !j.Rec.Final() && !j.Rec.Cancel && c.teams[spec.Team] != nil
+		if !j.listed && wants != c.survey.wanting[j] {
+			return fmt.Errorf("%s wants places: %v", j.ID, wants)
+		}
+		team := c.teams[spec.Team]
+		if j.Rec.Final() || team == nil || j.held() || !queue.HasGuarantee(team) {
+			continue
+		}
+		sum := guaranteed[spec.Team].Plus(taskAmount(spec), float64(spec.Tasks-j.done))
+		guaranteed[spec.Team] = sum
+		if settled && queue.UnderGuarantee(team, sum) != c.within(j) {
+			return fmt.Errorf("%s is within its guarantee: %v", j.ID, !c.within(j))
+		}
+	}
+	for _, team := range c.cfg.Cluster.Teams {
+		a, b := used[team.Name], c.survey.used[team.Name]
+		if settled && math.Abs(a.GPUs-b.GPUs)+math.Abs(a.CPUs-b.CPUs) > 1e-6 {
+			return fmt.Errorf("team %s uses %v, reckoned with %v", team.Name, a, b)
+		}
+	}
+	for _, m := range c.machines.All() {
+		if m.Stale || m.Room == nil {
+			if !m.Stale && c.offers(m) {
+				return fmt.Errorf("machine %s offers nothing", m.Name)
+			}
+			continue
+		}
+		on := planned[m.Name]
+		for _, key := range sortedKeys(c.expected[m.Name]) {
+			if j := c.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
+				on = on.Plus(taskRes(j.Rec.Spec), 1)
+			}
+		}
+		if d := on.Plus(m.Used, -1); math.Abs(d.GPUs)+math.Abs(d.CPUs)+math.Abs(d.MemoryGB) > 1e-6 {
+			return fmt.Errorf("machine %s has %v placed, reckoned with %v", m.Name, on, m.Used)
+		}
+		if idle := len(c.expected[m.Name]) == 0 && planned[m.Name] == (zone.Res{}); idle != (m.IdleSince != 0) {
+			return fmt.Errorf("machine %s is idle: %v", m.Name, idle)
+		}
+	}
+	return c.auditPlaces()
+}
+
+// auditPlaces holds the open placements by machine against those by job.
+func (c *Core) auditPlaces() error {
+	open := 0
+	var wrong error
+	for _, j := range c.jobs {
+		j.eachOpen(func(p job.Placement) {
+			open++
+			if _, ok := c.expected[p.Machine][p.Key(j.ID)]; !ok {
+				wrong = fmt.Errorf("%s/%d is not known to be on %s", j.ID, p.Task, p.Machine)
+			}
+		})
+	}
+	for _, on := range c.expected {
+		open -= len(on)
+	}
+	if wrong == nil && open != 0 {
+		wrong = fmt.Errorf("%d placements more by job than by machine", open)
+	}
+	return wrong
+}
--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -103,6 +103,7 @@
 		}
 		if d.waits--; d.waits == 0 && !d.Rec.Final() {
 			d.arrived = c.now // its times count from now on
+			c.changed(d)
 			c.passDue = true
 		}
 	}
@@ -118,6 +119,7 @@
 			continue
 		}
 		x.doomed = true
+		c.changed(x)
 		if c.ready {
 			c.dirty[x.ID] = true
 		}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"coralhub/internal/config"
@@ -56,8 +58,11 @@
 		if !had {
 			m.Rented = c.now - config.FromSeconds(l.AgeS)
 		}
+		if fails := l.State == wire.MachineFailed; !had || m.Failed != fails || m.Session == 0 && m.Type == "" {
+			m.Failed = fails
+			c.touch(m)
+		}
 		m.Describe(l.Addr, l.Type, l.Zone, l.Spot)
-		m.Failed = l.State == wire.MachineFailed
 	}
 	for name, since := range c.deleted {
 		if !listed[name] && c.now-since > 5*config.FromSeconds(c.cfg.Cluster.Cloud.ListLagS) {
@@ -80,6 +85,7 @@
 		for _, name := range x.Machines {
 			m := c.machine(name)
 			m.Describe("", r.Type, r.Zone, r.Spot)
+			c.touch(m)
 			c.noteMachine(name)
 		}
 		c.passDue = true
@@ -89,23 +95,24 @@
 }
 
 // returnMachines gives back what is idle, dead, silent, faulty or never came
-// up. The answer to a deletion is the proof that everything on it is gone.
+// up. The answer to a deletion is the proof that everything on it is gone. It looks
+// only at machines that don't work, or don't speak.
 func (c *Core) returnMachines() {
 	silence := c.silence()
-	quiet, all := map[string]int{}, map[string]int{}
-	for _, m := range c.machines.All() {
-		if m.Session == 0 && m.Heard == 0 && len(c.expected[m.Name]) == 0 {
-			continue
+	look := slices.Collect(maps.Keys(c.survey.watched))
+	c.machines.Silent(c.now-silence, func(m *zone.Machine) {
+		if !c.survey.watched[m] {
+			look = append(look, m)
 		}
-		all[m.Zone]++
-		if c.now-max(m.Spoke, c.since) > silence/2 {
-			quiet[m.Zone]++ // those heard of through a deputy count: they tell of a cut
-		}
-	}
+	})
+	slices.SortFunc(look, byName)
+	var crowds map[string]bool
 	var names []string
-	planned := c.planned()
-	for _, m := range c.machines.All() {
+	for _, m := range look {
 		name := m.Name
+		if c.machines.Get(name) != m {
+			continue
+		}
 		if m.Releasing {
 			if c.now-m.ReleasedAt > 2*config.Second {
 				m.ReleasedAt = c.now
@@ -114,9 +121,13 @@
 			continue
 		}
 		limit := silence
-		if quiet[m.Zone] > 1 && quiet[m.Zone]*3 > all[m.Zone] {
-			// So many at once: rather the network than the machines.
-			limit = 6 * silence
+		if c.silentFor(m) > silence {
+			if crowds == nil {
+				crowds = c.crowds()
+			}
+			if crowds[m.Zone] {
+				limit = 6 * silence
+			}
 		}
 		why := ""
 		switch {
@@ -129,10 +140,10 @@
 		case c.silentFor(m) > limit:
 			why = "silent"
 		case c.sick(m):
-			if c.idle(m, planned) {
+			if m.IdleSince != 0 {
 				why = "faulty"
 			}
-		case c.idle(m, planned) && c.now-m.IdleSince > c.keepIdle(m):
+		case m.IdleSince != 0 && c.now-m.IdleSince > c.keepIdle(m):
 			why = "idle"
 		}
 		if why == "" || m.ReleasedAt != 0 && c.now-m.ReleasedAt < 2*config.Second {
@@ -142,6 +153,7 @@
 			c.log("releasing", "machine", name, "why", why, "placements", len(c.expected[name]))
 		}
 		m.Releasing, m.ReleasedAt = true, c.now
+		c.touch(m)
 		names = append(names, name)
 	}
 	for len(names) > 0 {
@@ -151,6 +163,27 @@
 	}
 }
 
+// crowds tells in which zones so many workers are quiet that it is rather the
+// network than the machines. Those heard of through a deputy count: they tell of a
+// cut.
+func (c *Core) crowds() map[string]bool {
+	quiet, all := map[string]int{}, map[string]int{}
+	for _, m := range c.machines.All() {
+		if m.Session == 0 && m.Heard == 0 && len(c.expected[m.Name]) == 0 {
+			continue
+		}
+		all[m.Zone]++
+		if c.now-max(m.Spoke, c.since) > c.silence()/2 {
+			quiet[m.Zone]++
+		}
+	}
+	out := map[string]bool{}
+	for z, n := range quiet {
+		out[z] = n > 1 && n*3 > all[z]
+	}
+	return out
+}
+
 // silence is how long a worker may say nothing before its machine is deleted:
 // a few reports, and no less than half its lease.
 func (c *Core) silence() Micros {
@@ -163,25 +196,6 @@
 
 func (c *Core) silentFor(m *zone.Machine) Micros { return c.now - max(m.Heard, c.since) }
 
-func (c *Core) idle(m *zone.Machine, planned map[string]bool) bool {
-	if m.Session == 0 || len(c.expected[m.Name]) > 0 || planned[m.Name] {
-		m.IdleSince = c.now
-		return false
-	}
-	return true
-}
-
-// planned tells on which machines placements are being committed.
-func (c *Core) planned() map[string]bool {
-	planned := map[string]bool{}
-	for _, j := range c.active {
-		for _, p := range j.plan {
-			planned[p.Machine] = true
-		}
-	}
-	return planned
-}
-
 // keepIdle is how long an idle machine is kept. To have it back would cost a
 // boot, paid without use, and the images that it has cached.
 func (c *Core) keepIdle(m *zone.Machine) Micros {
@@ -214,6 +228,7 @@
 			if m := c.machines.Get(name); m != nil {
 				m.Doomed = m.Doomed || x.Outcome == Unknown
 				m.Releasing = m.Doomed
+				c.touch(m)
 			}
 		}
 		return
@@ -224,6 +239,9 @@
 		for _, key := range sortedKeys(c.expected[name]) {
 			c.close(key, name, false)
 		}
+		if m := c.machines.Get(name); m != nil {
+			c.touch(m)
+		}
 		c.machines.Remove(name)
 		c.deleted[name] = c.now
 		c.noteMachine(name)
@@ -231,18 +249,10 @@
 	c.passDue = true
 }
 
-// kinds sorts the machines for the fleet's planning.
+// kinds sorts the machines for the fleet's planning, the booting ones by name.
 func (c *Core) kinds() (booting []fleet.Kind, count map[fleet.Kind]int) {
-	count = map[fleet.Kind]int{}
-	for _, m := range c.machines.All() {
-		if m.Releasing || m.Type == "" {
-			continue
-		}
-		k := fleet.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
-		count[k]++
-		if m.Session == 0 && !m.Failed && len(c.expected[m.Name]) == 0 {
-			booting = append(booting, k)
-		}
+	for _, m := range slices.SortedFunc(maps.Keys(c.survey.booting), byName) {
+		booting = append(booting, c.survey.kinds[m])
 	}
-	return booting, count
+	return booting, c.survey.count
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,6 +62,7 @@
 
 	// What follows is only of use to the leader.
 	machines  *zone.Roster
+	survey    survey
 	expected  map[string]map[job.Key]job.Placement // open placements by machine
 	deleted   map[string]Micros                    // machines proven gone, which the lagging list still names
 	usage     *queue.Usage
@@ -97,7 +98,7 @@
 	done    int    // done tasks
 	open    int    // open placements
 	chain
-	within   bool // its team's guarantee, as of the last pass
+	standing
 	types    typeSet
 	closes   []closing
 	facts    []*fact           // lines of the log of ended attempts
@@ -401,7 +402,7 @@
 		j.applyFacts(0, &j.Rec.Part)
 	}
 	c.reindex(j, old, j.Rec.Open)
-	j.outdatePlan()
+	c.outdatePlan(j)
 	c.setActive(j, rec.Spec != nil)
 	if rec.Created > 0 && c.wallAhead > 0 && !j.needsOthers() {
 		j.arrived = min(c.now, rec.Created-c.wallAhead)
@@ -419,6 +420,7 @@
 		c.settled(j)
 	}
 	j.recount()
+	c.changed(j)
 	c.passDue = true
 	if c.ready {
 		c.dirty[id] = true
@@ -467,7 +469,8 @@
 	c.reindex(j, j.parts[n-1].Open, p.Open)
 	j.parts[n-1] = part{p, version}
 	j.recount()
-	j.outdatePlan()
+	c.changed(j)
+	c.outdatePlan(j)
 	c.passDue = true
 	if c.ready {
 		c.dirty[j.ID] = true
@@ -477,9 +480,9 @@
 // outdatePlan drops a plan that was made for an older record. A transaction
 // that had no answer may have placed the same tasks after all: placed once more
 // they would run twice. What is in flight keeps its plan, for its places count.
-func (j *Job) outdatePlan() {
+func (c *Core) outdatePlan(j *Job) {
 	if j.txn == nil {
-		j.plan = nil
+		c.setPlan(j, nil)
 	}
 }
 
@@ -510,7 +513,7 @@
 			delete(j.started, p.Task)
 		}
 		if m := c.machines.Get(p.Machine); m != nil {
-			m.Stale = true
+			c.touch(m)
 		}
 	}
 	for _, p := range now {
@@ -521,7 +524,7 @@
 		}
 		m[p.Key(j.ID)] = p
 		if m := c.machines.Get(p.Machine); m != nil {
-			m.Stale = true
+			c.touch(m)
 		}
 	}
 	if !c.ready {
@@ -569,6 +572,7 @@
 
 func (c *Core) setCatalog(cat *wire.Catalog) {
 	c.catalog = map[string]*wire.MachineType{}
+	c.survey.whole = true
 	for _, j := range c.active {
 		j.types = typeSet{}
 	}
--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -232,8 +232,9 @@
 		if m == nil || m.Session != h.Session || m.Token < c.baseToken || m.Wanted {
 			wanted = append(wanted, h.Machine)
 		}
-		if m != nil {
-			m.Beat(c.now, h.Session, h.Seq)
+		if m != nil && m.Beat(c.now, h.Session, h.Seq) {
+			c.machines.Touch(m, c.now)
+			c.reconsider(m)
 		}
 	}
 	c.answer(x.Req, http.StatusOK, wanted)
@@ -375,8 +376,10 @@
 		for _, t := range l.Tasks {
 			r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.Task, Attempt: t.Attempt, State: t.State, Cause: t.Cause, Saved: t.Saved})
 		}
-		spoke := m.Spoke
-		c.ingest(m, &r, false)
-		m.Spoke, m.Mailed = spoke, true
+		if c.learnOf(m, &r, false) {
+			m.Mailed = true
+			c.machines.Introduce(m)
+			c.reconsider(m)
+		}
 	}
 }
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -125,6 +125,7 @@
 	c.reindex(j, p.Open, q.Open)
 	*p = q
 	j.recount()
+	c.changed(j)
 	c.passDue = true
 	if c.ready {
 		c.dirty[j.ID] = true
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -146,6 +146,10 @@
 	for name := range c.expected {
 		c.machine(name)
 	}
+	for _, m := range c.machines.All() {
+		c.survey.strange[m] = true
+		c.watch(m)
+	}
 	c.passDue = true
 	c.lastList = 0
 	c.log("records read", "open_placements", open, "machines", c.machines.Len(), "after_ms", (c.now-c.since)/1000)
@@ -166,9 +170,13 @@
 func (c *Core) resetLeader() {
 	for _, j := range c.jobs {
 		j.closes, j.plan, j.txn, j.stops, j.reserved, j.mergeNow = nil, nil, nil, nil, nil, false
+		j.standing = standing{}
 	}
 	c.leading, c.ready, c.token, c.baseToken, c.raising = false, false, 0, 0, false
 	c.wantRaise, c.listing = false, false
+	looked := c.survey.lookedAt
+	c.survey = newSurvey(c.cfg.Cluster.Zones)
+	c.survey.lookedAt = looked
 	old := c.machines
 	c.machines = zone.NewRoster()
 	if old != nil {
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -16,7 +16,7 @@
 
 // scan is one pass over the queue.
 type scan struct {
-	zones  []*zone.Zone // in the order of the settings
+	zones  []*zone.Zone
 	used   map[string]queue.Amount
 	failed []failure
 	needs  []fleet.Need
@@ -50,7 +50,7 @@
 	if c.catalog == nil || c.raising {
 		return
 	}
-	s := c.survey()
+	s := c.surveyAll()
 	c.usage.Observe(c.now, s.used)
 	entries := c.pending()
 	queue.Rank(entries)
@@ -62,68 +62,17 @@
 	c.rent(s)
 }
 
-func taskRes(s *wire.Job) zone.Res { return zone.Res{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB} }
-
-func taskAmount(s *wire.Job) queue.Amount { return queue.Amount{CPUs: s.CPUs, GPUs: s.GPUs} }
-
-// survey adds up what is used and free. Everything open counts, whatever the
-// workers last said of it, and so does what is being committed. What is placed
-// on a machine is added up again only if that has changed.
-func (c *Core) survey() *scan {
-	s := &scan{used: map[string]queue.Amount{}, barred: map[string]bool{}, budget: c.mostWriting() - c.writing}
-	byName := make(map[string]*zone.Zone, len(c.cfg.Cluster.Zones))
-	for _, name := range c.cfg.Cluster.Zones {
-		z := &zone.Zone{Name: name, Victims: func() []*zone.Victim { return c.victims(s, name) }}
-		s.zones = append(s.zones, z)
-		byName[name] = z
-	}
-	suspect := c.suspectAfter()
-	rooms := make([]zone.Room, c.machines.Len())
-	for i, m := range c.machines.All() {
-		m.Room = nil
-		z, t := byName[m.Zone], c.catalog[m.Type]
-		if z == nil || t == nil || m.Session == 0 || m.Token < c.baseToken || m.Releasing || m.Failed || m.NoticeAt != 0 ||
-			c.sick(m) || c.now-m.Spoke > suspect {
-			continue
-		}
-		if m.Stale {
-			c.addUp(m)
-		}
-		m.Room = &rooms[i]
-		*m.Room = zone.Room{Machine: m, Idle: len(c.expected[m.Name]) == 0,
-			Free: zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}.Plus(m.Used, -1)}
-		z.Rooms = append(z.Rooms, m.Room)
-	}
-	c.guarantees()
-	for _, j := range c.active {
-		spec := j.Rec.Spec
-		for _, p := range j.plan {
-			if m := c.machines.Get(p.Machine); m != nil && m.Room != nil {
-				m.Room.Free = m.Room.Free.Plus(taskRes(spec), -1)
-			}
-		}
-		if n := j.open + len(j.plan); n > 0 {
-			s.used[spec.Team] = s.used[spec.Team].Plus(taskAmount(spec), float64(n))
-		}
+// surveyAll brings what passes go by up to date. Everything open counts, whatever the
+// workers last said of it, and so does what is being committed.
+func (c *Core) surveyAll() *scan {
+	c.refresh()
+	s := &scan{zones: c.survey.zones, used: maps.Clone(c.survey.used), barred: map[string]bool{}, budget: c.mostWriting() - c.writing}
+	for _, z := range s.zones {
+		z.Victims = func() []*zone.Victim { return c.victims(s, z.Name) }
 	}
 	return s
 }
 
-// suspectAfter is how long a worker may say nothing before it gets no more work.
-func (c *Core) suspectAfter() Micros {
-	return config.FromSeconds(c.cfg.Cluster.Workers.ReportS*1.25) + 2*config.Second
-}
-
-// addUp adds up what is placed on a machine.
-func (c *Core) addUp(m *zone.Machine) {
-	m.Used, m.Stale = zone.Res{}, false
-	for _, key := range sortedKeys(c.expected[m.Name]) {
-		if j := c.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
-			m.Used = m.Used.Plus(taskRes(j.Rec.Spec), 1)
-		}
-	}
-}
-
 // victims lists the work of a zone that could be stopped. Most passes find room
 // without, so it is put together only when a job asks.
 func (c *Core) victims(s *scan, name string) []*zone.Victim {
@@ -145,7 +94,7 @@
 func (c *Core) couldStop(s *scan, j *Job) {
 	spec := j.Rec.Spec
 	needs := taskRes(spec)
-	level := queue.Level(j.priority(), j.within)
+	level := queue.Level(j.priority(), c.within(j))
 	var gang *zone.Victim // the same one in every zone that it is in
 	listed := map[string]bool{}
 	j.eachOpen(func(p job.Placement) {
@@ -178,33 +127,12 @@
 	})
 }
 
-// guarantees marks the jobs that fit into their team's guarantee together with
-// the team's earlier unfinished jobs.
-func (c *Core) guarantees() {
-	sum := map[string]queue.Amount{}
-	for _, j := range c.active { // the oldest first
-		spec := j.Rec.Spec
-		team := c.teams[spec.Team]
-		j.within = false
-		if j.Rec.Final() || team == nil || j.held() {
-			continue
-		}
-		if !queue.HasGuarantee(team) {
-			j.within = true
-			continue
-		}
-		sum[spec.Team] = sum[spec.Team].Plus(taskAmount(spec), float64(spec.Tasks-j.done))
-		j.within = queue.UnderGuarantee(team, sum[spec.Team])
-	}
-}
-
 // pending lists the jobs that want places.
 func (c *Core) pending() []queue.Entry {
 	var out []queue.Entry
-	for _, j := range c.active {
+	for j := range c.survey.wanting { // in any order: ranking knows no ties
 		spec := j.Rec.Spec
-		if j.held() || j.done+j.open >= spec.Tasks || j.Rec.Final() || j.Rec.Cancel || j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 ||
-			c.teams[spec.Team] == nil {
+		if j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 {
 			continue
 		}
 		if at := max(j.holdUntil, j.retryAt); c.now < at {
@@ -214,7 +142,7 @@
 			}
 			continue
 		}
-		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.priority(), j.within), Created: j.Rec.Created,
+		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.priority(), c.within(j)), Created: j.Rec.Created,
 			Credit: queue.Credit(&c.cfg.Settings, c.now-j.arrived, c.usage.Share(spec.Team))})
 	}
 	return out
@@ -307,6 +235,7 @@
 		for i, r := range bid.Rooms {
 			r.Free = r.Free.Plus(q.Needs, -1)
 			r.Idle = false
+			c.touch(r.Machine)
 			inZone[bid.Zone]++
 			if !commit {
 				continue
@@ -314,7 +243,7 @@
 			if tasks[i] >= job.PartTasks && tasks[i]%job.PartTasks == 0 {
 				s.budget-- // another value is written
 			}
-			j.plan = append(j.plan, job.Placement{Task: tasks[i], Attempt: attempt, Machine: r.Machine.Name,
+			c.addPlan(j, job.Placement{Task: tasks[i], Attempt: attempt, Machine: r.Machine.Name,
 				Session: r.Machine.Session, Zone: r.Machine.Zone})
 		}
 		if commit {
@@ -340,6 +269,7 @@
 		for name := range j.reserved {
 			if m := c.machines.Get(name); m != nil && m.Room != nil {
 				m.Room.Barred = true
+				c.touch(m)
 			}
 		}
 	}
@@ -356,11 +286,7 @@
 		if spec.Zone != "" && spec.Zone != z.Name {
 			continue
 		}
-		free := 0.0
-		for _, r := range z.Rooms {
-			free += r.Free.Weight()
-		}
-		if free > most {
+		if free := z.Free(); free > most {
 			best, most = z.Name, free
 		}
 	}
@@ -388,7 +314,7 @@
 	q.May = func(v *zone.Victim) bool {
 		of := c.jobs[v.Job]
 		victim := of.Rec.Spec
-		if victim.Team != spec.Team && !of.within && j.within && queue.HasGuarantee(c.teams[spec.Team]) {
+		if victim.Team != spec.Team && !c.within(of) && c.within(j) && queue.HasGuarantee(c.teams[spec.Team]) {
 			return true // what another team has borrowed
 		}
 		return queue.Level(of.priority(), true) < own && v.Level < e.Level
@@ -495,6 +421,7 @@
 	for _, r := range bid.Rooms {
 		j.reserved[r.Machine.Name] = true
 		r.Barred = true
+		c.touch(r.Machine)
 	}
 	wait := 5 * config.Second
 	for _, v := range bid.Victims {
@@ -514,7 +441,7 @@
 
 // rent asks for the machines that the unplaced work calls for.
 func (c *Core) rent(s *scan) {
-	if c.inDoubt() {
+	if c.inDoubt() || len(s.needs) == 0 {
 		return
 	}
 	booting, count := c.kinds()
--- /dev/null
+++ b/internal/core/queue/line_test.go
@@ -0,0 +1,49 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"coralhub/internal/config"
+)
+
+// Whatever comes, changes and goes in whichever order, those within the guarantee
+// are the ones that adding up from the oldest on would find.
+func TestLineAgreesWithAddingUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		team := &config.Team{GPUs: float64(rapid.IntRange(0, 20).Draw(t, "gpus")), CPUs: 8}
+		l := NewLine(team)
+		need := map[*Member]Amount{}
+		var all []*Member
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			var m *Member
+			if len(all) == 0 || rapid.Bool().Draw(t, "new") {
+				m = &Member{Created: int64(rapid.IntRange(0, 9).Draw(t, "created")), ID: fmt.Sprint(i)}
+				all = append(all, m)
+			} else {
+				m = rapid.SampledFrom(all).Draw(t, "member")
+			}
+			if rapid.IntRange(0, 3).Draw(t, "what") == 0 {
+				l.Leave(m)
+				delete(need, m)
+			} else {
+				need[m] = Amount{GPUs: float64(rapid.IntRange(0, 9).Draw(t, "need")), CPUs: float64(rapid.IntRange(0, 3).Draw(t, "cpus"))}
+				l.Set(m, need[m])
+			}
+			for _, m := range all {
+				sum := Amount{}
+				for o, a := range need {
+					if order(o, m) <= 0 {
+						sum = sum.Plus(a, 1)
+					}
+				}
+				_, in := need[m]
+				if want := in && UnderGuarantee(team, sum); m.Within != want {
+					t.Fatalf("%s within: %v, should be %v", m.ID, m.Within, want)
+				}
+			}
+		}
+	})
+}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -100,9 +100,9 @@
 		case c.canPart(j):
 			j.parting = true
 		case len(j.plan) > 1 && j.Rec.Spec.Shape != wire.Gang:
-			j.plan = j.plan[:len(j.plan)/2]
+			c.setPlan(j, j.plan[:len(j.plan)/2])
 		case len(j.plan) > 0:
-			j.plan = nil
+			c.setPlan(j, nil)
 			j.holdUntil = c.now + 10*config.Second
 		case len(t.closes) > 0 && !j.Rec.Final():
 			t.ends = true
@@ -403,7 +403,8 @@
 		c.dirty[j.ID] = true
 		switch d.Outcome {
 		case OK:
-			j.txn, j.plan = nil, nil
+			j.txn = nil
+			c.setPlan(j, nil)
 			c.passDue = true
 			c.committed(j, t, d.Revision)
 		case Unknown:
@@ -412,13 +413,15 @@
 			// places is counted.
 			t.unsure, t.resendAt = true, c.now+commitPause
 		case Conflict:
-			j.txn, j.plan = nil, nil
+			j.txn = nil
+			c.setPlan(j, nil)
 			c.passDue = true
 			c.conflict(j, t, d.Failed)
 		case Invalid:
 			// Whether an earlier sending was applied is to be read: the same bytes
 			// will not be from now on.
-			j.txn, j.plan = nil, nil
+			j.txn = nil
+			c.setPlan(j, nil)
 			c.passDue = true
 			var keys []string
 			for _, g := range t.commit.Guards {
@@ -432,7 +435,8 @@
 				t.resendAt = c.now + commitPause
 				return
 			}
-			j.txn, j.plan = nil, nil
+			j.txn = nil
+			c.setPlan(j, nil)
 			j.retryAt = c.now + commitPause
 			c.passDue = true
 		}
--- /dev/null
+++ b/internal/core/survey.go
@@ -0,0 +1,341 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"coralhub/internal/config"
+	"coralhub/internal/core/fleet"
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/queue"
+	"coralhub/internal/core/zone"
+	"coralhub/wire"
+)
+
+// survey is what passes go by, kept between them: what each machine offers, what
+// each team uses and is guaranteed, which jobs want places. Whatever changes a
+// machine or a job puts it on a list, and the next pass looks at those alone. So
+// that a change which nobody thought of lasts no longer than the scan period, a pass
+// looks at everything that often, as the paper's does.
+type survey struct {
+	zones  []*zone.Zone // in the order of the settings
+	byName map[string]*zone.Zone
+
+	machines []*zone.Machine // to be looked at again
+	jobs     []*Job
+	whole    bool // everything is
+	wholeAt  Micros
+
+	used    map[string]queue.Amount // by team: what is open, or about to be
+	lines   map[string]*queue.Line  // of teams that have a guarantee
+	wanting map[*Job]bool           // jobs that lack places
+	plans   map[string]map[*Job]int // tasks about to be placed, by machine
+
+	kinds    map[*zone.Machine]fleet.Kind // those that count, see kinds
+	count    map[fleet.Kind]int
+	booting  map[*zone.Machine]bool
+	watched  map[*zone.Machine]bool // those that may have to go back, see returnMachines
+	strange  map[*zone.Machine]bool // those that have not followed this leader yet
+	lookedAt Looked
+}
+
+// Looked counts what passes have looked at since the process began, for tests and
+// the debug log.
+type Looked struct{ Passes, Machines, Jobs int }
+
+// Looked tells what this node's passes have looked at.
+func (c *Core) Looked() Looked { return c.survey.lookedAt }
+
+func newSurvey(zones []string) survey {
+	s := survey{whole: true, byName: map[string]*zone.Zone{}, used: map[string]queue.Amount{}, lines: map[string]*queue.Line{},
+		wanting: map[*Job]bool{}, plans: map[string]map[*Job]int{}, kinds: map[*zone.Machine]fleet.Kind{}, count: map[fleet.Kind]int{},
+		booting: map[*zone.Machine]bool{}, watched: map[*zone.Machine]bool{}, strange: map[*zone.Machine]bool{}}
+	for _, name := range zones {
+		z := &zone.Zone{Name: name}
+		s.zones = append(s.zones, z)
+		s.byName[name] = z
+	}
+	return s
+}
+
+// standing is what passes know of one job.
+type standing struct {
+	listed bool         // to be looked at again
+	team   string       // whose use it counts for
+	use    queue.Amount // what it counts for
+	lineOf string       // the team in whose line it stands
+	member queue.Member
+}
+
+// touch has a machine looked at again.
+func (c *Core) touch(m *zone.Machine) {
+	if !c.ready {
+		return // a new leader looks at everything
+	}
+	if !m.Stale {
+		m.Stale = true
+		c.survey.machines = append(c.survey.machines, m)
+	}
+	c.watch(m)
+}
+
+// reconsider has a machine looked at again if what it can offer at all may have
+// changed.
+func (c *Core) reconsider(m *zone.Machine) {
+	if m.Token >= c.baseToken {
+		delete(c.survey.strange, m)
+	}
+	if c.offers(m) != (m.Room != nil) {
+		c.touch(m)
+	}
+}
+
+// changed has a job looked at again.
+func (c *Core) changed(j *Job) {
+	if c.ready && !j.listed {
+		j.listed = true
+		c.survey.jobs = append(c.survey.jobs, j)
+	}
+}
+
+// setPlan replaces what is about to be placed of a job. It counts as placed from
+// now on.
+func (c *Core) setPlan(j *Job, plan []job.Placement) {
+	if len(j.plan) == 0 && len(plan) == 0 {
+		return
+	}
+	for _, p := range j.plan {
+		c.promise(j, p.Machine, -1)
+	}
+	j.plan = plan
+	for _, p := range plan {
+		c.promise(j, p.Machine, 1)
+	}
+	c.changed(j)
+}
+
+// addPlan has one more task of a job placed.
+func (c *Core) addPlan(j *Job, p job.Placement) {
+	j.plan = append(j.plan, p)
+	c.promise(j, p.Machine, 1)
+	c.changed(j)
+}
+
+func (c *Core) promise(j *Job, machine string, n int) {
+	on := c.survey.plans[machine]
+	if on == nil {
+		on = map[*Job]int{}
+		c.survey.plans[machine] = on
+	}
+	if on[j] += n; on[j] <= 0 {
+		delete(on, j)
+	}
+	if len(on) == 0 {
+		delete(c.survey.plans, machine)
+	}
+	if m := c.machines.Get(machine); m != nil {
+		c.touch(m)
+	}
+}
+
+// offers tells whether a machine may be given work at all.
+func (c *Core) offers(m *zone.Machine) bool {
+	return c.survey.byName[m.Zone] != nil && c.catalog[m.Type] != nil && m.Session != 0 && m.Token >= c.baseToken && !m.Releasing &&
+		!m.Failed && m.NoticeAt == 0 && !c.sick(m) && c.now-m.Spoke <= c.suspectAfter()
+}
+
+// suspectAfter is how long a worker may say nothing before it gets no more work.
+func (c *Core) suspectAfter() Micros {
+	return config.FromSeconds(c.cfg.Cluster.Workers.ReportS*1.25) + 2*config.Second
+}
+
+// watch keeps the list of machines that may have to go back: all but those that
+// work. It notes since when a machine is idle.
+func (c *Core) watch(m *zone.Machine) {
+	busy := m.Session == 0 || len(c.expected[m.Name]) > 0 || len(c.survey.plans[m.Name]) > 0
+	switch {
+	case busy:
+		m.IdleSince = 0
+	case m.IdleSince == 0:
+		m.IdleSince = c.now
+	}
+	if !busy || m.Session == 0 || m.Releasing || m.Failed {
+		c.survey.watched[m] = true
+	} else {
+		delete(c.survey.watched, m)
+	}
+}
+
+// refresh looks at what has changed since the last pass.
+func (c *Core) refresh() {
+	s := &c.survey
+	if c.now-s.wholeAt >= config.FromSeconds(c.cfg.Settings.ScanPeriodS) {
+		s.whole = true
+	}
+	if s.whole {
+		c.renew()
+	}
+	c.machines.Silent(c.now-c.suspectAfter(), c.reconsider)
+	s.lookedAt.Passes++
+	s.lookedAt.Machines += len(s.machines)
+	s.lookedAt.Jobs += len(s.jobs)
+	for _, m := range s.machines {
+		c.refreshMachine(m)
+	}
+	s.machines = s.machines[:0]
+	for _, j := range s.jobs {
+		c.refreshJob(j)
+	}
+	s.jobs = s.jobs[:0]
+}
+
+// renew puts everything on the lists and adds up from nothing, which also removes
+// what rounding has left in sums.
+func (c *Core) renew() {
+	s := &c.survey
+	s.whole, s.wholeAt = false, c.now
+	for _, m := range c.machines.All() {
+		c.touch(m)
+	}
+	clear(s.used)
+	clear(s.lines)
+	clear(s.wanting)
+	for _, j := range s.jobs {
+		j.standing = standing{}
+	}
+	s.jobs = s.jobs[:0]
+	for _, j := range c.active {
+		j.standing = standing{}
+		c.changed(j)
+	}
+}
+
+func (c *Core) refreshMachine(m *zone.Machine) {
+	s := &c.survey
+	m.Stale = false
+	if m.Room != nil {
+		s.byName[m.Room.Zone].Drop(m.Room)
+		m.Room = nil
+	}
+	if k, ok := s.kinds[m]; ok {
+		s.count[k]--
+		delete(s.kinds, m)
+	}
+	delete(s.booting, m)
+	if c.machines.Get(m.Name) != m {
+		delete(s.watched, m)
+		delete(s.strange, m)
+		return
+	}
+	c.watch(m)
+	if !m.Releasing && m.Type != "" {
+		k := fleet.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+		s.kinds[m] = k
+		s.count[k]++
+		if m.Session == 0 && !m.Failed && len(c.expected[m.Name]) == 0 {
+			s.booting[m] = true
+		}
+	}
+	if !c.offers(m) {
+		return
+	}
+	c.addUp(m)
+	t := c.catalog[m.Type]
+	m.Room = &zone.Room{Machine: m, Zone: m.Zone, Idle: len(c.expected[m.Name]) == 0,
+		Free: zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}.Plus(m.Used, -1)}
+	s.byName[m.Zone].Put(m.Room)
+}
+
+// addUp adds up what is placed on a machine or about to be. Everything open counts,
+// whatever the worker last said of it.
+func (c *Core) addUp(m *zone.Machine) {
+	m.Used = zone.Res{}
+	for _, key := range sortedKeys(c.expected[m.Name]) {
+		if j := c.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
+			m.Used = m.Used.Plus(taskRes(j.Rec.Spec), 1)
+		}
+	}
+	plans := c.survey.plans[m.Name]
+	for _, j := range slices.SortedFunc(maps.Keys(plans), byID) {
+		if j.Rec.Spec != nil {
+			m.Used = m.Used.Plus(taskRes(j.Rec.Spec), float64(plans[j]))
+		}
+	}
+}
+
+func (c *Core) refreshJob(j *Job) {
+	s := &c.survey
+	j.listed = false
+	spec := j.Rec.Spec
+	use, team := queue.Amount{}, ""
+	if spec != nil && j.active {
+		team = spec.Team
+		use = queue.Amount{}.Plus(taskAmount(spec), float64(j.open+len(j.plan)))
+	}
+	if j.use != use || j.team != team {
+		if j.team != "" {
+			s.used[j.team] = s.used[j.team].Plus(j.use, -1)
+		}
+		if team != "" {
+			s.used[team] = s.used[team].Plus(use, 1)
+		}
+		j.use, j.team = use, team
+	}
+	c.refreshLine(j)
+	if spec != nil && j.active && !j.held() && j.done+j.open < spec.Tasks && !j.Rec.Final() && !j.Rec.Cancel && c.teams[spec.Team] != nil {
+		s.wanting[j] = true
+	} else {
+		delete(s.wanting, j)
+	}
+}
+
+// refreshLine keeps a job's place in the line of its team, for the guarantee.
+func (c *Core) refreshLine(j *Job) {
+	spec := j.Rec.Spec
+	if spec == nil { // it has left its team's line before or does now
+		if l := c.survey.lines[j.lineOf]; l != nil {
+			l.Leave(&j.member)
+		}
+		return
+	}
+	team := c.teams[spec.Team]
+	if team == nil || !queue.HasGuarantee(team) {
+		return
+	}
+	l := c.survey.lines[spec.Team]
+	if l == nil {
+		l = queue.NewLine(team)
+		c.survey.lines[spec.Team] = l
+	}
+	if !j.active || j.Rec.Final() || j.held() {
+		l.Leave(&j.member)
+		return
+	}
+	j.lineOf = spec.Team
+	j.member.Created, j.member.ID = j.created, j.ID
+	l.Set(&j.member, queue.Amount{}.Plus(taskAmount(spec), float64(spec.Tasks-j.done)))
+}
+
+// within tells whether a job fits into its team's guarantee together with the
+// team's earlier unfinished jobs, as of the last pass.
+func (c *Core) within(j *Job) bool {
+	team := c.teams[j.Rec.Spec.Team]
+	if team == nil || j.Rec.Final() || j.held() {
+		return false
+	}
+	return !queue.HasGuarantee(team) || j.member.Within
+}
+
+func byID(a, b *Job) int {
+	switch {
+	case a.ID < b.ID:
+		return -1
+	case a.ID > b.ID:
+		return 1
+	}
+	return 0
+}
+
+func taskRes(s *wire.Job) zone.Res { return zone.Res{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB} }
+
+func taskAmount(s *wire.Job) queue.Amount { return queue.Amount{CPUs: s.CPUs, GPUs: s.GPUs} }
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -1,7 +1,10 @@
 package core
 
 import (
+	"cmp"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 
 	"coralhub/internal/config"
@@ -15,8 +18,11 @@
 	m := c.machines.Get(name)
 	if m == nil {
 		m = zone.New(name, "", "", "", false, c.now)
-		m.IdleSince = c.now
 		c.machines.Add(m)
+		if c.ready {
+			c.survey.strange[m] = true
+			c.touch(m)
+		}
 	}
 	if m.Ambiguous == 0 && c.baseToken > 0 {
 		m.Ambiguous = c.baseToken - 1 // predecessors' commands may be on their way
@@ -67,14 +73,26 @@
 	c.answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.token, Orders: orders})
 }
 
-// ingest takes a worker's message and draws the conclusions.
+// ingest takes what a worker has told this node itself.
 func (c *Core) ingest(m *zone.Machine, r *wire.Report, isReport bool) bool {
+	if !c.learnOf(m, r, isReport) {
+		return false
+	}
+	m.Mailed = false
+	c.machines.Touch(m, c.now)
+	c.reconsider(m)
+	return true
+}
+
+// learnOf takes a worker's message, by whichever way it came, and draws the
+// conclusions.
+func (c *Core) learnOf(m *zone.Machine, r *wire.Report, isReport bool) bool {
 	first := m.Session == 0
 	if !m.Ingest(c.now, r, isReport) {
 		return false
 	}
-	m.Mailed = false
 	if first {
+		c.touch(m)
 		c.log("worker joined", "machine", m.Name, "zone", m.Zone, "spot", m.Spot, "after_ms", (c.now-m.Rented)/1000)
 		c.noteMachine(m.Name)
 		c.passDue = true
@@ -149,6 +167,7 @@
 	case wire.Done:
 		if m.Absolves(j.started[key.Task]) {
 			clear(m.Errors)
+			c.reconsider(m)
 		}
 		j.failures = 0
 	case wire.CauseError:
@@ -175,6 +194,7 @@
 	wasSick := c.sick(m)
 	if j.failures < 3 { // a job that fails everywhere says nothing about machines
 		m.Errors[j.ID] = c.now
+		c.reconsider(m)
 	}
 	if j.failedOn == nil {
 		j.failedOn = map[string]Micros{}
@@ -372,7 +392,7 @@
 // announce shows our token to machines that have not followed us yet. That
 // frees workers that a cut-off predecessor still answers.
 func (c *Core) announce() {
-	for _, m := range c.machines.All() {
+	for _, m := range slices.SortedFunc(maps.Keys(c.survey.strange), byName) {
 		if m.Addr == "" || m.Direct || m.Releasing || m.Token >= c.baseToken || c.now < m.DirectAt {
 			continue
 		}
@@ -381,14 +401,15 @@
 	}
 }
 
+func byName(a, b *zone.Machine) int { return cmp.Compare(a.Name, b.Name) }
+
 // probe calls workers that have been quiet: it may be only their reports that
 // don't come through.
 func (c *Core) probe() {
-	for _, m := range c.machines.All() {
-		if m.Session == 0 || m.Addr == "" || m.Direct || m.Releasing || c.now < m.DirectAt || c.now-m.Spoke < c.silence()/2 {
-			continue
+	c.machines.Silent(c.now-c.silence()/2+1, func(m *zone.Machine) {
+		if m.Session != 0 && m.Addr != "" && !m.Direct && !m.Releasing && c.now >= m.DirectAt {
+			m.DirectAt = c.now + directPause
+			c.direct(m, c.orders(m, false))
 		}
-		m.DirectAt = c.now + directPause
-		c.direct(m, c.orders(m, false))
-	}
+	})
 }
--- a/internal/core/zone/bid.go
+++ b/internal/core/zone/bid.go
@@ -36,10 +36,11 @@
 // Weight makes one number of r; a GPU counts for far more than a CPU.
 func (r Res) Weight() float64 { return r.GPUs*64 + r.CPUs }
 
-// Zone is what a zone bids with in a pass.
+// Zone is what a zone bids with. It lasts from pass to pass: only rooms that
+// change are put anew.
 type Zone struct {
 	Name  string
-	Rooms []*Room
+	rooms [][]*Room // by whole free GPUs: most machines of a busy zone have none
 	// Victims lists the work that could be stopped, in the order of ByLoss. It
 	// is asked only when free room is short.
 	Victims func() []*Victim
@@ -48,12 +49,44 @@
 // Room is what a machine can offer in a pass.
 type Room struct {
 	Machine *Machine
+	Zone    string
 	Free    Res
 	Barred  bool // kept for a job that ranks higher
 	Idle    bool // nothing is placed there
 
-	usable bool // scratch of one Plan: the request may use it
-	gain   Res  // scratch of one Plan: what victims leave
+	level, at int  // where its zone keeps it
+	usable    bool // scratch of one Plan: the request may use it
+	gain      Res  // scratch of one Plan: what victims leave
+}
+
+// Put takes a room that is not in the zone.
+func (z *Zone) Put(r *Room) {
+	r.level = max(0, int(r.Free.GPUs+slack))
+	for len(z.rooms) <= r.level {
+		z.rooms = append(z.rooms, nil)
+	}
+	r.at = len(z.rooms[r.level])
+	z.rooms[r.level] = append(z.rooms[r.level], r)
+}
+
+// Drop gives up a room that is in the zone.
+func (z *Zone) Drop(r *Room) {
+	same := z.rooms[r.level]
+	last := same[len(same)-1]
+	same[r.at], last.at = last, r.at
+	same[len(same)-1] = nil
+	z.rooms[r.level] = same[:len(same)-1]
+}
+
+// Free adds up the room that is left in the zone.
+func (z *Zone) Free() float64 {
+	free := 0.0
+	for _, same := range z.rooms {
+		for _, r := range same {
+			free += r.Free.Weight()
+		}
+	}
+	return free
 }
 
 // Take is what a victim has of a machine.
@@ -153,29 +186,41 @@
 // that is short are victims taken.
 func (z *Zone) Plan(now Micros, q *Request) *Bid {
 	bid := &Bid{Zone: z.Name}
-	typ, suits := "", false
-	for _, r := range z.Rooms {
-		m := r.Machine
-		if m.Type != typ {
-			typ, suits = m.Type, q.Types[m.Type]
-		}
-		r.usable = suits && (q.Spot || !m.Spot) && (!r.Barred || q.Keep[m.Name]) && m.FullUntil <= now &&
-			(len(q.Avoid) == 0 || q.Avoid[m.Name] <= now)
-		r.gain = Res{}
-		if r.usable {
-			bid.Room += r.Free.Weight()
-		}
-	}
-	bid.fill(z.Rooms, q)
+	// A room's level is from when it was put: by now it may have less, never more.
+	roomy := z.rooms[min(int(q.Needs.GPUs), len(z.rooms)):]
+	bid.Room = usable(now, roomy, q)
+	bid.fill(roomy, q)
 	if len(bid.Rooms) == q.Count || len(bid.Rooms) > 0 && !q.Whole {
 		return bid
 	}
 	if q.May != nil {
+		usable(now, z.rooms, q)
 		return z.preempt(bid, q)
 	}
 	return nil
 }
 
+// usable marks the rooms that a request may use, and adds up what is free there.
+func usable(now Micros, rooms [][]*Room, q *Request) float64 {
+	free := 0.0
+	typ, suits := "", false
+	for _, same := range rooms {
+		for _, r := range same {
+			m := r.Machine
+			if m.Type != typ {
+				typ, suits = m.Type, q.Types[m.Type]
+			}
+			r.usable = suits && (q.Spot || !m.Spot) && (!r.Barred || q.Keep[m.Name]) && m.FullUntil <= now &&
+				(len(q.Avoid) == 0 || q.Avoid[m.Name] <= now)
+			r.gain = Res{}
+			if r.usable {
+				free += r.Free.Weight()
+			}
+		}
+	}
+	return free
+}
+
 // offer is a machine on which a task of the request fits.
 type offer struct {
 	*Room
@@ -184,15 +229,17 @@
 }
 
 // fill places as many tasks as fit.
-func (b *Bid) fill(rooms []*Room, q *Request) {
+func (b *Bid) fill(rooms [][]*Room, q *Request) {
 	b.Rooms, b.Warm = nil, 0
 	var offers []offer
-	for _, r := range rooms {
-		if !r.usable {
-			continue
-		}
-		if free := r.Free.Plus(r.gain, 1); q.Needs.Fits(free) {
-			offers = append(offers, offer{r, free, r.Machine.Images[q.Image]})
+	for _, same := range rooms {
+		for _, r := range same {
+			if !r.usable {
+				continue
+			}
+			if free := r.Free.Plus(r.gain, 1); q.Needs.Fits(free) {
+				offers = append(offers, offer{r, free, r.Machine.Images[q.Image]})
+			}
 		}
 	}
 	for len(b.Rooms) < q.Count && len(offers) > 0 {
@@ -242,9 +289,11 @@
 		want = 1
 	}
 	fit := 0
-	for _, r := range z.Rooms {
-		if r.usable {
-			fit += q.Needs.Times(r.Free)
+	for _, same := range z.rooms {
+		for _, r := range same {
+			if r.usable {
+				fit += q.Needs.Times(r.Free)
+			}
 		}
 	}
 	// move gives a victim's room away, or back.
@@ -283,7 +332,7 @@
 		}
 		taken = append(taken[:i], taken[i+1:]...)
 	}
-	bid.fill(z.Rooms, q)
+	bid.fill(z.rooms, q)
 	bid.Rooms = bid.Rooms[:min(want, len(bid.Rooms))]
 	bid.Victims = taken
 	return bid
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -30,7 +30,7 @@
 	Session, Seq, Token uint64
 	Tasks               map[job.Key]Task
 	Heard               Micros          // when the newest message came
-	Spoke               Micros          // when the worker was last in touch with us itself
+	Spoke               Micros          // when the worker was last in touch with us itself, see Roster.Touch
 	Mailed              bool            // the newest message came by way of the state service
 	Wanted              bool            // the next report is to come to the leader itself
 	NoticeAt            Micros          // when the cloud takes it; 0: no notice
@@ -48,9 +48,9 @@
 	directID    uint64
 	settled     bool
 
-	Used  Res // what is placed here; Stale: to be added up again
-	Stale bool
-	Room  *Room // what it offers in the present pass; nil: nothing
+	Used  Res   // what is placed here, or about to be
+	Stale bool  // to be looked at again before the next pass
+	Room  *Room // what it offers; nil: nothing
 
 	Urgent     bool // has commands that should not wait for the next report
 	DirectAt   Micros
@@ -61,12 +61,15 @@
 	IdleSince  Micros
 	FullUntil  Micros
 	Errors     map[string]Micros // jobs that failed here since the last success
+
+	listed       bool // in the roster's order of silence
+	older, newer *Machine
 }
 
 // New returns a machine that has said nothing yet.
 func New(name, addr, typ, zone string, spot bool, rented Micros) *Machine {
 	return &Machine{Name: name, Addr: addr, Type: typ, Zone: zone, Spot: spot, Rented: rented,
-		Tasks: map[job.Key]Task{}, Images: map[string]bool{}, Errors: map[string]Micros{}, Stale: true}
+		Tasks: map[job.Key]Task{}, Images: map[string]bool{}, Errors: map[string]Micros{}}
 }
 
 // Describe takes what others than its worker say of a machine, until the worker
@@ -92,7 +95,7 @@
 	if r.Session > m.Session {
 		m.ReplySeq = 0
 	}
-	m.Session, m.Seq, m.Heard, m.Spoke = r.Session, r.Seq, now, now
+	m.Session, m.Seq, m.Heard = r.Session, r.Seq, now
 	m.Wanted = m.Wanted && !isReport
 	m.Token = max(m.Token, r.Token)
 	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
@@ -119,11 +122,13 @@
 }
 
 // Beat notes that the worker's home has answered a report that says no more than
-// the newest message.
-func (m *Machine) Beat(now Micros, session, seq uint64) {
-	if session == m.Session && seq > m.Seq {
-		m.Seq, m.Heard, m.Spoke, m.Mailed = seq, now, now, false
+// the newest message. It returns false if that is no news.
+func (m *Machine) Beat(now Micros, session, seq uint64) bool {
+	if session != m.Session || seq <= m.Seq {
+		return false
 	}
+	m.Seq, m.Heard, m.Mailed = seq, now, false
+	return true
 }
 
 // Absolves tells whether the success of a task that began to run at that time says
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -180,6 +180,13 @@
 				s.settle()
 			}
 		}
+		if s.now%standin.Second < tick { // a second's work has been added up piece by piece
+			for _, n := range s.nodes {
+				if err := n.core.Audit(); n.alive && err != nil {
+					s.world.Broken = append(s.world.Broken, "survey of "+n.name+": "+err.Error())
+				}
+			}
+		}
 		for team, limit := range s.limits {
 			if s.world.Used(team) > limit {
 				s.world.Broken = append(s.world.Broken, "quota "+team)
