--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -193,7 +193,7 @@
 		done.Outcome, done.Revision, done.Failed = outcome(status, err), a.Revision, a.Failed
 		refused := status == http.StatusTooManyRequests
 		if x.Later || refused {
-			s.later.took(refused)
+			s.later.took(time.Now(), refused)
 		}
 		switch {
 		case refused:
@@ -223,23 +223,32 @@
 	case n == 0:
 		return nil
 	case x.Later:
+		s.later.recover(time.Now())
 		return s.later.limiter.WaitN(ctx, n)
 	}
 	return s.writes.WaitN(ctx, n)
 }
 
-// paced is a limiter that slows down when it is refused and recovers with each
-// time that it isn't. What it recovers to follows the quota down, when that falls
-// from some moment on: refusals are then frequent, and those who wait for answers
-// would be refused as well.
+// paced is a limiter that slows down when it is refused, to no less than an eighth
+// of its rate, and recovers with each time that it isn't and with time: whole within
+// paceRecovery of the last refusal, however little is sent. By successes alone it would
+// stay down on a node that sends nothing that can wait: one that has only accepted jobs
+// during a flood kept an eighth of the rate for minutes, and began with it when it came
+// to lead. What it recovers to follows the quota down, when that falls from some moment
+// on: refusals are then frequent, and those who wait for answers would be refused as
+// well.
 type paced struct {
 	limiter  *rate.Limiter
 	mu       sync.Mutex
 	least    rate.Limit // however often it is refused
 	low, top rate.Limit // between these goes what it recovers to
 	most     rate.Limit // what it recovers to
+	at       time.Time  // when it was last changed
 }
 
+// paceRecovery is how long after a refusal the pace is back, if no other comes.
+const paceRecovery = 5 * time.Second
+
 func newPaced(s *config.State) *paced {
 	top := rate.Limit(s.WriteRPS * 0.9)
 	low := top
@@ -250,7 +259,8 @@
 }
 
 // took is told whether the service has refused a transaction for its quota.
-func (p *paced) took(refused bool) {
+func (p *paced) took(now time.Time, refused bool) {
+	p.recover(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit := p.limiter.Limit()
@@ -263,6 +273,24 @@
 	p.limiter.SetLimit(min(p.most, limit+p.most/10))
 }
 
+// recover gives back what time has brought since the last change.
+func (p *paced) recover(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.at.IsZero() {
+		p.at = now
+	}
+	passed := now.Sub(p.at)
+	if passed <= 0 {
+		return
+	}
+	p.at = now
+	gained := p.most * rate.Limit(passed.Seconds()/paceRecovery.Seconds())
+	if limit := p.limiter.Limit(); limit < p.most {
+		p.limiter.SetLimitAt(now, min(p.most, limit+gained))
+	}
+}
+
 func (s *Store) read(x core.Read) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
