Run times are learnt from past runs, with a stated trust

Need: owners' estimates are wrong by half, and nobody can say whether a deadline is safe (issue: learned run times).

internal/estimate, pure: a hierarchy of similar work (everything, team, class, class and shape, image and shape), each level correcting the one above by a regression on the owner's estimate and keeping a histogram of its own errors, with runs that were cut off counted by Kaplan and Meier. Machines' speeds apart. A sequential test finds sudden changes.

A look-up reserves nothing.

--- /dev/null
+++ b/internal/estimate/estimate_test.go
@@ -0,0 +1,368 @@
+package estimate
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const second = 1_000_000
+
+func drawFeatures(t *rapid.T) Features {
+	return Features{Image: fmt.Sprint("i", rapid.IntRange(0, 3).Draw(t, "image")), Shape: rapid.SampledFrom([]string{"array", "gang"}).Draw(t, "shape"),
+		Class: fmt.Sprint("c", rapid.IntRange(0, 2).Draw(t, "class")), Team: "t", Machine: rapid.SampledFrom([]string{"", "m1", "m2"}).Draw(t, "machine"),
+		Expect: rapid.Int64Range(-1, 1<<40).Draw(t, "expect")}
+}
+
+func drawEvidence(t *rapid.T) *Evidence {
+	return &Evidence{Features: drawFeatures(t), Ran: rapid.Int64Range(-1, 1<<45).Draw(t, "ran"), Done: rapid.Bool().Draw(t, "done")}
+}
+
+func sane(a *Answer) error {
+	if a.Level == Unknown {
+		return nil
+	}
+	for _, y := range a.curve {
+		if math.IsNaN(y) || math.IsInf(y, 0) {
+			return fmt.Errorf("curve %v", a.curve)
+		}
+	}
+	low, high := a.Median, a.Median
+	for i := range Intervals {
+		if a.Low[i] > low || a.High[i] < high || a.Low[i] < 0 {
+			return fmt.Errorf("interval %v is %d to %d inside of %d to %d", Intervals[i], a.Low[i], a.High[i], low, high)
+		}
+		low, high = a.Low[i], a.High[i]
+	}
+	return nil
+}
+
+// Whatever was seen, intervals nest and nothing is out of numbers, for what has run a
+// while too.
+func TestIntervalsNest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(Settings{Groups: 8, Machines: 2}, 1)
+		for range rapid.IntRange(0, 60).Draw(t, "runs") {
+			m.Observe(drawEvidence(t))
+		}
+		f := drawFeatures(t)
+		a := m.Estimate(&f)
+		if err := sane(&a); err != nil {
+			t.Fatal(err)
+		}
+		left := a.Left(rapid.Int64Range(0, 1<<45).Draw(t, "for"))
+		if err := sane(&left); err != nil {
+			t.Fatal("left: ", err)
+		}
+		if p := a.Within(rapid.Int64Range(-1, 1<<45).Draw(t, "due")); a.Level != Unknown && !(p >= 0 && p <= 1) {
+			t.Fatalf("probability %v", p)
+		}
+	})
+}
+
+// What several epochs have learnt is put together in any order, and any number of
+// times, to the same.
+func TestMergesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []*Chunk
+		for epoch := range uint64(rapid.IntRange(1, 3).Draw(t, "epochs")) {
+			m := New(DefaultSettings(), epoch+1)
+			if epoch > 0 && rapid.Bool().Draw(t, "heir") {
+				m = Restore(DefaultSettings(), epoch+1, all...)
+			}
+			for range rapid.IntRange(0, 30).Draw(t, "runs") {
+				m.Observe(drawEvidence(t))
+				if rapid.IntRange(0, 9).Draw(t, "write") == 0 {
+					all = append(all, m.Chunk(rapid.IntRange(0, Chunks-1).Draw(t, "chunk"), 0))
+				}
+			}
+			for n := range Chunks {
+				all = append(all, m.Chunk(n, 0))
+			}
+		}
+		a := Restore(DefaultSettings(), 9, all...)
+		shuffled := rapid.Permutation(all).Draw(t, "order")
+		b := Restore(DefaultSettings(), 9, append(shuffled, shuffled[0])...)
+		for n := range Chunks {
+			if x, y := a.Chunk(n, 0), b.Chunk(n, 0); !reflect.DeepEqual(x, y) {
+				t.Fatalf("chunk %d:\n%+v\n%+v", n, x, y)
+			}
+		}
+	})
+}
+
+// A heir that has read everything goes on as the leader before would have.
+func TestHeirGoesOn(t *testing.T) {
+	m := New(DefaultSettings(), 5)
+	f := Features{Image: "i", Shape: "array", Class: "c", Team: "t", Expect: 90 * second}
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		m.Observe(&Evidence{Features: f, Ran: int64(60 * second * math.Exp(0.3*rnd.NormFloat64())), Done: rnd.IntN(5) > 0})
+	}
+	var chunks []*Chunk
+	total := 0
+	for n := range Chunks {
+		raw, err := m.Encode(n, func(raw []byte) bool { return len(raw) < 1500 })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if raw == nil {
+			continue
+		}
+		total += len(raw)
+		c, err := Decode(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		chunks = append(chunks, c)
+	}
+	h := Restore(DefaultSettings(), 6, chunks...)
+	a, b := m.Estimate(&f), h.Estimate(&f)
+	if math.Abs(math.Log(float64(a.Median)/float64(b.Median))) > 0.03 || math.Abs(math.Log(float64(a.High[1])/float64(b.High[1]))) > 0.1 {
+		t.Errorf("%v, and its heir %v", a, b)
+	}
+	if a.Samples != b.Samples || a.Level != b.Level || b.Trust[1] < 0 {
+		t.Errorf("%v, and its heir %v", a, b)
+	}
+	if total > 4000 {
+		t.Errorf("%d bytes for one kind of work", total)
+	}
+}
+
+func TestDamagedValuesAreRefused(t *testing.T) {
+	m := New(DefaultSettings(), 1)
+	for i := range 50 {
+		m.Observe(&Evidence{Features: Features{Class: "c", Shape: "array", Image: fmt.Sprint(i % 5)}, Ran: second * int64(i+1), Done: true})
+	}
+	raw, err := m.Chunk(0, 0).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := append([]byte(nil), raw...)
+	for i := range later {
+		if later[i] == 'v' && later[i+1] == version {
+			later[i+1] = version + 1
+			break
+		}
+	}
+	if _, err := Decode(later); !errors.Is(err, ErrVersion) {
+		t.Errorf("later version: %v", err)
+	}
+	damaged := append([]byte(nil), raw...)
+	damaged[len(damaged)-20] ^= 4
+	if _, err := Decode(damaged); !errors.Is(err, ErrDamaged) {
+		t.Errorf("damaged: %v", err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	m := New(DefaultSettings(), 1)
+	for i := range 50 {
+		m.Observe(&Evidence{Features: Features{Class: "c", Shape: "array", Image: fmt.Sprint(i % 5)}, Ran: second * int64(i+1), Done: i%3 > 0})
+	}
+	for n := range Chunks {
+		raw, err := m.Chunk(n, 0).Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		c, err := Decode(raw)
+		if err != nil {
+			return
+		}
+		h := Restore(Settings{Groups: 16, Machines: 4}, 2, c)
+		a := h.Estimate(&Features{Class: "c", Shape: "array", Image: "1", Expect: second})
+		if err := sane(&a); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// The same evidence again says the same, and says it more surely.
+func TestMoreOfTheSameNeverWidens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runs := rapid.SliceOfN(rapid.Int64Range(40*second, 80*second), 6, 12).Draw(t, "runs")
+		m := New(DefaultSettings(), 1)
+		f := Features{Image: "i", Shape: "array", Class: "c", Team: "t"}
+		feed := func() {
+			for _, ran := range runs {
+				m.Observe(&Evidence{Features: f, Ran: ran, Done: true})
+			}
+		}
+		for range 8 {
+			feed()
+		}
+		before, changes := m.Estimate(&f), m.Changes()
+		for range 24 {
+			feed()
+		}
+		after := m.Estimate(&f)
+		if m.Changes() != changes {
+			return // it took the order of the runs for a change
+		}
+		// A bin of errors is 6% wide, and the location still moves by as much.
+		if width(&after) > width(&before)+2.0/binsPer {
+			t.Fatalf("%v to %v, before %v to %v", after.Low[1], after.High[1], before.Low[1], before.High[1])
+		}
+	})
+}
+
+func width(a *Answer) float64 { return math.Log(float64(a.High[1]) / float64(a.Low[1])) }
+
+// Work that suddenly takes three times as long is estimated right again after at most
+// eight ends, and the interval is wide until then.
+func TestSuddenChange(t *testing.T) {
+	right, alarms := 0, 0
+	const days = 60
+	for seed := range uint64(days) {
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		m := New(DefaultSettings(), 1)
+		f := Features{Image: "i", Shape: "array", Class: "c", Team: "t"}
+		run := func(times float64) {
+			m.Observe(&Evidence{Features: f, Ran: int64(60 * second * times * math.Exp(0.25*rnd.NormFloat64())), Done: true})
+		}
+		for range 100 {
+			run(1)
+		}
+		alarms += m.Changes()
+		before := m.Estimate(&f)
+		if !before.Overdue(180 * second) {
+			t.Errorf("seed %d: a run of three times its usual length is not overdue: %v", seed, before.High)
+		}
+		for range 8 {
+			run(3)
+		}
+		after := m.Estimate(&f)
+		if m.Changes() == 0 {
+			t.Errorf("seed %d: no change found", seed)
+		}
+		if off := float64(after.Median) / (180 * second); off > 1/1.25 && off < 1.25 {
+			right++
+		}
+		if width(&after) < width(&before) {
+			t.Errorf("seed %d: interval %v after the change, %v before", seed, width(&after), width(&before))
+		}
+	}
+	// Eight runs of this spread leave a median that is off by more in one case of a hundred.
+	if right < days*95/100 {
+		t.Errorf("median within 25%% after eight ends on %d of %d days", right, days)
+	}
+	if alarms > days/5 {
+		t.Errorf("%d false alarms in %d times 100 runs", alarms, days)
+	}
+}
+
+// A slow machine's runs are known as the machine's, not the work's.
+func TestSlowMachine(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(4, 3))
+	m := New(DefaultSettings(), 1)
+	f := Features{Image: "i", Shape: "array", Class: "c", Team: "t"}
+	for i := range 300 {
+		f.Machine = fmt.Sprint("m", i%10)
+		ran := 60 * math.Exp(0.25*rnd.NormFloat64())
+		if i%10 == 7 {
+			ran *= 4
+		}
+		m.Observe(&Evidence{Features: f, Ran: int64(ran * second), Done: true})
+	}
+	if s := m.Slowness("m7"); s < 3 || s > 5 {
+		t.Errorf("the slow machine is known as %v times as slow", s)
+	}
+	for i := range 7 {
+		if s := m.Slowness(fmt.Sprint("m", i)); s > 1.3 || s < 0.75 {
+			t.Errorf("m%d is known as %v times as slow", i, s)
+		}
+	}
+	f.Machine = "m1"
+	if a := m.Estimate(&f); a.Median < 52*second || a.Median > 68*second {
+		t.Errorf("the work is thought to take %v s", a.Median/second)
+	}
+}
+
+// Runs that were cut off say that the work takes longer; left out they would leave the
+// short ones alone.
+func TestCutRunsCount(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(4, 9))
+	m, deaf := New(DefaultSettings(), 1), New(DefaultSettings(), 1)
+	f := Features{Image: "i", Shape: "array", Class: "c", Team: "t"}
+	for range 400 { // everything is stopped after a random time
+		ran, stop := int64(100*second*math.Exp(0.4*rnd.NormFloat64())), int64(rnd.IntN(300))*second
+		if e := (&Evidence{Features: f, Ran: min(ran, stop), Done: ran <= stop}); e.Ran > 0 {
+			m.Observe(e)
+			if e.Done {
+				deaf.Observe(e)
+			}
+		}
+	}
+	a, b := m.Estimate(&f), deaf.Estimate(&f)
+	if a.Median < 88*second || a.Median > 114*second || b.Median >= a.Median {
+		t.Errorf("median %v s, without the cut runs %v s, truly 100", a.Median/second, b.Median/second)
+	}
+}
+
+func TestNothingKnownIsSaid(t *testing.T) {
+	m := New(DefaultSettings(), 1)
+	if a := m.Estimate(&Features{Class: "c"}); a.Level != Unknown || a.Median != 0 || !math.IsNaN(a.Within(second)) {
+		t.Errorf("%+v", a)
+	}
+	a := m.Estimate(&Features{Class: "c", Expect: 60 * second})
+	if a.Level != Owner || a.Median != 60*second || a.High[1] < 2*a.Median || a.Trust[0] >= 0 {
+		t.Errorf("%+v", a)
+	}
+	// What owners in general get wrong is corrected in work that was never seen.
+	for i := range 100 {
+		m.Observe(&Evidence{Features: Features{Class: fmt.Sprint("o", i%10), Shape: "array", Expect: int64(i+10) * second}, Ran: 2 * int64(i+10) * second, Done: true})
+	}
+	if a := m.Estimate(&Features{Class: "c", Team: "new", Expect: 60 * second}); a.Level != Everything || a.Median < 100*second || a.Median > 140*second {
+		t.Errorf("%+v", a)
+	}
+}
+
+// What is known is bounded, whatever comes, and a look-up reserves nothing.
+func TestBounds(t *testing.T) {
+	m := New(Settings{Groups: 64, Machines: 32}, 1)
+	for i := range 5000 {
+		m.Observe(&Evidence{Features: Features{Image: fmt.Sprint("i", i), Class: fmt.Sprint("c", i%700), Shape: "array", Team: fmt.Sprint("t", i%90),
+			Machine: fmt.Sprint("m", i)}, Ran: second, Done: true})
+	}
+	if len(m.groups) > 64 || len(m.machines) > 32 || len(m.trust) > 64 {
+		t.Errorf("%d groups, %d machines, %d classes", len(m.groups), len(m.machines), len(m.trust))
+	}
+	f := Features{Image: "i4999", Class: "c99", Shape: "array", Team: "t49", Expect: second, Machine: "m4999"}
+	if n := testing.AllocsPerRun(100, func() { m.Estimate(&f) }); n != 0 {
+		t.Errorf("a look-up takes %v allocations", n)
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	m, f := busyModel()
+	e := &Evidence{Features: f, Ran: 50 * second, Done: true}
+	for b.Loop() {
+		m.Observe(e)
+	}
+}
+
+func BenchmarkEstimate(b *testing.B) {
+	m, f := busyModel()
+	for b.Loop() {
+		m.Estimate(&f)
+	}
+}
+
+func busyModel() (*Model, Features) {
+	rnd := rand.New(rand.NewPCG(1, 9))
+	m := New(DefaultSettings(), 1)
+	f := Features{Shape: "array", Team: "t", Expect: 60 * second}
+	for i := range 2000 {
+		f.Image, f.Class, f.Machine = fmt.Sprint("image-", i%40), fmt.Sprint("class-", i%4), fmt.Sprint("m-", i%100)
+		m.Observe(&Evidence{Features: f, Ran: int64(60 * second * math.Exp(0.4*rnd.NormFloat64())), Done: i%5 > 0})
+	}
+	return m, f
+}
