The leader learns run times; deadlines are told safe, at risk or lost

A run counts from when its worker said that it runs to its end, whole only if this leader has placed it; what was stopped, lost or taken over counts as cut off. What is learnt is kept under four keys, written from changes that nothing else wants, and survives a takeover (scenario). Deadlines of jobs and chains are judged every scan period.

Decisions that go by estimates are switched by settings and off: rank, victims, slow machines, renting.

--- a/cmd/coralhub/main.go
+++ b/cmd/coralhub/main.go
@@ -1,4 +1,5 @@
-// Command coralhub is a controller node of the coralhub cluster scheduler.
+// Command coralhub is a controller node of the coralhub cluster scheduler, and what
+// goes with it.
 package main
 
 import (
@@ -13,7 +14,7 @@
 	"coralhub/internal/node"
 )
 
-// version is set by the linker for releases.
+// version is set by the linker where it matters.
 var version = "dev"
 
 func main() {
@@ -24,15 +25,25 @@
 }
 
 func command() *cobra.Command {
+	// Without a subcommand it serves, as the platform starts it.
+	cmd := serve("coralhub --config FILE")
+	cmd.Long = "coralhub schedules batch jobs, gangs and services on rented machines.\n" +
+		"Without a subcommand it serves as a controller node."
+	cmd.Version = version
+	cmd.SilenceUsage, cmd.SilenceErrors = true, true
+	cmd.AddCommand(serve("serve --config FILE"), estimateCommand())
+	return cmd
+}
+
+func serve(use string) *cobra.Command {
 	var platform, settings string
 	cmd := &cobra.Command{
-		Use:           "coralhub --config FILE",
-		Short:         "A controller node of the coralhub cluster scheduler",
-		Long:          "coralhub serves as a controller node with the settings in the platform's file.\nIt logs to standard error; LOG_LEVEL is error, info or debug.",
-		Version:       version,
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Use:   use,
+		Short: "Serve as a controller node",
+		Long: "Serve as a controller node with the settings in the platform's file.\n" +
+			"It logs to standard error; LOG_LEVEL is error, info or debug.",
+		Example: "  coralhub serve --config node.toml --settings deploy/settings.json",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			level, err := logLevel(os.Getenv("LOG_LEVEL"))
 			if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -146,8 +146,24 @@
 	BootGiveUpTimes float64 `json:"boot_give_up_times"`
 	RentSurplus     float64 `json:"rent_surplus"`
 	HoldFormat      bool    `json:"hold_format"`
+
+	Estimates       bool    `json:"estimates"`
+	EstimateGroups  int     `json:"estimate_groups"`
+	Admin           bool    `json:"admin"`
+	Rank            string  `json:"rank"`
+	VictimsByLeft   bool    `json:"victims_by_remaining"`
+	GangsAvoidSlow  bool    `json:"gangs_avoid_slow"`
+	SlowTimes       float64 `json:"slow_times"`
+	RentAgainstBoot bool    `json:"rent_against_boot"`
 }
 
+// How jobs of one level are ranked.
+const (
+	RankCredit   = "credit"
+	RankSlack    = "slack"
+	RankShortest = "shortest"
+)
+
 // Config is everything that a node is told at its start.
 type Config struct {
 	Platform
@@ -162,6 +178,7 @@
 		AgeWeight: 1, ShareWeight: 1, AgeCapS: 300, UsageWindowS: 60, ScanPeriodS: 10,
 		PassIntervalMS: 100, LeaderLeaseMS: 3000, IdleReturnS: 0, SilentReleaseS: 0,
 		MemoryShare: 0.6, BootGiveUpTimes: 3, RentSurplus: 0.5,
+		Estimates: true, EstimateGroups: 512, Rank: RankCredit, SlowTimes: 1.3,
 	}
 }
 
--- /dev/null
+++ b/internal/core/admin.go
@@ -0,0 +1,220 @@
+package core
+
+import (
+	"math"
+	"net/http"
+
+	"coralhub/internal/core/job"
+	"coralhub/internal/estimate"
+	"coralhub/internal/history"
+	"coralhub/wire"
+)
+
+// AdminIn is a question of an operator. What is learnt is the leader's: another node
+// says who that is.
+type AdminIn struct {
+	Req  uint64
+	What AdminQuery
+	ID   string
+	From uint64
+	Most int
+}
+
+func (AdminIn) input() {}
+
+// AdminQuery names what an operator asks for.
+type AdminQuery int
+
+// The queries.
+const (
+	AskEstimates AdminQuery = iota
+	AskJob
+	AskRuns
+)
+
+// maxListed bounds the rows of an answer.
+const maxListed = 500
+
+// AdminError answers a question that can't be answered, and names the leader if that is
+// another node.
+type AdminError struct {
+	Error  string `json:"error"`
+	Leader string `json:"leader,omitempty"`
+}
+
+// Estimates lists what is known of run times.
+type Estimates struct {
+	Runs     uint64        `json:"runs"` // learnt from since this leader began
+	Changes  int           `json:"sudden_changes"`
+	Kinds    []EstimateRow `json:"kinds"`
+	More     bool          `json:"more"`
+	Machines []SlowMachine `json:"slow_machines"`
+}
+
+// EstimateRow is an estimate as an operator reads it: seconds, and null for what can't
+// be said.
+type EstimateRow struct {
+	Class     string      `json:"class,omitempty"`
+	Shape     string      `json:"shape,omitempty"`
+	Image     string      `json:"image,omitempty"`
+	Level     string      `json:"from"`
+	Samples   float64     `json:"samples"`
+	MedianS   float64     `json:"median_s"`
+	Intervals [][]float64 `json:"intervals_s"` // 0.5, 0.8, 0.95
+	Trust     []*float64  `json:"trust"`       // of each interval: the part of recent outcomes inside
+}
+
+// SlowMachine is a machine whose runs take longer than elsewhere.
+type SlowMachine struct {
+	Machine string  `json:"machine"`
+	Times   float64 `json:"times"`
+}
+
+// JobOutlook is what can be said of a job's end.
+type JobOutlook struct {
+	Job      JobState     `json:"job"`
+	Class    string       `json:"class,omitempty"`
+	Estimate *EstimateRow `json:"estimate,omitempty"` // of one task, or of a gang
+	LeftS    *float64     `json:"left_s,omitempty"`   // until the job is done, with what it needs
+	DueInS   *float64     `json:"due_in_s,omitempty"`
+	Verdict  string       `json:"deadline,omitempty"`
+	Chance   *float64     `json:"chance,omitempty"`
+	Overdue  []string     `json:"overdue_tasks,omitempty"` // running for longer than the widest interval
+}
+
+// JobState is a job's state, as users are told it.
+type JobState struct {
+	ID      string `json:"id"`
+	Status  string `json:"status"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// Runs is a page of runs that have ended.
+type Runs struct {
+	Next   uint64         `json:"next"`
+	Missed uint64         `json:"missed"` // asked for and not kept any more
+	Runs   []history.Line `json:"runs"`
+}
+
+func (c *Core) admin(x AdminIn) {
+	if !c.ready {
+		c.emit(Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", c.leader.node}, RetryAfter: retryAfter})
+		return
+	}
+	if c.learning.model == nil {
+		c.answer(x.Req, http.StatusNotFound, AdminError{Error: "run times are not learnt: see the setting estimates"})
+		return
+	}
+	most := maxListed
+	if x.Most > 0 {
+		most = min(most, x.Most)
+	}
+	switch x.What {
+	case AskEstimates:
+		c.answer(x.Req, http.StatusOK, c.listEstimates(most))
+	case AskRuns:
+		c.answer(x.Req, http.StatusOK, c.listRuns(x.From, most))
+	case AskJob:
+		j := c.jobs[x.ID]
+		if j == nil || j.Version == 0 {
+			c.answer(x.Req, http.StatusNotFound, AdminError{Error: "no such job"})
+			return
+		}
+		c.answer(x.Req, http.StatusOK, c.jobOutlook(j))
+	}
+}
+
+func (c *Core) listEstimates(most int) Estimates {
+	m := c.learning.model
+	out := Estimates{Runs: m.Observed(), Changes: m.Changes(), Kinds: []EstimateRow{}, Machines: []SlowMachine{}}
+	m.Kinds(func(f estimate.Features) bool {
+		if out.More = len(out.Kinds) == most; out.More {
+			return false
+		}
+		a := m.Estimate(&f)
+		row := rowOf(&a)
+		row.Class, row.Shape, row.Image = f.Class, f.Shape, f.Image
+		out.Kinds = append(out.Kinds, row)
+		return true
+	})
+	m.Slow(c.cfg.Settings.SlowTimes, func(machine string) {
+		if len(out.Machines) < most {
+			out.Machines = append(out.Machines, SlowMachine{machine, round(m.Slowness(machine))})
+		}
+	})
+	return out
+}
+
+func round(v float64) float64 { return math.Round(v*1000) / 1000 }
+
+func rowOf(a *estimate.Answer) EstimateRow {
+	row := EstimateRow{Level: a.Level.String(), Samples: round(a.Samples), MedianS: round(float64(a.Median) / 1e6)}
+	for i := range estimate.Intervals {
+		row.Intervals = append(row.Intervals, []float64{round(float64(a.Low[i]) / 1e6), round(float64(a.High[i]) / 1e6)})
+		var t *float64
+		if a.Trust[i] >= 0 {
+			v := round(a.Trust[i])
+			t = &v
+		}
+		row.Trust = append(row.Trust, t)
+	}
+	return row
+}
+
+func (c *Core) listRuns(from uint64, most int) Runs {
+	l := &c.learning
+	first := l.runsEnd - uint64(len(l.runs))
+	out := Runs{Runs: []history.Line{}}
+	if from > l.runsEnd { // another leader's count
+		from = 0
+	}
+	if from < first {
+		out.Missed, from = first-from, first
+	}
+	for ; from < l.runsEnd && len(out.Runs) < most; from++ {
+		out.Runs = append(out.Runs, l.runs[from%keptRuns])
+	}
+	out.Next = from
+	return out
+}
+
+func (c *Core) jobOutlook(j *Job) JobOutlook {
+	st := c.status(j)
+	out := JobOutlook{Job: JobState{ID: st.ID, Status: st.Status, Done: *st.Done, Running: *st.Running}}
+	spec := j.Rec.Spec
+	if spec == nil {
+		return out
+	}
+	out.Class = spec.Class
+	if spec.Shape == wire.Service {
+		return out
+	}
+	f := c.features(j, "")
+	a := c.learning.model.Estimate(&f)
+	if a.Level != estimate.Unknown {
+		row := rowOf(&a)
+		out.Estimate = &row
+	}
+	if s, ok := c.outlook(j, 0); ok && !j.Rec.Final() {
+		left := round(s.mean)
+		out.LeftS = &left
+	}
+	if spec.DeadlineS != nil {
+		due := round(float64(j.Rec.Created-c.wallAhead-c.now)/1e6 + *spec.DeadlineS)
+		out.DueInS = &due
+	}
+	if v, chance := c.judge(j); v != "" {
+		out.Verdict = v
+		if chance >= 0 {
+			chance = round(chance)
+			out.Chance = &chance
+		}
+	}
+	j.eachOpen(func(p job.Placement) {
+		if began, ok := j.started[p.Task]; ok && len(out.Overdue) < maxListed && a.Overdue(j.kept[p.Task]+c.now-began) {
+			out.Overdue = append(out.Overdue, wire.TaskName(j.ID, p.Task))
+		}
+	})
+	return out
+}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -17,6 +17,7 @@
 	c.writeHints()
 	c.tidyEnded()
 	c.count()
+	c.keepLearnt()
 	c.announce()
 	c.probe()
 	if c.wantRaise && !c.raising && c.now-c.raised > 2*config.Second {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,6 +59,7 @@
 	upgrade
 	ended endedLog
 	deputy
+	learning learning
 
 	// What follows is only of use to the leader.
 	machines  *zone.Roster
@@ -99,6 +100,7 @@
 	open    int    // open placements
 	chain
 	standing
+	runs
 	types    typeSet
 	closes   []closing
 	facts    []*fact           // lines of the log of ended attempts
@@ -227,6 +229,8 @@
 		c.poll(x)
 	case CancelIn:
 		c.cancel(x)
+	case AdminIn:
+		c.admin(x)
 	}
 	if c.ready {
 		c.flushJobs()
@@ -358,6 +362,10 @@
 		c.endedIn(num, ev)
 		return
 	}
+	if num, ok := strings.CutPrefix(key, learntPrefix); ok {
+		c.learntIn(num, ev)
+		return
+	}
 	if strings.HasPrefix(key, mailPrefix) {
 		c.mailIn(ev)
 		return
@@ -411,6 +419,7 @@
 	if rec.Final() {
 		if rec.Spec == nil { // nothing of it is left, but for parts to be deleted
 			j.stops, j.started, j.failedOn, j.closes, j.reserved = nil, nil, nil, nil, nil
+			j.runs = runs{}
 			for n := range j.parts {
 				c.reindex(j, j.parts[n].Open, nil)
 				j.parts[n].Part = job.Part{}
@@ -511,6 +520,7 @@
 		delete(c.expected[p.Machine], p.Key(j.ID))
 		if !slices.Contains(now, p) {
 			delete(j.started, p.Task)
+			delete(j.mine, p.Task)
 		}
 		if m := c.machines.Get(p.Machine); m != nil {
 			c.touch(m)
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -150,6 +150,7 @@
 		c.survey.strange[m] = true
 		c.watch(m)
 	}
+	c.startLearning()
 	c.passDue = true
 	c.lastList = 0
 	c.log("records read", "open_placements", open, "machines", c.machines.Len(), "after_ms", (c.now-c.since)/1000)
@@ -170,7 +171,7 @@
 func (c *Core) resetLeader() {
 	for _, j := range c.jobs {
 		j.closes, j.plan, j.txn, j.stops, j.reserved, j.mergeNow = nil, nil, nil, nil, nil, false
-		j.standing = standing{}
+		j.standing, j.runs = standing{}, runs{}
 	}
 	c.leading, c.ready, c.token, c.baseToken, c.raising = false, false, 0, 0, false
 	c.wantRaise, c.listing = false, false
@@ -196,6 +197,7 @@
 	}
 	c.usage = queue.NewUsage(config.FromSeconds(c.cfg.Settings.UsageWindowS))
 	c.fleet = fleet.New()
+	c.learning = learning{stored: c.learning.stored}
 }
 
 func (c *Core) leaseDone(x LeaseDone) {
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -60,6 +60,10 @@
 		c.place(s, &entries[i])
 	}
 	c.rent(s)
+	if c.survey.judgeDue {
+		c.survey.judgeDue = false
+		c.judgeDeadlines()
+	}
 }
 
 // surveyAll brings what passes go by up to date. Everything open counts, whatever the
@@ -106,18 +110,24 @@
 		if !ran {
 			since = c.now
 		}
+		left := Micros(0)
+		if c.cfg.Settings.VictimsByLeft && spec.Shape != wire.Service {
+			if a, ok := c.taskLeft(j, &p); ok {
+				left = a.Median
+			}
+		}
 		loss := Micros(0)
 		if spec.Shape != wire.Service && spec.CheckpointS == 0 {
 			loss = c.now - since
 		}
 		take := zone.Take{Room: m.Room, Res: needs}
 		if spec.Shape != wire.Gang {
-			s.victims[m.Zone] = append(s.victims[m.Zone], &zone.Victim{Job: j.ID, Task: p.Task, Level: level, Since: since, Loss: loss,
+			s.victims[m.Zone] = append(s.victims[m.Zone], &zone.Victim{Job: j.ID, Task: p.Task, Level: level, Since: since, Loss: loss, Left: left,
 				Takes: []zone.Take{take}})
 			return
 		}
 		if gang == nil {
-			gang = &zone.Victim{Job: j.ID, Task: -1, Level: level, Since: since, Loss: loss}
+			gang = &zone.Victim{Job: j.ID, Task: -1, Level: level, Since: since, Loss: loss, Left: left}
 		}
 		gang.Takes = append(gang.Takes, take)
 		if !listed[m.Zone] {
@@ -142,7 +152,7 @@
 			}
 			continue
 		}
-		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.priority(), c.within(j)), Created: j.Rec.Created,
+		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.priority(), c.within(j)), Within: c.rankWithin(j), Created: j.Rec.Created,
 			Credit: queue.Credit(&c.cfg.Settings, c.now-j.arrived, c.usage.Share(spec.Team))})
 	}
 	return out
@@ -199,6 +209,9 @@
 		}
 	}
 	q := c.request(j, e)
+	if gang && c.cfg.Settings.GangsAvoidSlow {
+		q.Avoid = c.avoidSlow(q.Avoid)
+	}
 	if gang && j.open > 0 {
 		// An attempt must not come to a machine that it has left: what the worker
 		// says of the one could not be told from what it says of the other.
@@ -444,6 +457,7 @@
 	if c.inDoubt() || len(s.needs) == 0 {
 		return
 	}
+	c.soonFree(s)
 	booting, count := c.kinds()
 	types := make([]*wire.MachineType, 0, len(c.catalog))
 	for _, name := range slices.Sorted(maps.Keys(c.catalog)) {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -17,6 +17,7 @@
 	rec    *job.Record // nil: unchanged
 	whole  bool        // the record says something new
 	parts  map[int]job.Part
+	placed []job.Placement
 	ends   bool // it would do nothing but close placements of a job that goes on
 
 	resendAt Micros // 0: no answer is missing
@@ -78,6 +79,7 @@
 	if len(j.plan) == 0 && !j.Rec.Cancel && !j.doomed && len(j.neededBy) == 0 && c.writing >= c.mostWriting() {
 		return false
 	}
+	t.placed = j.plan
 	j.txn = t
 	c.send(j, t)
 	return !more
@@ -468,6 +470,7 @@
 			c.setPart(j, n, job.Part{}, 0)
 		}
 	}
+	c.noteMine(j, t.placed)
 }
 
 // conflict reads what has changed under us.
@@ -538,6 +541,7 @@
 	if j.isClosing(key, machine) {
 		return
 	}
+	c.learnRun(j, key, machine, done)
 	j.closes = append(j.closes, closing{key: key, machine: machine, done: done})
 	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang {
 		if j.left == nil {
--- a/internal/core/survey.go
+++ b/internal/core/survey.go
@@ -25,6 +25,7 @@
 	jobs     []*Job
 	whole    bool // everything is
 	wholeAt  Micros
+	judgeDue bool // everything was looked at: so are deadlines
 
 	used    map[string]queue.Amount // by team: what is open, or about to be
 	lines   map[string]*queue.Line  // of teams that have a guarantee
@@ -193,7 +194,7 @@
 // what rounding has left in sums.
 func (c *Core) renew() {
 	s := &c.survey
-	s.whole, s.wholeAt = false, c.now
+	s.whole, s.wholeAt, s.judgeDue = false, c.now, true
 	for _, m := range c.machines.All() {
 		c.touch(m)
 	}
--- a/internal/core/zone/bid.go
+++ b/internal/core/zone/bid.go
@@ -103,6 +103,7 @@
 	Level int
 	Since Micros // when it started
 	Loss  Micros // work that it can't save and will have to do again
+	Left  Micros // what it is expected to go on for; 0 where that is not asked
 	Takes []Take
 	Gone  bool // taken by an earlier grant of the pass
 }
@@ -118,6 +119,8 @@
 			return a.Level < b.Level
 		case a.Loss != b.Loss:
 			return a.Loss < b.Loss
+		case a.Left != b.Left:
+			return a.Left > b.Left
 		case a.Since != b.Since:
 			return a.Since < b.Since
 		case a.Job != b.Job:
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -458,6 +458,43 @@
 	return out
 }
 
+// Kinds calls f for the features of each kind of work that is known by class at least,
+// until it returns false.
+func (m *Model) Kinds(f func(Features) bool) {
+	for _, k := range sortedGroups(m.groups) {
+		g := m.groups[k]
+		var kind Features
+		switch k.level {
+		case Class:
+			kind = Features{Class: k.a}
+		case ClassShape:
+			kind = Features{Class: k.a, Shape: k.b}
+		case ImageShape:
+			kind = Features{Class: g.class, Image: k.a, Shape: k.b}
+		default:
+			continue
+		}
+		if g.N > 0 && !f(kind) {
+			return
+		}
+	}
+}
+
+// Slow calls f for the machines that are known to take so many times as long as usual,
+// or longer, in the order of their names.
+func (m *Model) Slow(times float64, f func(machine string)) {
+	var slow []string
+	for name, s := range m.machines {
+		if s.slowness() >= math.Log(times) {
+			slow = append(slow, name)
+		}
+	}
+	slices.Sort(slow)
+	for _, name := range slow {
+		f(name)
+	}
+}
+
 func compareKeys(a, b key) int {
 	switch {
 	case a.level != b.level:
--- a/internal/estimate/group.go
+++ b/internal/estimate/group.go
@@ -296,6 +296,8 @@
 	// steep is the exponent of the density that a change is thought to give the
 	// ranks: steep*u^(steep-1).
 	steep = 4.0
+	// leastMove is how far a run has to be off to speak for a change at all: 16%.
+	leastMove = 0.15
 	// leastErrors is how many errors have to be known before their ranks say anything.
 	leastErrors = 10
 )
@@ -324,6 +326,9 @@
 	}
 	d := &g.change
 	u := g.rank(r)
+	if math.Abs(r) < leastMove {
+		u = 0.5 // work that always takes the same is not changed by a few per cent
+	}
 	d.recent[d.next] = past{y, r, expect}
 	d.next = (d.next + 1) % recents
 	move := func(sum, u float64) float64 { return math.Max(0, sum+math.Log(steep)+(steep-1)*math.Log(u)) }
--- a/internal/node/httpapi/httpapi.go
+++ b/internal/node/httpapi/httpapi.go
@@ -30,8 +30,8 @@
 }
 
 // New returns the interface; post returns false when the node has no time for
-// another request.
-func New(post func(core.Input) bool, ready func() bool) *API {
+// another request. Operators' questions are answered only if admin is set.
+func New(post func(core.Input) bool, ready func() bool, admin bool) *API {
 	a := &API{echo: echo.New(), post: post, ready: ready, wait: map[uint64]chan core.Answer{}}
 	e := a.echo
 	e.HideBanner, e.HidePort = true, true
@@ -40,6 +40,11 @@
 	e.POST(wire.PathJobs+"/:id/"+wire.CancelVerb, a.cancel)
 	e.POST(wire.PathReport, a.report)
 	e.GET(wire.PathReady, a.health)
+	if admin {
+		e.GET(PathEstimates, a.admin(core.AskEstimates))
+		e.GET(PathJob+"/:id", a.admin(core.AskJob))
+		e.GET(PathRuns, a.admin(core.AskRuns))
+	}
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		status := http.StatusInternalServerError
 		var he *echo.HTTPError
@@ -53,6 +58,42 @@
 	return a
 }
 
+// Paths of operators' questions, which are answered in JSON.
+const (
+	PathEstimates = "/admin/v1/estimates"
+	PathJob       = "/admin/v1/jobs"
+	PathRuns      = "/admin/v1/runs"
+)
+
+// admin answers an operator's question. The query may have from and most.
+func (a *API) admin(what core.AdminQuery) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		q := core.AdminIn{What: what, ID: c.Param("id")}
+		var err error
+		if s := c.QueryParam("from"); s != "" {
+			if q.From, err = strconv.ParseUint(s, 10, 64); err != nil {
+				return c.JSON(http.StatusBadRequest, core.AdminError{Error: "from: no number"})
+			}
+		}
+		if s := c.QueryParam("most"); s != "" {
+			if q.Most, err = strconv.Atoi(s); err != nil || q.Most < 1 {
+				return c.JSON(http.StatusBadRequest, core.AdminError{Error: "most: no number above 0"})
+			}
+		}
+		x := a.ask(c.Request().Context().Done(), func(req uint64) core.Input {
+			q.Req = req
+			return q
+		})
+		if x.RetryAfter > 0 {
+			c.Response().Header().Set("Retry-After", strconv.Itoa(x.RetryAfter))
+		}
+		if e, ok := x.Body.(wire.Error); ok {
+			x.Body = core.AdminError{Error: e.Error}
+		}
+		return c.JSON(x.Status, x.Body)
+	}
+}
+
 // Handler is the interface as an HTTP handler.
 func (a *API) Handler() http.Handler { return a.echo }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,7 +67,7 @@
 	post := func(in core.Input) { n.inputs <- queued{in, time.Now()} }
 	n.store = store.New(cfg, post)
 	n.peers = peer.New(cfg, post)
-	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() && !n.retired.Load() })
+	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() && !n.retired.Load() }, cfg.Settings.Admin)
 	n.adapters = []adapter{n.api, n.store, worker.New(post), cloud.New(cfg, post), n.peers}
 	return n
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -179,6 +179,10 @@
 		return report(s, d)
 	case "starts":
 		return fmt.Sprintf("%d starts, %d machines rented so far\n", s.world.Jobs[id].Starts, s.world.Rented)
+	case "estimates":
+		return estimates(s, pick(t, s, d))
+	case "outlook":
+		return outlook(s, pick(t, s, d), id)
 	case "show":
 		return s.Show()
 	}
@@ -222,6 +226,31 @@
 	return describe(s.Ask(s.node(s.Leader()), func(req uint64) core.Input { return core.ReportIn{Req: req, Report: s.late, Forwarded: true} }))
 }
 
+// estimates lists what a node knows of run times.
+func estimates(s *Sim, n *node) string {
+	a := s.Ask(n, func(req uint64) core.Input { return core.AdminIn{Req: req, What: core.AskEstimates} })
+	if e, ok := a.Body.(core.AdminError); ok {
+		return fmt.Sprintln(a.Status, e.Error, e.Leader)
+	}
+	body, _ := a.Body.(core.Estimates)
+	var b strings.Builder
+	for _, r := range body.Kinds {
+		fmt.Fprintf(&b, "%s %s %s: %.0f runs, %.0f s, mostly %.0f to %.0f s, from %s\n", r.Class, r.Shape, r.Image, r.Samples, r.MedianS,
+			r.Intervals[1][0], r.Intervals[1][1], r.Level)
+	}
+	return b.String()
+}
+
+// outlook tells what a node knows of a job's deadline.
+func outlook(s *Sim, n *node, id string) string {
+	a := s.Ask(n, func(req uint64) core.Input { return core.AdminIn{Req: req, What: core.AskJob, ID: id} })
+	o, ok := a.Body.(core.JobOutlook)
+	if !ok {
+		return fmt.Sprintln(a.Status)
+	}
+	return fmt.Sprintf("%s %s\n", o.Job.Status, o.Verdict)
+}
+
 func machine(t *testing.T, s *Sim, d *datadriven.TestData) string {
 	name, of := "", ""
 	d.MaybeScanArgs(t, "name", &name)
@@ -280,6 +309,10 @@
 			j.Types = append(j.Types, fmt.Sprintf("%0128d", i))
 		}
 	}
+	if d.HasArg("due") {
+		due := float64(length(t, d, "due", "1s")) / 1e6
+		j.DeadlineS = &due
+	}
 	if needs != "" {
 		j.Needs = strings.Split(needs, "+")
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -120,6 +120,19 @@
 	Needs       []string `msgpack:"awaits,omitempty"` // jobs that have to be done before any task of this one starts
 }
 
+// ShapeName is what a shape is called outside of the wire.
+func ShapeName(shape string) string {
+	switch shape {
+	case Array:
+		return "array"
+	case Gang:
+		return "gang"
+	case Service:
+		return "service"
+	}
+	return shape
+}
+
 // JobStatus answers submissions, polls and cancellations.
 type JobStatus struct {
 	ID      string `msgpack:"ref"`
