--- a/cmd/coralhub/main.go
+++ b/cmd/coralhub/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"strings"
@@ -31,12 +32,13 @@
 		"Without a subcommand it serves as a controller node."
 	cmd.Version = version
 	cmd.SilenceUsage, cmd.SilenceErrors = true, true
-	cmd.AddCommand(serve("serve --config FILE"), estimateCommand())
+	cmd.AddCommand(serve("serve --config FILE"), upCommand(), rehearseCommand(), loadCommand(), estimateCommand())
 	return cmd
 }
 
 func serve(use string) *cobra.Command {
 	var platform, settings string
+	var withParent bool
 	cmd := &cobra.Command{
 		Use:   use,
 		Short: "Serve as a controller node",
@@ -54,11 +56,21 @@
 			if err != nil {
 				return err
 			}
+			if withParent {
+				go func() {
+					_, _ = io.Copy(io.Discard, os.Stdin) // ends when the parent does, however it ends
+					os.Exit(0)
+				}()
+			}
 			return node.New(cfg).Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&platform, "config", "", "the platform's settings `FILE` (TOML)")
 	cmd.Flags().StringVar(&settings, "settings", "", "the operators' own settings `FILE` (JSON)")
+	cmd.Flags().BoolVar(&withParent, "with-parent", false, "end when standard input does")
+	if err := cmd.Flags().MarkHidden("with-parent"); err != nil {
+		panic(err) // the flag is defined above
+	}
 	if err := cmd.MarkFlagRequired("config"); err != nil {
 		panic(err) // the flag is defined above
 	}
--- /dev/null
+++ b/cmd/coralhub/up.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"coralhub/internal/cluster"
+	"coralhub/internal/config"
+	"coralhub/internal/standin"
+	"coralhub/wire"
+)
+
+func upCommand() *cobra.Command {
+	var nodes, machines int
+	var data, dir, settings, listen, level string
+	cmd := &cobra.Command{
+		Use:   "up",
+		Short: "Start a whole cluster on this machine: nodes, and emulators of all that they need",
+		Long: "Start a whole cluster on this machine: controller processes of this very program, and\n" +
+			"emulators of the state service, the cloud and the workers, on loopback sockets.\n" +
+			"It runs until it is interrupted. With --data, a later start finds its jobs again.",
+		Example: "  coralhub up\n  coralhub up --nodes 5 --machines 200 --data ./cluster",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runUntilSignal(cmd.Context(), func(ctx context.Context) error {
+				program, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				opt := cluster.Options{Program: program, Nodes: nodes, Settings: settings, Log: level, Cluster: demo(nodes), Boot: 2 * config.Second,
+					Types:        []wire.MachineType{{Name: "g4", CPUs: 64, GPUs: 4, MemoryGB: 256, CacheGB: 500, FetchGBs: 0.4, Price: 8, SpotPrice: 3, BootS: 2, Zones: demoZones}},
+					Capacity:     map[string]int{demoZones[0]: (machines + 1) / 2, demoZones[1]: machines / 2},
+					Model:        &standin.Model{Rand: rand.New(rand.NewPCG(1, 1)), BootSpread: 0.3, ListLag: 2 * config.Second, Speed: 0.1, BootTimes: 1},
+					RestartAfter: 2 * time.Second}
+				if opt.Dir = dir; data != "" {
+					opt.Dir, opt.Data = data, filepath.Join(data, "state.db")
+				}
+				if opt.Dir == "" {
+					if opt.Dir, err = os.MkdirTemp("", "coralhub-up-"); err != nil {
+						return err
+					}
+				}
+				if err := os.MkdirAll(opt.Dir, 0o700); err != nil {
+					return err
+				}
+				c, err := cluster.Start(opt)
+				if err != nil {
+					return err
+				}
+				defer c.Close()
+				ready, cancel := context.WithTimeout(ctx, time.Minute)
+				defer cancel()
+				if err := c.AwaitReady(ready); err != nil {
+					return err
+				}
+				door, err := c.OpenDoor(listen)
+				if err != nil {
+					return err
+				}
+				out := cmd.OutOrStdout()
+				for _, n := range c.Nodes {
+					fmt.Fprintf(out, "%s in %s: http://%s\n", n.Name, n.Zone, n.Users.Addr())
+				}
+				fmt.Fprintf(out, "users: http://%s   logs: %s\n\nTry\n  coralhub load --to %s --jobs 20 --rate 5\n\nEnd with Ctrl-C.\n", door, opt.Dir, door)
+				<-ctx.Done()
+				return nil
+			})
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&nodes, "nodes", 3, "controller nodes")
+	f.IntVar(&machines, "machines", 40, "machines that the cloud has")
+	f.StringVar(&data, "data", "", "keep the state in `FOLDER`, and find it there again")
+	f.StringVar(&dir, "dir", "", "`FOLDER` for settings and logs; otherwise a new one")
+	f.StringVar(&settings, "settings", "", "the operators' settings `FILE` for the nodes")
+	f.StringVar(&listen, "listen", "127.0.0.1:0", "where users come in")
+	f.StringVar(&level, "log", "info", "how much the nodes log")
+	return cmd
+}
+
+var demoZones = []string{"a", "b"}
+
+// demo is the deployment of a cluster to try things on.
+func demo(nodes int) config.Cluster {
+	return config.Cluster{Size: nodes, Zones: demoZones, SkewMS: 25, Teams: []config.Team{{Name: "team"}},
+		Workers: config.Workers{ReportS: 1, LeaseS: 8, GangWaitS: 20, GangPeerS: 3, CancelS: 16},
+		State:   config.State{RPS: 500, WriteRPS: 200, ValueKB: 8, TxnOps: 12}, Cloud: config.Cloud{RPS: 10, ListLagS: 2},
+		Limits: config.Limits{Cores: 1, MemoryMB: 512, MaxConnections: 4000}}
+}
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,454 @@
+// Package cluster runs a whole cluster on one machine: controller processes of this
+// very program, and stand-ins for the state service, the cloud and the workers, all on
+// loopback sockets with a proxy on every link.
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"coralhub/internal/config"
+	"coralhub/internal/faults"
+	"coralhub/internal/judge"
+	"coralhub/internal/standin"
+	"coralhub/wire"
+)
+
+// Options say what cluster to start.
+type Options struct {
+	Program  string // this program's path
+	Dir      string // for logs and settings
+	Data     string // where the state is kept; "": in memory
+	Nodes    int
+	Settings string // a file of the operators' settings; "": none
+	Log      string // LOG_LEVEL of the nodes
+	Cluster  config.Cluster
+	Types    []wire.MachineType
+	Capacity map[string]int // ordinary machines, by zone
+	Model    *standin.Model
+	Boot     standin.Micros
+	Watch    func(judge.Event)
+	// RestartAfter is how long a node that has ended stays down.
+	RestartAfter time.Duration
+}
+
+// Cluster is a running cluster.
+type Cluster struct {
+	Servers *standin.Servers
+	Nodes   []*Node
+
+	opt     Options
+	disk    *standin.Disk
+	servers []*http.Server
+	proxies []*faults.Proxy
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// Node is a controller process.
+type Node struct {
+	Name, Zone string
+	Users      *faults.Proxy // links to it
+	Workers    *faults.Proxy
+	Links      map[string]*faults.Proxy // links from it: state, cloud, and its peers by name
+
+	listen, peerListen string
+	file               string
+	mu                 sync.Mutex
+	cmd                *exec.Cmd
+	gone               chan struct{} // closed when the process has ended
+	restarts           int
+	wanted             bool // to be started again when it ends
+	cpu                time.Duration
+	peakMB             float64
+}
+
+// Start starts a cluster. It returns when the processes run, not when they serve.
+func Start(opt Options) (c *Cluster, err error) {
+	c = &Cluster{Servers: standin.NewServers(), opt: opt}
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	defer func() {
+		if err != nil {
+			c.Close()
+		}
+	}()
+	if opt.Data != "" {
+		if c.disk, err = standin.OpenDisk(opt.Data); err != nil {
+			return nil, err
+		}
+		if c.Servers.State, err = c.disk.Load(); err != nil {
+			return nil, err
+		}
+		if c.Servers.World.Jobs, err = c.disk.Uploads(); err != nil {
+			return nil, err
+		}
+	}
+	s, cl := c.Servers, &opt.Cluster
+	s.State.Keep = 10_000
+	s.State.ValueBytes, s.State.TxnOps = int(cl.State.ValueKB*1024), cl.State.TxnOps
+	s.SetQuotas(cl.State.RPS, cl.State.WriteRPS, cl.Cloud.RPS)
+	w := s.World
+	w.Types, w.Capacity, w.Model, w.Boot, w.Watch = opt.Types, opt.Capacity, opt.Model, opt.Boot, opt.Watch
+	w.Lease, w.GangWait = config.FromSeconds(cl.Workers.LeaseS), config.FromSeconds(cl.Workers.GangWaitS)
+	w.CancelIn, w.ReportEvery = config.FromSeconds(cl.Workers.CancelS), config.FromSeconds(cl.Workers.ReportS)
+	state, err := c.serve(s.StateHandler())
+	if err != nil {
+		return nil, err
+	}
+	cloud, err := c.serve(s.CloudHandler())
+	if err != nil {
+		return nil, err
+	}
+	workers, err := c.serve(s.WorkerHandler())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.lay(state, cloud); err != nil {
+		return nil, err
+	}
+	for _, n := range c.Nodes {
+		if err := c.write(n); err != nil {
+			return nil, err
+		}
+		s.Nodes, s.Names = append(s.Nodes, n.Workers.Addr()), append(s.Names, n.Name)
+	}
+	for _, n := range c.Nodes {
+		n.wanted = true
+		if err := c.run(n); err != nil {
+			return nil, err
+		}
+		c.wg.Go(func() { c.mind(ctx, n) })
+	}
+	c.wg.Go(func() { s.Drive(ctx, workers) })
+	c.wg.Go(func() { c.measure(ctx) })
+	return c, nil
+}
+
+// serve serves a stand-in on a port of its own.
+func (c *Cluster) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	c.servers = append(c.servers, server)
+	c.wg.Go(func() { _ = server.Serve(l) }) // ends when it is closed
+	return l.Addr().String(), nil
+}
+
+func (c *Cluster) proxy(name, target string) (*faults.Proxy, error) {
+	p, err := faults.New(name, target)
+	if err == nil {
+		c.proxies = append(c.proxies, p)
+	}
+	return p, err
+}
+
+// freePort returns a loopback address that nobody listens on.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// lay lays the links.
+func (c *Cluster) lay(state, cloud string) error {
+	zones := c.opt.Cluster.Zones
+	for i := range c.opt.Nodes {
+		n := &Node{Name: fmt.Sprintf("node-%d", i), Zone: zones[i%len(zones)], Links: map[string]*faults.Proxy{}}
+		c.Nodes = append(c.Nodes, n)
+		var err error
+		if n.listen, err = freePort(); err != nil {
+			return err
+		}
+		if n.peerListen, err = freePort(); err != nil {
+			return err
+		}
+		for _, l := range []struct {
+			at     **faults.Proxy
+			name   string
+			target string
+		}{{&n.Users, "users", n.listen}, {&n.Workers, "workers", n.listen}} {
+			if *l.at, err = c.proxy(l.name+" to "+n.Name, l.target); err != nil {
+				return err
+			}
+		}
+		for name, target := range map[string]string{"state": state, "cloud": cloud} {
+			if n.Links[name], err = c.proxy(n.Name+" to "+name, target); err != nil {
+				return err
+			}
+		}
+	}
+	for _, n := range c.Nodes {
+		for _, p := range c.Nodes {
+			if p == n {
+				continue
+			}
+			var err error
+			if n.Links[p.Name], err = c.proxy(n.Name+" to "+p.Name, p.peerListen); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// write writes a node's settings, as the platform hands them over.
+func (c *Cluster) write(n *Node) error {
+	p := config.Platform{Node: n.Name, Location: n.Zone, Listen: n.listen, PeerListen: n.peerListen, Cluster: c.opt.Cluster,
+		External: config.Outside{State: n.Links["state"].Addr(), Cloud: n.Links["cloud"].Addr()}}
+	for _, o := range c.Nodes {
+		if o != n {
+			p.Peers = append(p.Peers, config.Peer{Node: o.Name, Location: o.Zone, Address: n.Links[o.Name].Addr()})
+		}
+	}
+	raw, err := toml.Marshal(&p)
+	if err != nil {
+		return err
+	}
+	n.file = filepath.Join(c.opt.Dir, n.Name+".toml")
+	return os.WriteFile(n.file, raw, 0o600)
+}
+
+// run starts a node's process. It ends by itself when its standard input does, so that
+// none is left behind even if this process is killed.
+func (c *Cluster) run(n *Node) error {
+	log, err := os.OpenFile(filepath.Join(c.opt.Dir, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	args := []string{"serve", "--with-parent", "--config", n.file}
+	if c.opt.Settings != "" {
+		args = append(args, "--settings", c.opt.Settings)
+	}
+	cmd := exec.Command(c.opt.Program, args...)
+	cmd.Env = append(os.Environ(), "LOG_LEVEL="+c.opt.Log)
+	cmd.Stdout, cmd.Stderr = log, log
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	gone := make(chan struct{})
+	n.mu.Lock()
+	n.cmd, n.gone = cmd, gone
+	n.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // how it ended is in its log
+		_ = in.Close()
+		n.mu.Lock()
+		n.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		n.cmd = nil
+		n.mu.Unlock()
+		close(gone)
+	}()
+	return nil
+}
+
+// mind starts a node again some time after it has ended.
+func (c *Cluster) mind(ctx context.Context, n *Node) {
+	for {
+		n.mu.Lock()
+		gone := n.gone
+		n.mu.Unlock()
+		select {
+		case <-gone:
+		case <-ctx.Done():
+			return
+		}
+		t := time.NewTimer(c.opt.RestartAfter)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		n.mu.Lock()
+		again := n.wanted
+		if again {
+			n.restarts++
+		}
+		n.mu.Unlock()
+		if !again || c.run(n) != nil {
+			return
+		}
+	}
+}
+
+// Signal sends a signal to a node's process; one that has ended gets none.
+func (n *Node) Signal(sig syscall.Signal) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd == nil {
+		return nil
+	}
+	if err := n.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	return nil
+}
+
+// Use is what a node has taken.
+type Use struct {
+	Node     string  `json:"node"`
+	CPUS     float64 `json:"cpu_s"`
+	PeakMB   float64 `json:"peak_mb"`
+	Restarts int     `json:"restarts"`
+}
+
+// Use tells what the nodes have taken.
+func (c *Cluster) Use() []Use {
+	var out []Use
+	for _, n := range c.Nodes {
+		n.mu.Lock()
+		u := Use{Node: n.Name, CPUS: n.cpu.Seconds(), PeakMB: n.peakMB, Restarts: n.restarts}
+		if n.cmd != nil {
+			u.CPUS += processCPU(n.cmd.Process.Pid).Seconds()
+		}
+		n.mu.Unlock()
+		out = append(out, u)
+	}
+	return out
+}
+
+// measure follows how much memory the nodes hold.
+func (c *Cluster) measure(ctx context.Context) {
+	t := time.NewTicker(500 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, n := range c.Nodes {
+			n.mu.Lock()
+			if n.cmd != nil {
+				n.peakMB = max(n.peakMB, processMB(n.cmd.Process.Pid))
+			}
+			n.mu.Unlock()
+		}
+	}
+}
+
+// processMB is the memory that a process holds; 0 if that can't be told.
+func processMB(pid int) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(raw), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
+// processCPU is the processor time that a process has taken, to a hundredth of a second.
+func processCPU(pid int) time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(f[11], 10, 64)
+	system, _ := strconv.ParseInt(f[12], 10, 64)
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// Ready tells whether a node takes requests.
+func (n *Node) Ready(ctx context.Context, client *http.Client) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Users.Addr()+wire.PathReady, nil)
+	if err != nil {
+		return false
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<16))
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// AwaitReady waits until every node takes requests.
+func (c *Cluster) AwaitReady(ctx context.Context) error {
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	for _, n := range c.Nodes {
+		for !n.Ready(ctx, client) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%s is not ready, see %s: %w", n.Name, filepath.Join(c.opt.Dir, n.Name+".log"), ctx.Err())
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// Close ends everything and waits for it.
+func (c *Cluster) Close() {
+	for _, n := range c.Nodes {
+		n.mu.Lock()
+		n.wanted = false
+		n.mu.Unlock()
+	}
+	c.stop()
+	for _, n := range c.Nodes {
+		_ = n.Signal(syscall.SIGCONT) // one that stands still ends no less
+		_ = n.Signal(syscall.SIGKILL)
+	}
+	for _, n := range c.Nodes {
+		n.mu.Lock()
+		gone := n.gone
+		n.mu.Unlock()
+		if gone != nil {
+			<-gone
+		}
+	}
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+	for _, p := range c.proxies {
+		p.Close()
+	}
+	c.Servers.With(func() { // whoever waits for a machine that hangs waits no more
+		for name := range c.Servers.World.Machines {
+			delete(c.Servers.World.Machines, name)
+		}
+	})
+	c.wg.Wait()
+	if c.disk != nil {
+		_ = c.disk.Close()
+	}
+}
--- /dev/null
+++ b/internal/judge/judge.go
@@ -0,0 +1,389 @@
+// Package judge holds a history of what users, workers and the cloud saw against the
+// rules of the protocol. It knows nothing of how the service works: whatever it says
+// follows from the history alone.
+package judge
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Micros is a time or a duration in whole microseconds.
+type Micros = int64
+
+// Kind says what an event is.
+type Kind string
+
+// The kinds of events. A task is on its machine from when it has its image until it
+// exits, is killed, or the machine is gone.
+const (
+	Submitted Kind = "submitted" // a user sends a job for the first time
+	Asked     Kind = "asked"     // a user asks to cancel a job
+	Told      Kind = "told"      // a user is answered
+	Machine   Kind = "machine"   // a machine is rented
+	Gone      Kind = "gone"      // a machine and all on it are gone
+	On        Kind = "on"        // a task starts on a machine
+	Off       Kind = "off"       // it is not there any more
+	Done      Kind = "done"      // a task has completed
+)
+
+// Event is one thing that somebody saw.
+type Event struct {
+	At      Micros `json:"at"`
+	Kind    Kind   `json:"kind"`
+	Job     string `json:"job,omitempty"`
+	Task    int    `json:"task,omitempty"`
+	Attempt uint64 `json:"attempt,omitempty"`
+	Machine string `json:"machine,omitempty"`
+	Spec    *Spec  `json:"spec,omitempty"`   // of Submitted
+	Host    *Host  `json:"host,omitempty"`   // of Machine
+	Via     string `json:"via,omitempty"`    // of Told: submit, poll or cancel
+	Status  int    `json:"status,omitempty"` // of Told: of HTTP; 0: no answer
+	Said    string `json:"said,omitempty"`   // of Told: queued, running, done or cancelled
+}
+
+// Spec is of a job what the rules go by.
+type Spec struct {
+	Team    string   `json:"team"`
+	Tasks   int      `json:"tasks"`
+	CPUs    float64  `json:"cpus"`
+	GPUs    float64  `json:"gpus"`
+	Types   []string `json:"types,omitempty"` // any if empty
+	Zone    string   `json:"zone,omitempty"`  // any if empty
+	OneZone bool     `json:"one_zone,omitempty"`
+	Spread  bool     `json:"spread,omitempty"`
+	Spot    bool     `json:"spot,omitempty"`
+	Needs   []string `json:"needs,omitempty"`
+}
+
+// Host is of a machine what the rules go by.
+type Host struct {
+	Type string `json:"type"`
+	Zone string `json:"zone"`
+	Spot bool   `json:"spot"`
+}
+
+// Limit is the most that a team may use at a time; 0: any amount.
+type Limit struct{ CPUs, GPUs float64 }
+
+// Terms are what the rules say beside the history.
+type Terms struct {
+	CancelIn Micros // how long tasks may stay after a user was told that they are cancelled
+	Silence  Micros // how long every poll for a job may fail
+	Teams    map[string]Limit
+}
+
+// Broken is a rule that was broken.
+type Broken struct {
+	Rule string `json:"rule"`
+	At   Micros `json:"at"`
+	What string `json:"what"`
+}
+
+func (b Broken) String() string {
+	return fmt.Sprintf("%s at %.3f s: %s", b.Rule, float64(b.At)/1e6, b.What)
+}
+
+// Ways of asking, in Told.
+const (
+	BySubmit = "submit"
+	ByPoll   = "poll"
+	ByCancel = "cancel"
+)
+
+const (
+	saidQueued    = "queued"
+	saidRunning   = "running"
+	saidDone      = "done"
+	saidCancelled = "cancelled"
+)
+
+// place is a task's stay on a machine.
+type place struct {
+	task    int
+	attempt uint64
+	machine string
+}
+
+type job struct {
+	spec      *Spec
+	asked     bool
+	accepted  bool
+	final     string
+	cancelled Micros // when its user was told; 0: not
+	done      map[int]bool
+	on        []place
+	failing   Micros // since when every poll fails; 0: the last one was answered
+	orphan    bool
+}
+
+type judge struct {
+	terms    Terms
+	jobs     map[string]*job
+	machines map[string]*Host
+	used     map[string]Limit
+	started  bool
+	lastPoll Micros                      // the last poll that was answered
+	staying  map[string]map[place]string // by machine: the tasks there, and their jobs
+	leaving  map[string]*job             // cancelled jobs with tasks somewhere
+	out      []Broken
+}
+
+// Judge returns which rules a history breaks, in the order of time. The end of the
+// history counts as a moment of its own.
+func Judge(t Terms, events []Event) []Broken {
+	j := &judge{terms: t, jobs: map[string]*job{}, machines: map[string]*Host{}, used: map[string]Limit{},
+		staying: map[string]map[place]string{}, leaving: map[string]*job{}}
+	sorted := slices.Clone(events)
+	slices.SortStableFunc(sorted, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	for i := range sorted {
+		j.lateness(sorted[i].At)
+		j.take(&sorted[i])
+	}
+	if !j.started && len(sorted) > 0 {
+		j.broken("nothing_ran", sorted[len(sorted)-1].At, "no task was started")
+	}
+	slices.SortStableFunc(j.out, func(a, b Broken) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Rule, b.Rule), cmp.Compare(a.What, b.What))
+	})
+	return j.out
+}
+
+func (j *judge) broken(rule string, at Micros, format string, args ...any) {
+	j.out = append(j.out, Broken{rule, at, fmt.Sprintf(format, args...)})
+}
+
+func (j *judge) job(id string) *job {
+	x := j.jobs[id]
+	if x == nil {
+		x = &job{done: map[int]bool{}}
+		j.jobs[id] = x
+	}
+	return x
+}
+
+func (j *judge) take(e *Event) {
+	switch e.Kind {
+	case Submitted:
+		if x := j.job(e.Job); x.spec == nil {
+			x.spec = e.Spec
+		}
+	case Asked:
+		j.job(e.Job).asked = true
+	case Machine:
+		j.machines[e.Machine] = e.Host
+	case Told:
+		j.told(e)
+	case On:
+		j.on(e)
+	case Off:
+		j.off(e.Job, place{e.Task, e.Attempt, e.Machine})
+	case Done:
+		j.job(e.Job).done[e.Task] = true
+	case Gone:
+		for p, id := range j.staying[e.Machine] {
+			j.off(id, p)
+		}
+		delete(j.machines, e.Machine)
+	}
+}
+
+// told holds an answer against what was said before and what is true.
+func (j *judge) told(e *Event) {
+	x := j.jobs[e.Job]
+	if x == nil || x.spec == nil {
+		if e.Status == 200 && e.Via != BySubmit {
+			j.broken("invented", e.At, "%s is called %s and was never submitted", e.Job, e.Said)
+		}
+		return
+	}
+	ok := e.Status == 200 || e.Status == 201
+	if e.Via == ByPoll {
+		j.polled(e, x, ok)
+	}
+	switch {
+	case x.accepted && e.Status == 404 && e.Via != BySubmit:
+		j.broken("forgotten", e.At, "%s was accepted and gets 404", e.Job)
+	case x.accepted && e.Via == BySubmit && (e.Status == 400 || e.Status == 422):
+		j.broken("forgotten", e.At, "%s was accepted and its repetition gets %d", e.Job, e.Status)
+	}
+	if !ok {
+		return
+	}
+	x.accepted = true
+	if x.final != "" && e.Said != x.final {
+		j.broken("went_back", e.At, "%s was called %s and is now %s", e.Job, x.final, e.Said)
+	}
+	switch e.Said {
+	case saidDone:
+		if len(x.done) < x.spec.Tasks {
+			j.broken("not_done", e.At, "%s is called done with %d of %d tasks", e.Job, len(x.done), x.spec.Tasks)
+		}
+		x.final = saidDone
+	case saidCancelled:
+		if !j.mayBeCancelled(e.Job, map[string]bool{}) {
+			j.broken("went_back", e.At, "%s is called cancelled and nobody has asked for it", e.Job)
+		}
+		if x.final = saidCancelled; x.cancelled == 0 {
+			x.cancelled = e.At
+			if len(x.on) > 0 {
+				j.leaving[e.Job] = x
+			}
+		}
+	case saidQueued, saidRunning:
+		if at := j.cancelledBefore(e.Job, map[string]bool{}); at != 0 && e.At-at > j.terms.CancelIn && !x.orphan {
+			x.orphan = true
+			j.broken("orphaned", e.At, "%s is called %s, and a job before it was cancelled at %.3f s", e.Job, e.Said, float64(at)/1e6)
+		}
+	}
+}
+
+// polled watches for jobs of which nobody can learn anything while others are told of.
+func (j *judge) polled(e *Event, x *job, ok bool) {
+	if ok || e.Status == 404 {
+		x.failing = 0
+		j.lastPoll = e.At
+		return
+	}
+	if x.failing == 0 {
+		x.failing = e.At
+	}
+	if !x.accepted || j.terms.Silence == 0 || e.At-x.failing < j.terms.Silence || j.lastPoll < x.failing {
+		return
+	}
+	j.broken("forgotten", e.At, "every poll for %s has failed since %.3f s while others were answered", e.Job, float64(x.failing)/1e6)
+	x.failing = e.At
+}
+
+func (j *judge) mayBeCancelled(id string, seen map[string]bool) bool {
+	x := j.jobs[id]
+	if x == nil || seen[id] {
+		return false
+	}
+	seen[id] = true
+	if x.asked {
+		return true
+	}
+	return x.spec != nil && slices.ContainsFunc(x.spec.Needs, func(n string) bool { return j.mayBeCancelled(n, seen) })
+}
+
+// cancelledBefore is when a user was first told that a job before this one is
+// cancelled; 0: nobody was.
+func (j *judge) cancelledBefore(id string, seen map[string]bool) Micros {
+	x := j.jobs[id]
+	if x == nil || x.spec == nil || seen[id] {
+		return 0
+	}
+	seen[id] = true
+	first := Micros(0)
+	for _, n := range x.spec.Needs {
+		for _, at := range []Micros{j.cancelledBefore(n, seen), j.job(n).cancelled} {
+			if at != 0 && (first == 0 || at < first) {
+				first = at
+			}
+		}
+	}
+	return first
+}
+
+func (j *judge) on(e *Event) {
+	j.started = true
+	x := j.job(e.Job)
+	if x.spec == nil {
+		j.broken("invented", e.At, "task %s/%d of a job that was never submitted is on %s", e.Job, e.Task, e.Machine)
+		return
+	}
+	for _, p := range x.on {
+		if p.task == e.Task && p.machine != e.Machine {
+			j.broken("ran_twice", e.At, "%s/%d starts on %s and is on %s", e.Job, e.Task, e.Machine, p.machine)
+		}
+	}
+	if x.cancelled != 0 && e.At-x.cancelled > j.terms.CancelIn {
+		j.broken("ran_cancelled", e.At, "%s/%d starts on %s, %.3f s after its user was told that it is cancelled", e.Job, e.Task, e.Machine,
+			float64(e.At-x.cancelled)/1e6)
+	}
+	for _, n := range x.spec.Needs {
+		if before := j.job(n); before.spec == nil || len(before.done) < before.spec.Tasks {
+			j.broken("too_early", e.At, "%s/%d starts and %s is not done", e.Job, e.Task, n)
+		}
+	}
+	j.placed(e, x)
+	p := place{e.Task, e.Attempt, e.Machine}
+	if !slices.Contains(x.on, p) {
+		x.on = append(x.on, p)
+		if j.staying[e.Machine] == nil {
+			j.staying[e.Machine] = map[place]string{}
+		}
+		j.staying[e.Machine][p] = e.Job
+		u := j.used[x.spec.Team]
+		u.CPUs, u.GPUs = u.CPUs+x.spec.CPUs, u.GPUs+x.spec.GPUs
+		j.used[x.spec.Team] = u
+		const slack = 1e-6
+		if l := j.terms.Teams[x.spec.Team]; l.CPUs > 0 && u.CPUs > l.CPUs+slack || l.GPUs > 0 && u.GPUs > l.GPUs+slack {
+			j.broken("quota", e.At, "team %s uses %v CPUs and %v GPUs of %v and %v", x.spec.Team, u.CPUs, u.GPUs, l.CPUs, l.GPUs)
+		}
+	}
+}
+
+// placed holds a start against where the job may be, given its other tasks.
+func (j *judge) placed(e *Event, x *job) {
+	m := j.machines[e.Machine]
+	if m == nil {
+		j.broken("wrong_place", e.At, "%s/%d starts on %s, which is not rented", e.Job, e.Task, e.Machine)
+		return
+	}
+	here, elsewhere := 1, 0
+	for _, p := range x.on {
+		switch o := j.machines[p.machine]; {
+		case o == nil || p.task == e.Task:
+		case o.Zone == m.Zone:
+			here++
+		default:
+			elsewhere++
+		}
+	}
+	why := ""
+	switch s := x.spec; {
+	case len(s.Types) > 0 && !slices.Contains(s.Types, m.Type):
+		why = "its type is " + m.Type
+	case s.Zone != "" && s.Zone != m.Zone:
+		why = "its zone is " + m.Zone
+	case m.Spot && !s.Spot:
+		why = "it is a spot machine"
+	case s.OneZone && elsewhere > 0:
+		why = "other tasks are in another zone"
+	case s.Spread && here > (s.Tasks+1)/2:
+		why = "too many tasks are in its zone"
+	}
+	if why != "" {
+		j.broken("wrong_place", e.At, "%s/%d starts on %s: %s", e.Job, e.Task, e.Machine, why)
+	}
+}
+
+func (j *judge) off(id string, p place) {
+	x := j.job(id)
+	i := slices.Index(x.on, p)
+	if i < 0 {
+		return
+	}
+	x.on = slices.Delete(x.on, i, i+1)
+	delete(j.staying[p.machine], p)
+	if len(x.on) == 0 {
+		delete(j.leaving, id)
+	}
+	u := j.used[x.spec.Team]
+	u.CPUs, u.GPUs = u.CPUs-x.spec.CPUs, u.GPUs-x.spec.GPUs
+	j.used[x.spec.Team] = u
+}
+
+// lateness finds tasks that stay after their job was called cancelled.
+func (j *judge) lateness(now Micros) {
+	for id, x := range j.leaving {
+		if now-x.cancelled > j.terms.CancelIn {
+			delete(j.leaving, id)
+			j.broken("ran_cancelled", now, "%s/%d is on %s, %.3f s after its user was told that it is cancelled", id, x.on[0].task, x.on[0].machine,
+				float64(now-x.cancelled)/1e6)
+		}
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -64,7 +64,7 @@
 		c.Listen, c.PeerListen = freeAddr(t), freeAddr(t)
 		c.External = config.Outside{Cloud: addr(cloud), State: addr(state)}
 		r.configs = append(r.configs, c)
-		r.servers.Nodes = append(r.servers.Nodes, c.Listen)
+		r.servers.Nodes, r.servers.Names = append(r.servers.Nodes, c.Listen), append(r.servers.Names, c.Node)
 	}
 	for _, c := range r.configs {
 		for _, p := range r.configs {
@@ -81,16 +81,7 @@
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
-		tick := time.NewTicker(20 * time.Millisecond)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				r.servers.Step(r.client, addr(workers))
-			}
-		}
+		r.servers.Drive(ctx, addr(workers))
 	}()
 	t.Cleanup(func() {
 		cancel()
--- /dev/null
+++ b/internal/rehearse/report.go
@@ -0,0 +1,80 @@
+package rehearse
+
+import (
+	"html/template"
+	"io"
+	"strconv"
+	"strings"
+)
+
+const (
+	plotWidth, plotHeight = 900.0, 160.0
+)
+
+// polyline draws a series of the seconds of a run.
+func polyline(load []Second, pick func(Second) int) string {
+	most := 1
+	for _, s := range load {
+		most = max(most, pick(s))
+	}
+	var b strings.Builder
+	for i, s := range load {
+		x := float64(i) / float64(max(len(load)-1, 1)) * plotWidth
+		y := plotHeight - float64(pick(s))/float64(most)*plotHeight
+		b.WriteString(strconv.FormatFloat(x, 'f', 1, 64) + "," + strconv.FormatFloat(y, 'f', 1, 64) + " ")
+	}
+	return b.String()
+}
+
+type plot struct {
+	Title, Points string
+	Most          int
+	Marks         []plotMark
+	Width, Height float64
+}
+
+type plotMark struct {
+	X    float64
+	What string
+}
+
+var reportPage = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>{{.R.Scenario}}</title>
+<style>body{font:14px sans-serif;margin:2em;max-width:960px}table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #ddd}
+td:first-child,th:first-child{text-align:left}.pass{color:#070}.fail{color:#a00}svg{background:#f7f7f7}text{font-size:10px;fill:#a00}</style>
+<h1>{{.R.Scenario}}: {{if .R.Passed}}<span class="pass">PASS</span>{{else}}<span class="fail">FAIL</span>{{end}}</h1>
+<p>{{.R.About}}. Seed {{.R.Seed}}, {{printf "%.0f" .R.TookS}} s, {{.R.Machines}} machines rented.</p>
+{{with .R.Why}}<p class="fail">{{.}}</p>{{end}}
+<h2>Rules</h2>{{if .R.Broken}}<ul>{{range .R.Broken}}<li class="fail">{{.}}</li>{{end}}</ul>{{else}}<p>None was broken.</p>{{end}}
+{{if .R.Findings}}<h2>Expectations</h2><table><tr><th>expected<th>found<th>of<th></tr>
+{{range .R.Findings}}<tr><td>{{.Expect}}<td>{{printf "%.3f" .Found}}<td>{{.Of}}<td>{{if .Met}}<span class="pass">met</span>{{else}}<span class="fail">missed</span>{{end}}</tr>{{end}}</table>{{end}}
+<h2>Classes</h2><table><tr><th>class<th>submitted<th>accepted<th>started<th>done<th>cancelled<th>submit p50/p99 ms<th>start p50/p90/max s<th>done p50/p90/max s</tr>
+{{range .R.Classes}}<tr><td>{{.Class}}<td>{{.Submitted}}<td>{{.Accepted}}<td>{{.Started}}<td>{{.Done}}<td>{{.Cancelled}}<td>{{printf "%.0f/%.0f" .SubmitMS.P50 .SubmitMS.P99}}<td>{{printf "%.1f/%.1f/%.1f" .StartS.P50 .StartS.P90 .StartS.Max}}<td>{{printf "%.1f/%.1f/%.1f" .DoneS.P50 .DoneS.P90 .DoneS.Max}}</tr>{{end}}</table>
+{{range .Plots}}<h3>{{.Title}} (at most {{.Most}})</h3>
+<svg viewBox="0 -12 {{.Width}} {{.Height}}" width="{{.Width}}" height="{{.Height}}">{{range .Marks}}<line x1="{{.X}}" x2="{{.X}}" y1="0" y2="160" stroke="#d99"/><text x="{{.X}}" y="-2">{{.What}}</text>{{end}}<polyline points="{{.Points}}" fill="none" stroke="#247" stroke-width="1.5"/></svg>{{end}}
+<h2>Nodes</h2><table><tr><th>node<th>processor s<th>memory MB<th>restarts</tr>
+{{range .R.Nodes}}<tr><td>{{.Node}}<td>{{printf "%.1f" .CPUS}}<td>{{printf "%.0f" .PeakMB}}<td>{{.Restarts}}</tr>{{end}}</table>
+<p>State service: {{.R.Requests}} requests, {{.R.Refused}} refused, {{.R.Changes}} changes.</p>
+</html>
+`))
+
+// Report writes a result as a page that needs nothing else.
+func Report(w io.Writer, res *Result) error {
+	var marks []plotMark
+	for _, m := range res.Marks {
+		marks = append(marks, plotMark{m.At / float64(max(len(res.Load)-1, 1)) * plotWidth, m.What})
+	}
+	var plots []plot
+	for _, s := range []struct {
+		title string
+		pick  func(Second) int
+	}{{"Jobs submitted a second", func(s Second) int { return s.Submitted }}, {"Tasks started a second", func(s Second) int { return s.Started }},
+		{"Tasks done a second", func(s Second) int { return s.Done }}, {"Tasks on machines", func(s Second) int { return s.On }}} {
+		most := 0
+		for _, x := range res.Load {
+			most = max(most, s.pick(x))
+		}
+		plots = append(plots, plot{s.title, polyline(res.Load, s.pick), most, marks, plotWidth, plotHeight + 20})
+	}
+	return reportPage.Execute(w, map[string]any{"R": res, "Plots": plots})
+}
--- /dev/null
+++ b/internal/rehearse/run.go
@@ -0,0 +1,580 @@
+package rehearse
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"coralhub/internal/cluster"
+	"coralhub/internal/config"
+	"coralhub/internal/judge"
+	"coralhub/internal/standin"
+	"coralhub/wire"
+)
+
+// Options say how a scenario is played.
+type Options struct {
+	Program  string
+	Dir      string // for settings, logs and results
+	Seed     uint64
+	Settings string
+	Log      string
+	Say      func(string) // a line about what happens; nil: nothing is said
+}
+
+// Mark is a moment of a run, in seconds.
+type Mark struct {
+	At   float64 `json:"at_s"`
+	What string  `json:"what"`
+}
+
+// Finding is an expectation, and what came of it.
+type Finding struct {
+	Expect string  `json:"expect"`
+	Found  float64 `json:"found"`
+	Of     int     `json:"of"`
+	Met    bool    `json:"met"`
+}
+
+// ClassResult is how a class fared.
+type ClassResult struct {
+	Class     string         `json:"class"`
+	Submitted int            `json:"submitted"`
+	Accepted  int            `json:"accepted"`
+	Started   int            `json:"started"`
+	Done      int            `json:"done"`
+	Cancelled int            `json:"cancelled"`
+	SubmitMS  Quantiles      `json:"submit_ms"`
+	StartS    Quantiles      `json:"start_s"`
+	DoneS     Quantiles      `json:"done_s"`
+	Errors    map[string]int `json:"errors,omitempty"`
+}
+
+// Quantiles of a measure.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P90 float64 `json:"p90"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Result is what came of a run.
+type Result struct {
+	Scenario string         `json:"scenario"`
+	About    string         `json:"about"`
+	Seed     uint64         `json:"seed"`
+	Passed   bool           `json:"passed"`
+	Why      string         `json:"why,omitempty"`
+	TookS    float64        `json:"took_s"`
+	Machines int            `json:"machines_rented"`
+	Broken   []judge.Broken `json:"rules_broken"`
+	Findings []Finding      `json:"findings"`
+	Classes  []ClassResult  `json:"classes"`
+	Nodes    []cluster.Use  `json:"nodes"`
+	Requests int            `json:"state_requests"`
+	Refused  int            `json:"state_refused"`
+	Changes  uint64         `json:"state_changes"`
+	Marks    []Mark         `json:"faults"`
+	Load     []Second       `json:"load"`
+}
+
+// Second is what happened in one second.
+type Second struct {
+	Submitted int `json:"submitted"`
+	Started   int `json:"started"` // tasks
+	Done      int `json:"done"`    // tasks
+	On        int `json:"on"`      // tasks on machines at its end
+}
+
+type run struct {
+	scenario *Scenario
+	opt      Options
+	cluster  *cluster.Cluster
+	users    *users
+	jobs     []planned
+
+	mu     sync.Mutex
+	events []judge.Event
+	marks  []Mark
+	broke  error // the rehearsal itself, not the service
+}
+
+func (r *run) say(format string, args ...any) {
+	if r.opt.Say != nil {
+		r.opt.Say(fmt.Sprintf(format, args...))
+	}
+}
+
+func (r *run) record(e judge.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+}
+
+func (r *run) now() int64 { return r.cluster.Servers.Now() }
+
+// failed notes that the rehearsal itself could not do what it was to do.
+func (r *run) failed(err error) {
+	if err == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.broke == nil {
+		r.broke = err
+	}
+}
+
+// leader names the node that holds the claim; "" if none does.
+func (r *run) leader() string {
+	var claim struct {
+		Node string `msgpack:"node"`
+	}
+	var raw []byte
+	r.cluster.Servers.With(func() { raw = r.cluster.Servers.State.Get("ch/leader").Value })
+	if len(raw) == 0 || msgpack.Unmarshal(raw, &claim) != nil {
+		return ""
+	}
+	return claim.Node
+}
+
+// deploy is the deployment as the platform describes it.
+func (r *run) deploy() config.Cluster {
+	d := &r.scenario.Deploy
+	c := config.Cluster{Size: d.Nodes, Zones: d.Zones, SkewMS: 25,
+		Workers: config.Workers{ReportS: d.ReportS, LeaseS: d.LeaseS, GangWaitS: 20, GangPeerS: 3, CancelS: d.CancelS},
+		State:   config.State{RPS: d.RPS, WriteRPS: d.WriteRPS, ValueKB: 8, TxnOps: 12},
+		Cloud:   config.Cloud{RPS: 8, ListLagS: d.ListLagS},
+		Limits:  config.Limits{Cores: 1, MemoryMB: 512, MaxConnections: 4000},
+	}
+	for _, name := range r.scenario.teams() {
+		c.Teams = append(c.Teams, config.Team{Name: name, GPUs: d.Guaranteed, GPUsMax: d.TeamGPUs})
+	}
+	return c
+}
+
+func (s *Scenario) teams() []string {
+	var out []string
+	for _, c := range s.Classes {
+		if !slices.Contains(out, c.Team) {
+			out = append(out, c.Team)
+		}
+	}
+	return out
+}
+
+// readyWithin is how long a cluster may take until every node serves.
+const readyWithin = 60 * time.Second
+
+// Run plays a scenario.
+func Run(ctx context.Context, s *Scenario, opt Options) (*Result, error) {
+	if err := os.MkdirAll(opt.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	r := &run{scenario: s, opt: opt, jobs: s.plan(opt.Seed)}
+	d := &s.Deploy
+	capacity, spot := map[string]int{}, map[string]int{}
+	for i, z := range d.Zones {
+		capacity[z] = share(d.Machines, len(d.Zones), i)
+		spot[z] = share(d.Spot, len(d.Zones), i)
+	}
+	c, err := cluster.Start(cluster.Options{Program: opt.Program, Dir: opt.Dir, Nodes: d.Nodes, Settings: opt.Settings, Log: opt.Log,
+		Cluster: r.deploy(), Capacity: capacity, Boot: config.FromSeconds(d.BootS), Watch: r.record,
+		RestartAfter: time.Duration(d.RestartAfterS * 1e9),
+		Types: []wire.MachineType{{Name: "m", CPUs: 16 * d.GPUs, GPUs: d.GPUs, MemoryGB: 64 * d.GPUs, CacheGB: 500, FetchGBs: 0.4, Price: 4, SpotPrice: 2,
+			BootS: d.BootS, Zones: d.Zones}},
+		Model: &standin.Model{Rand: rand.New(rand.NewPCG(opt.Seed, 1)), BootSpread: 0.3, BootNever: d.BootNeverShare,
+			ListLag: config.FromSeconds(d.ListLagS), Speed: d.SpeedSpread, SpotCapacity: spot, BootTimes: 1}})
+	if err != nil {
+		return nil, err
+	}
+	r.cluster = c
+	defer c.Close()
+	ready, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	if err := c.AwaitReady(ready); err != nil {
+		return nil, err
+	}
+	c.Servers.With(func() { // users upload their jobs' descriptions before they submit
+		for i := range r.jobs {
+			p := &r.jobs[i]
+			c.Servers.World.Jobs[p.job.ID] = &standin.JobIn{Job: p.job, Run: p.run}
+		}
+	})
+	began := time.Now()
+	from := r.now()
+	r.say("%d nodes serve; %d jobs over %.0f s", len(c.Nodes), len(r.jobs), s.DurationS)
+	r.play(ctx, began)
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("interrupted: %w", err)
+	}
+	res := r.result(from)
+	res.TookS = time.Since(began).Seconds()
+	return res, r.save(res)
+}
+
+// share is what the i-th of n gets of a whole.
+func share(whole, n, i int) int {
+	out := whole / n
+	if i < whole%n {
+		out++
+	}
+	return out
+}
+
+// play has everything come at its time, and waits for jobs to end.
+func (r *run) play(ctx context.Context, began time.Time) {
+	ctx, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer func() {
+		stop()
+		wg.Wait()
+		r.users.client.CloseIdleConnections()
+	}()
+	r.users = newUsers(r.cluster, r.record, r.now)
+	wg.Go(func() { r.users.balance(ctx) })
+	wg.Go(func() { r.trouble(ctx, began) })
+	var open sync.WaitGroup
+	for i := range r.jobs {
+		p := &r.jobs[i]
+		due := began.Add(p.at)
+		t := time.NewTimer(time.Until(due))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		follow := &wg
+		if p.class.Shape != "service" {
+			follow = &open
+		}
+		follow.Go(func() { r.users.follow(ctx, p, due) })
+	}
+	r.say("no more jobs come")
+	ended := make(chan struct{})
+	go func() {
+		open.Wait()
+		close(ended)
+	}()
+	last := time.NewTimer(time.Until(began.Add(time.Duration((r.scenario.DurationS + r.scenario.SettleS) * 1e9))))
+	defer last.Stop()
+	whole := time.NewTimer(time.Until(began.Add(time.Duration(r.scenario.DurationS * 1e9))))
+	defer whole.Stop()
+	for range 2 {
+		select {
+		case <-ended:
+			ended = nil // services are watched until the end of the time
+		case <-whole.C:
+			if ended == nil {
+				return
+			}
+			select {
+			case <-ended:
+				return
+			case <-last.C:
+			case <-ctx.Done():
+			}
+			stop()
+			open.Wait()
+			return
+		case <-ctx.Done():
+			stop()
+			open.Wait()
+			return
+		}
+	}
+}
+
+// leaderless is the time that the users of a class had to wait, from a histogram.
+func quantiles(values []float64, unit float64) Quantiles {
+	if len(values) == 0 {
+		return Quantiles{}
+	}
+	h := hdrhistogram.New(1, 24*3600*1_000_000, 3) // microseconds
+	for _, v := range values {
+		_ = h.RecordValue(min(max(int64(v*1e6), 1), 24*3600*1_000_000)) // within its bounds
+	}
+	q := func(p float64) float64 { return float64(h.ValueAtQuantile(p)) / 1e6 * unit }
+	return Quantiles{q(50), q(90), q(99), float64(h.Max()) / 1e6 * unit}
+}
+
+// fate is what came of a job, in seconds of the run.
+type fate struct {
+	p                            *planned
+	submitted, accepted, started float64
+	done                         float64
+	on, finished                 map[int]bool
+	upFor                        float64 // replica seconds
+	cancelled                    bool
+}
+
+func (r *run) fates(from int64) map[string]*fate {
+	out := map[string]*fate{}
+	for i := range r.jobs {
+		out[r.jobs[i].job.ID] = &fate{p: &r.jobs[i], submitted: -1, accepted: -1, started: -1, done: -1, on: map[int]bool{}, finished: map[int]bool{}}
+	}
+	since := map[string]map[int]float64{}
+	for _, e := range r.events {
+		f := out[e.Job]
+		if f == nil {
+			continue
+		}
+		at := float64(e.At-from) / 1e6
+		switch e.Kind {
+		case judge.Submitted:
+			f.submitted = at
+		case judge.Told:
+			if e.Status == 200 || e.Status == 201 {
+				if f.accepted < 0 {
+					f.accepted = at
+				}
+				f.cancelled = f.cancelled || e.Said == wire.Cancelled
+			}
+		case judge.On:
+			f.on[e.Task] = true
+			if f.started < 0 && len(f.on) >= r.atOnce(f.p) {
+				f.started = at
+			}
+			if since[e.Job] == nil {
+				since[e.Job] = map[int]float64{}
+			}
+			since[e.Job][e.Task] = at
+		case judge.Off:
+			if began, ok := since[e.Job][e.Task]; ok {
+				f.upFor += at - began
+				delete(since[e.Job], e.Task)
+			}
+		case judge.Done:
+			if f.finished[e.Task] = true; len(f.finished) == f.p.job.Tasks {
+				f.done = at
+			}
+		}
+	}
+	end := float64(r.now()-from) / 1e6
+	for id, tasks := range since {
+		for _, began := range tasks {
+			out[id].upFor += end - began
+		}
+	}
+	return out
+}
+
+// atOnce is how many tasks a job has to have on machines to count as started.
+func (r *run) atOnce(p *planned) int {
+	n := p.job.Tasks
+	if limit := r.scenario.Deploy.TeamGPUs; limit > 0 && p.job.GPUs > 0 && p.class.Shape != "gang" {
+		n = min(n, int(limit/p.job.GPUs))
+	}
+	return max(n, 1)
+}
+
+func (r *run) result(from int64) *Result {
+	d := &r.scenario.Deploy
+	res := &Result{Scenario: r.scenario.Name, About: r.scenario.About, Seed: r.opt.Seed, Nodes: r.cluster.Use(), Broken: []judge.Broken{}}
+	r.cluster.Servers.With(func() {
+		s := r.cluster.Servers
+		res.Machines, res.Requests, res.Refused, res.Changes = s.World.Rented, s.Requests, s.Refused, s.State.Revision()
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	terms := judge.Terms{CancelIn: config.FromSeconds(d.CancelS), Silence: 90 * config.Second, Teams: map[string]judge.Limit{}}
+	for _, name := range r.scenario.teams() {
+		terms.Teams[name] = judge.Limit{GPUs: d.TeamGPUs}
+	}
+	res.Broken = append(res.Broken, judge.Judge(terms, r.events)...)
+	fates := r.fates(from)
+	end := float64(r.now()-from) / 1e6
+	for i := range r.scenario.Expect {
+		res.Findings = append(res.Findings, r.find(&r.scenario.Expect[i], fates, end))
+	}
+	for i := range r.scenario.Classes {
+		res.Classes = append(res.Classes, r.classResult(&r.scenario.Classes[i], fates))
+	}
+	res.Marks, res.Load = r.marks, r.load(from)
+	for i := range res.Marks {
+		res.Marks[i].At -= float64(from) / 1e6
+	}
+	switch {
+	case r.broke != nil:
+		res.Why = "the rehearsal itself: " + r.broke.Error()
+	case len(res.Broken) > 0:
+		res.Why = fmt.Sprintf("%d rules broken, first %s", len(res.Broken), res.Broken[0])
+	}
+	for _, f := range res.Findings {
+		if !f.Met && res.Why == "" {
+			res.Why = fmt.Sprintf("%s: %.3f of %d", f.Expect, f.Found, f.Of)
+		}
+	}
+	res.Passed = res.Why == ""
+	return res
+}
+
+// find holds an expectation against what came of the jobs.
+func (r *run) find(e *Expect, fates map[string]*fate, end float64) Finding {
+	what := e.Kind
+	if e.Class != "" {
+		what = e.Class + " " + e.Kind
+	}
+	if e.WithinS > 0 {
+		what += fmt.Sprintf(" within %g s", e.WithinS)
+	}
+	f := Finding{Expect: fmt.Sprintf("%s at least %g", what, e.Share)}
+	good, weight := 0.0, 0.0
+	inTime := func(at, since float64) bool { return at >= 0 && (e.WithinS == 0 || at-since <= e.WithinS) }
+	for _, x := range fates {
+		if e.Class != "" && x.p.class.Name != e.Class || x.submitted < 0 {
+			continue
+		}
+		planned := x.p.at.Seconds()
+		service := x.p.class.Shape == "service"
+		count, ok := 1.0, false
+		switch e.Kind {
+		case "accepted":
+			ok = inTime(x.accepted, planned)
+		case "started":
+			if x.cancelled && x.started < 0 || end-planned < e.WithinS {
+				continue
+			}
+			ok = inTime(x.started, planned)
+		case "done":
+			if x.cancelled || service || end-planned < e.WithinS {
+				continue
+			}
+			ok = inTime(x.done, planned)
+		case "deadline":
+			if x.cancelled || x.p.job.DeadlineS == nil {
+				continue
+			}
+			ok = x.done >= 0 && x.done-planned <= *x.p.job.DeadlineS
+		case "ended":
+			if service {
+				continue
+			}
+			ok = x.done >= 0 || x.cancelled
+		case "up":
+			if !service || x.cancelled {
+				continue
+			}
+			count = float64(x.p.job.Tasks) * max(end-planned-e.WithinS, 0)
+			good += min(x.upFor, count)
+			weight += count
+			f.Of++
+			continue
+		}
+		f.Of++
+		weight += count
+		if ok {
+			good += count
+		}
+	}
+	if weight > 0 {
+		f.Found = good / weight
+	}
+	f.Met = weight == 0 && e.Share == 0 || weight > 0 && f.Found >= e.Share-1e-9
+	return f
+}
+
+func (r *run) classResult(c *Class, fates map[string]*fate) ClassResult {
+	out := ClassResult{Class: c.Name}
+	var starts, ends, waits []float64
+	r.users.note(c.Name, func(s *userStats) {
+		out.Submitted, out.Accepted, out.Errors = s.Submitted, s.Accepted, s.Errors
+		for _, w := range s.waits {
+			waits = append(waits, w.Seconds())
+		}
+	})
+	for _, x := range fates {
+		if x.p.class != c {
+			continue
+		}
+		if x.started >= 0 {
+			out.Started++
+			starts = append(starts, x.started-x.p.at.Seconds())
+		}
+		if x.done >= 0 {
+			out.Done++
+			ends = append(ends, x.done-x.p.at.Seconds())
+		}
+		if x.cancelled {
+			out.Cancelled++
+		}
+	}
+	out.SubmitMS, out.StartS, out.DoneS = quantiles(waits, 1000), quantiles(starts, 1), quantiles(ends, 1)
+	return out
+}
+
+// load counts what happened in each second.
+func (r *run) load(from int64) []Second {
+	var out []Second
+	on := 0
+	for _, e := range r.events {
+		i := int((e.At - from) / config.Second)
+		if i < 0 || i > 24*3600 {
+			continue
+		}
+		for len(out) <= i {
+			out = append(out, Second{On: on})
+		}
+		switch e.Kind {
+		case judge.Submitted:
+			out[i].Submitted++
+		case judge.On:
+			out[i].Started++
+			on++
+		case judge.Off:
+			on--
+		case judge.Done:
+			out[i].Done++
+		}
+		out[i].On = on
+	}
+	return out
+}
+
+// save keeps the result and the history that it was judged by.
+func (r *run) save(res *Result) error {
+	raw, err := json.MarshalIndent(res, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(r.opt.Dir, "result.json"), raw, 0o600); err != nil {
+		return err
+	}
+	f, err := os.Create(filepath.Join(r.opt.Dir, "events.jsonl"))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	enc := json.NewEncoder(f)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.events {
+		if err := enc.Encode(&r.events[i]); err != nil {
+			return err
+		}
+	}
+	return f.Close()
+}
+
+// Open reads the result of a run.
+func Open(dir string) (*Result, error) {
+	raw, err := os.ReadFile(filepath.Join(dir, "result.json"))
+	if err != nil {
+		return nil, err
+	}
+	res := &Result{}
+	if err := json.Unmarshal(raw, res); err != nil {
+		return nil, fmt.Errorf("%s: %w", dir, err)
+	}
+	return res, nil
+}
--- /dev/null
+++ b/internal/rehearse/users.go
@@ -0,0 +1,321 @@
+package rehearse
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"coralhub/internal/cluster"
+	"coralhub/internal/config"
+	"coralhub/internal/judge"
+	"coralhub/internal/standin"
+	"coralhub/wire"
+)
+
+// What users do by the protocol.
+const (
+	submitWait  = 5 * time.Second
+	pollWait    = 2 * time.Second
+	pollEvery   = 5 * time.Second
+	retryFor    = 60 * time.Second
+	longestWait = 30 * time.Second
+	// finalAfter is how long after a job's end its user expects to hear of it.
+	finalAfter = 3 * time.Second
+)
+
+// planned is a job that comes at a set time.
+type planned struct {
+	at       time.Duration
+	class    *Class
+	job      wire.Job
+	run      standin.Micros
+	cancelIn time.Duration // after its acceptance; 0: never
+}
+
+// plan draws the jobs of a scenario: by the same seed the same ones.
+func (s *Scenario) plan(seed uint64) []planned {
+	var out []planned
+	number := 0
+	for k := range s.Classes {
+		c := &s.Classes[k]
+		rnd := rand.New(rand.NewPCG(seed, uint64(k)+1))
+		add := func(at float64) {
+			number++
+			run := c.RunS * math.Exp(c.RunSpread*rnd.NormFloat64())
+			tasks := c.Tasks[0] + rnd.IntN(c.Tasks[1]-c.Tasks[0]+1)
+			p := planned{at: time.Duration(at * 1e9), class: c, run: config.FromSeconds(run)}
+			p.job = wire.Job{ID: fmt.Sprintf("j-%06d", number), Class: c.Name, Team: c.Team, Shape: wireShape(c.Shape), Priority: wirePriority(c.Priority),
+				Tasks: tasks, CPUs: 1, GPUs: c.GPUs, MemoryGB: 4, Image: fmt.Sprintf("%s-%d", c.Name, rnd.IntN(max(c.Images, 1))), ImageGB: c.ImageGB,
+				OneZone: c.OneZone, Spread: c.Spread, Spot: c.Spot, CheckpointS: c.CheckpointS, SaveS: min(c.CheckpointS, 1)}
+			if c.Shape != "service" {
+				p.job.EstimateS = run * math.Exp(0.4*rnd.NormFloat64())
+			}
+			if c.DueTimes > 0 {
+				due := 10 + c.DueTimes*p.job.EstimateS
+				p.job.DeadlineS = &due
+			}
+			if rnd.Float64() < c.Cancelled {
+				p.cancelIn = time.Duration((1 + 10*rnd.Float64()) * 1e9)
+			}
+			out = append(out, p)
+		}
+		for range c.Initial {
+			add(2 * rnd.Float64())
+		}
+		rate := func(at float64) float64 {
+			r := c.RatePerS
+			for _, b := range c.Bursts {
+				if at >= b.AtS && at < b.AtS+b.ForS {
+					r *= b.Factor
+				}
+			}
+			return r
+		}
+		highest := c.RatePerS
+		for _, b := range c.Bursts {
+			highest = max(highest, c.RatePerS*b.Factor)
+		}
+		for at := 0.0; highest > 0; { // arrivals of a varying rate, by thinning
+			if at += rnd.ExpFloat64() / highest; at >= s.DurationS {
+				break
+			}
+			if rnd.Float64()*highest < rate(at) {
+				add(at)
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b planned) int { return int(a.at - b.at) })
+	last := map[string]string{}
+	for i := range out {
+		if n := out[i].class.Needs; n != "" && last[n] != "" {
+			out[i].job.Needs = []string{last[n]}
+		}
+		last[out[i].class.Name] = out[i].job.ID
+	}
+	return out
+}
+
+func wireShape(s string) string {
+	switch s {
+	case "gang":
+		return wire.Gang
+	case "service":
+		return wire.Service
+	}
+	return wire.Array
+}
+
+func wirePriority(s string) string {
+	switch s {
+	case "production":
+		return wire.Production
+	case "high":
+		return wire.High
+	case "low":
+		return wire.Low
+	}
+	return wire.Normal
+}
+
+// users submits jobs, polls and cancels, through a balancer that knows which nodes are
+// healthy.
+type users struct {
+	c      *cluster.Cluster
+	record func(judge.Event)
+	now    func() int64
+	client *http.Client
+
+	mu      sync.Mutex
+	healthy []bool
+	stats   map[string]*userStats
+}
+
+// userStats is what the users of a class have met.
+type userStats struct {
+	Submitted, Accepted int
+	waits               []time.Duration // from the moment planned to the acceptance
+	Errors              map[string]int
+}
+
+func newUsers(c *cluster.Cluster, record func(judge.Event), now func() int64) *users {
+	return &users{c: c, record: record, now: now, healthy: make([]bool, len(c.Nodes)), stats: map[string]*userStats{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, IdleConnTimeout: time.Minute}}}
+}
+
+// balance probes the nodes until ctx ends.
+func (u *users) balance(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i, n := range u.c.Nodes {
+		wg.Go(func() {
+			t := time.NewTicker(time.Second)
+			defer t.Stop()
+			bad, good := 0, 1
+			for {
+				if n.Ready(ctx, u.client) {
+					bad, good = 0, good+1
+				} else {
+					bad, good = bad+1, 0
+				}
+				u.mu.Lock()
+				if good >= 2 {
+					u.healthy[i] = true
+				} else if bad >= 2 {
+					u.healthy[i] = false
+				}
+				u.mu.Unlock()
+				select {
+				case <-ctx.Done():
+					return
+				case <-t.C:
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// node picks a node for a connection: a healthy one, if there is any.
+func (u *users) node() *cluster.Node {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var good []*cluster.Node
+	for i, n := range u.c.Nodes {
+		if u.healthy[i] {
+			good = append(good, n)
+		}
+	}
+	if len(good) == 0 {
+		good = u.c.Nodes
+	}
+	return good[rand.IntN(len(good))]
+}
+
+// ask makes a request and returns the status, 0 if there was no answer.
+func (u *users) ask(ctx context.Context, wait time.Duration, method, path string, body []byte) (int, wire.JobStatus, time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var st wire.JobStatus
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.node().Users.Addr()+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, st, 0
+	}
+	res, err := u.client.Do(req)
+	if err != nil {
+		return 0, st, 0
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(res.Body, wire.MaxBody))
+	if err != nil {
+		return 0, st, 0
+	}
+	if res.StatusCode < 300 && wire.Unmarshal(raw, &st) != nil {
+		return 0, st, 0
+	}
+	after, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64) // none: the usual pause
+	return res.StatusCode, st, time.Duration(after * 1e9)
+}
+
+func (u *users) note(class string, f func(*userStats)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.stats[class]
+	if s == nil {
+		s = &userStats{Errors: map[string]int{}}
+		u.stats[class] = s
+	}
+	f(s)
+}
+
+func (u *users) told(id, via string, status int, said string) {
+	u.record(judge.Event{At: u.now(), Kind: judge.Told, Job: id, Via: via, Status: status, Said: said})
+}
+
+// follow is a user with one job: it submits at its time, polls until the job is over,
+// and cancels it if that is planned.
+func (u *users) follow(ctx context.Context, p *planned, due time.Time) {
+	raw, err := wire.Marshal(&p.job)
+	if err != nil {
+		return
+	}
+	u.record(judge.Event{At: u.now(), Kind: judge.Submitted, Job: p.job.ID, Spec: specOf(&p.job)})
+	u.note(p.class.Name, func(s *userStats) { s.Submitted++ })
+	if !u.repeat(ctx, p, submitWait, judge.BySubmit, http.MethodPost, wire.PathJobs, raw) {
+		return
+	}
+	u.note(p.class.Name, func(s *userStats) {
+		s.Accepted++
+		s.waits = append(s.waits, time.Since(due)) // from the plan: a slow answer delays nobody's arrival
+	})
+	var cancelAt <-chan time.Time
+	if p.cancelIn > 0 {
+		t := time.NewTimer(p.cancelIn)
+		defer t.Stop()
+		cancelAt = t.C
+	}
+	poll := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(pollEvery)))
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-cancelAt:
+			cancelAt = nil
+			u.record(judge.Event{At: u.now(), Kind: judge.Asked, Job: p.job.ID})
+			u.repeat(ctx, p, submitWait, judge.ByCancel, http.MethodPost, wire.PathJobs+"/"+p.job.ID+"/"+wire.CancelVerb, nil)
+		case <-poll.C:
+			status, st, _ := u.ask(ctx, pollWait, http.MethodGet, wire.PathJobs+"/"+p.job.ID, nil)
+			if ctx.Err() != nil {
+				return
+			}
+			u.told(p.job.ID, judge.ByPoll, status, st.Status)
+			if status == http.StatusOK && (st.Status == wire.Done || st.Status == wire.Cancelled) {
+				return
+			}
+			poll.Reset(pollEvery)
+		}
+	}
+}
+
+// repeat makes a request until it is taken, as the protocol lets users.
+func (u *users) repeat(ctx context.Context, p *planned, wait time.Duration, via, method, path string, body []byte) bool {
+	for began := time.Now(); ctx.Err() == nil; {
+		status, st, after := u.ask(ctx, wait, method, path, body)
+		if ctx.Err() != nil {
+			return false
+		}
+		u.told(p.job.ID, via, status, st.Status)
+		switch {
+		case status == http.StatusOK || status == http.StatusCreated:
+			return true
+		case status == http.StatusBadRequest || status == http.StatusUnprocessableEntity || status == http.StatusNotFound:
+			u.note(p.class.Name, func(s *userStats) { s.Errors[strconv.Itoa(status)]++ })
+			return false
+		}
+		u.note(p.class.Name, func(s *userStats) { s.Errors[strconv.Itoa(status)]++ })
+		after = min(max(after, time.Second), longestWait)
+		if time.Since(began)+after > retryFor {
+			return false
+		}
+		t := time.NewTimer(after)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return false
+		}
+	}
+	return false
+}
+
+func specOf(j *wire.Job) *judge.Spec {
+	return &judge.Spec{Team: j.Team, Tasks: j.Tasks, CPUs: j.CPUs, GPUs: j.GPUs, Types: j.Types, Zone: j.Zone, OneZone: j.OneZone,
+		Spread: j.Spread, Spot: j.Spot, Needs: j.Needs}
+}
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -385,7 +385,7 @@
 func (s *Sim) cloud(n *node, e core.Effect) {
 	off := s.world.CloudOff || n.cut["cloud"] != ""
 	if r, ok := e.(core.Release); ok && n.cut["cloud"] == "hold" {
-		s.held = append(s.held, func() { s.world.Release(r.Machines) })
+		s.held = append(s.held, func() { s.world.Release(s.now, r.Machines) })
 		s.post(n, core.ReleaseDone{Machines: r.Machines, Outcome: core.Unknown})
 		return
 	}
@@ -416,7 +416,7 @@
 		s.post(n, d)
 	case core.Release:
 		if !off {
-			s.world.Release(x.Machines)
+			s.world.Release(s.now, x.Machines)
 		}
 		s.post(n, core.ReleaseDone{Machines: x.Machines, Outcome: result})
 	}
@@ -431,7 +431,7 @@
 		}
 		n := s.nodes[m.Node%len(s.nodes)]
 		r := m.Status()
-		m.Reported(s.now)
+		m.Reported(s.now, 0)
 		var a core.Answer
 		if n.alive && n.cut["workers"] == "" {
 			s.req++
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -274,7 +274,7 @@
 	case d.HasArg("fail"):
 		s.world.Fails[name] = s.now
 	case d.HasArg("die"):
-		s.world.Release([]string{name})
+		s.world.Release(s.now, []string{name})
 	}
 	return name + "\n"
 }
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -2,13 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"coralhub/wire"
 )
 
@@ -18,16 +23,42 @@
 	State *State
 	World *World
 	Nodes []string // addresses that workers report to
-	start time.Time
-	wake  chan struct{}
+	Names []string // and the nodes' names, which redirections give
+	// Requests counts what was asked of the state service and refused for its quota.
+	Requests, Refused int
+
+	start  time.Time
+	wake   chan struct{}
+	calls  *rate.Limiter // of the state service
+	writes *rate.Limiter
+	cloud  *rate.Limiter
+	delay  time.Duration // of the state service
 }
 
-// NewServers returns stand-ins that workers' reports go out from once Run runs.
+// NewServers returns stand-ins without quotas.
 func NewServers() *Servers {
-	return &Servers{State: NewState(), World: NewWorld(), start: time.Now(), wake: make(chan struct{})}
+	return &Servers{State: NewState(), World: NewWorld(), start: time.Now(), wake: make(chan struct{}),
+		calls: rate.NewLimiter(rate.Inf, 0), writes: rate.NewLimiter(rate.Inf, 0), cloud: rate.NewLimiter(rate.Inf, 0)}
+}
+
+// SetQuotas has the state service and the cloud refuse more than so many requests and
+// changes a second, with bursts of one second's worth, two of the cloud's.
+func (s *Servers) SetQuotas(calls, writes, cloud float64) {
+	for _, q := range []struct {
+		l     *rate.Limiter
+		limit float64
+		burst float64
+	}{{s.calls, calls, calls}, {s.writes, writes, writes}, {s.cloud, cloud, 2 * cloud}} {
+		q.l.SetLimit(rate.Limit(q.limit))
+		q.l.SetBurst(max(1, int(q.burst)))
+	}
 }
 
-func (s *Servers) now() Micros { return time.Since(s.start).Microseconds() + 1 }
+// Delay has the state service take so much longer for each answer.
+func (s *Servers) Delay(d time.Duration) { s.With(func() { s.delay = d }) }
+
+// Now is the time that the stand-ins go by.
+func (s *Servers) Now() Micros { return time.Since(s.start).Microseconds() + 1 }
 
 // With calls f while nothing else happens to the stand-ins.
 func (s *Servers) With(f func()) {
@@ -51,82 +82,125 @@
 	return err == nil && wire.Unmarshal(raw, v) == nil
 }
 
+// admit counts a request and refuses it beyond the quota, or in an outage.
+func (s *Servers) admit(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down, delay := s.State.Down, s.delay
+		s.Requests++
+		s.mu.Unlock()
+		if delay > 0 {
+			pause(r.Context(), delay)
+		}
+		switch {
+		case down && !strings.HasPrefix(r.URL.Path, wire.PathChanges): // open watches stay open
+			write(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+		case !s.calls.Allow():
+			s.refuse(w)
+		default:
+			next(w, r)
+		}
+	}
+}
+
+func (s *Servers) refuse(w http.ResponseWriter) {
+	s.With(func() { s.Refused++ })
+	write(w, http.StatusTooManyRequests, wire.Error{Error: "too many requests"})
+}
+
 // StateHandler serves the state service.
 func (s *Servers) StateHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+wire.PathCommit, func(w http.ResponseWriter, r *http.Request) {
+	handle := func(pattern string, h http.HandlerFunc) { mux.HandleFunc(pattern, s.admit(h)) }
+	handle("POST "+wire.PathCommit, func(w http.ResponseWriter, r *http.Request) {
 		var t wire.Commit
 		if !read(r, &t) {
 			write(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
 			return
 		}
+		if n := len(t.Changes); n > 0 && !s.writes.AllowN(time.Now(), n) {
+			s.refuse(w)
+			return
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		status, a := s.State.Commit(t)
-		close(s.wake)
-		s.wake = make(chan struct{})
+		s.ring()
 		write(w, status, a)
 	})
-	mux.HandleFunc("GET "+wire.PathStore, func(w http.ResponseWriter, r *http.Request) {
+	handle("GET "+wire.PathStore, func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		most, err := strconv.Atoi(q.Get("most"))
+		if err != nil || most <= 0 || most > wire.MaxRows {
+			most = wire.MaxRows
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.State.Down {
-			write(w, http.StatusServiceUnavailable, wire.Error{Error: "down"})
-			return
-		}
-		write(w, http.StatusOK, wire.Items{Items: s.State.List(r.URL.Query().Get("under")), Revision: s.State.Revision()})
+		items, more := s.State.Page(q.Get("under"), q.Get("from"), most)
+		write(w, http.StatusOK, wire.Items{Items: items, More: more, Revision: s.State.Revision()})
 	})
-	mux.HandleFunc("GET "+wire.PathStore+"/{key...}", func(w http.ResponseWriter, r *http.Request) {
+	handle("GET "+wire.PathStore+"/{key...}", func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		it := s.State.Get(r.PathValue("key"))
-		switch {
-		case s.State.Down:
-			write(w, http.StatusServiceUnavailable, wire.Error{Error: "down"})
-		case it.Version == 0:
-			write(w, http.StatusNotFound, wire.CommitAnswer{Revision: s.State.Revision()})
-		default:
+		if it := s.State.Get(r.PathValue("key")); it.Version != 0 {
 			write(w, http.StatusOK, it)
+			return
 		}
+		write(w, http.StatusNotFound, wire.CommitAnswer{Revision: s.State.Revision()})
 	})
-	mux.HandleFunc("POST "+wire.PathLeases, func(w http.ResponseWriter, r *http.Request) {
+	handle("POST "+wire.PathLeases, func(w http.ResponseWriter, r *http.Request) {
 		var q wire.LeaseRequest
-		ok := read(r, &q)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if !ok {
-			write(w, http.StatusBadRequest, nil)
+		if !read(r, &q) || q.TTLms < 100 || q.TTLms > 600_000 {
+			write(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
 			return
 		}
-		status, id := s.State.Grant(s.now(), q.TTLms*1000)
-		write(w, status, wire.LeaseAnswer{Lease: id})
-	})
-	mux.HandleFunc("POST "+wire.PathLeases+"/{id}/"+wire.ExtendVerb, func(w http.ResponseWriter, r *http.Request) {
-		id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		write(w, s.State.Extend(s.now(), id), wire.LeaseAnswer{Lease: id})
+		status, id := s.State.Grant(s.Now(), q.TTLms*1000)
+		write(w, status, wire.LeaseAnswer{Lease: id})
 	})
-	mux.HandleFunc("GET "+wire.PathChanges, s.changes)
+	lease := func(do func(now Micros, id uint64) int) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64) // no such lease otherwise
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			write(w, do(s.Now(), id), wire.LeaseAnswer{Lease: id})
+			s.ring()
+		}
+	}
+	handle("POST "+wire.PathLeases+"/{id}/"+wire.ExtendVerb, lease(func(now Micros, id uint64) int { return s.State.Extend(now, id) }))
+	handle("DELETE "+wire.PathLeases+"/{id}", lease(func(now Micros, id uint64) int { return s.State.End(now, id) }))
+	handle("GET "+wire.PathChanges, s.changes)
 	return mux
 }
 
+// ring wakes the watches. The lock is held.
+func (s *Servers) ring() {
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
 // changes holds a watch open until there is something to tell.
 func (s *Servers) changes(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
-	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	end := time.NewTimer(time.Duration(min(max(wait, 0), 60_000)) * time.Millisecond)
 	defer end.Stop()
-	for over := false; ; {
+	for over := wait <= 0; ; {
 		s.mu.Lock()
 		a := wire.Changes{Revision: s.State.Revision()}
-		if !s.State.Down {
+		down, lost := s.State.Down, s.State.Lost(from)
+		if !down && !lost {
 			a.Events = s.State.Since(q.Get("under"), from)
 		}
 		wake := s.wake
 		s.mu.Unlock()
-		if len(a.Events) > 0 || over {
+		switch {
+		case lost && !down:
+			write(w, http.StatusGone, wire.Error{Error: "too old"})
+			return
+		case len(a.Events) > 0 || over && !down:
 			write(w, http.StatusOK, a)
 			return
 		}
@@ -134,112 +208,232 @@
 		case <-wake:
 		case <-end.C:
 			over = true
+			if down {
+				pause(r.Context(), 100*time.Millisecond)
+				end.Reset(0)
+			}
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // CloudHandler serves the cloud's interface.
 func (s *Servers) CloudHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+wire.PathCatalog, func(w http.ResponseWriter, _ *http.Request) {
+	handle := func(pattern string, h http.HandlerFunc) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			off := false
+			s.With(func() { off = s.World.CloudOff })
+			switch {
+			case off:
+				write(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+			case !s.cloud.Allow():
+				write(w, http.StatusTooManyRequests, wire.Error{Error: "too many requests"})
+			default:
+				h(w, r)
+			}
+		})
+	}
+	handle("GET "+wire.PathCatalog, func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		write(w, http.StatusOK, wire.Catalog{Types: s.World.Types})
 	})
-	mux.HandleFunc("GET "+wire.PathHosts, func(w http.ResponseWriter, _ *http.Request) {
+	handle("GET "+wire.PathHosts, func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		most, err := strconv.Atoi(q.Get("most"))
+		if err != nil || most <= 0 || most > maxListed {
+			most = maxListed
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		write(w, http.StatusOK, wire.MachineList{Machines: s.World.List(s.now())})
+		all := s.World.List(s.Now())
+		i, _ := slices.BinarySearchFunc(all, q.Get("from"), func(m wire.Machine, from string) int {
+			if m.Name <= from {
+				return -1
+			}
+			return 1
+		})
+		all = all[i:]
+		write(w, http.StatusOK, wire.MachineList{Machines: all[:min(most, len(all))], More: len(all) > most})
 	})
-	mux.HandleFunc("POST "+wire.PathHosts, func(w http.ResponseWriter, r *http.Request) {
+	handle("POST "+wire.PathHosts, func(w http.ResponseWriter, r *http.Request) {
 		var q wire.Rent
-		ok := read(r, &q)
+		if !read(r, &q) || q.Name == "" || q.Count < 1 || q.Count > wire.MaxRent {
+			write(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+			return
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		names := s.World.Rent(s.now(), q)
-		switch {
-		case !ok:
-			write(w, http.StatusBadRequest, nil)
-		case len(names) == 0:
+		names := s.World.Rent(s.Now(), q)
+		if len(names) == 0 {
 			write(w, http.StatusServiceUnavailable, wire.Error{Error: "no capacity"})
-		default:
-			write(w, http.StatusOK, wire.MachineNames{Machines: names})
+			return
 		}
+		write(w, http.StatusOK, wire.MachineNames{Machines: names})
 	})
-	mux.HandleFunc("POST "+wire.PathRelease, func(w http.ResponseWriter, r *http.Request) {
+	handle("POST "+wire.PathRelease, func(w http.ResponseWriter, r *http.Request) {
 		var q wire.MachineNames
-		ok := read(r, &q)
+		if !read(r, &q) || len(q.Machines) > wire.MaxRelease {
+			write(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+			return
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if ok {
-			s.World.Release(q.Machines)
-		}
+		s.World.Release(s.Now(), q.Machines)
 		write(w, http.StatusOK, wire.MachineNames{})
 	})
 	return mux
 }
 
-// WorkerHandler serves every worker: the machine is the first part of the path.
+// maxListed bounds a page of machines.
+const maxListed = 500
+
+// WorkerHandler serves every worker: the machine is the first part of the path. One
+// that hangs or is not up yet doesn't answer.
 func (s *Servers) WorkerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+		name, verb, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 		var c wire.Commands
-		ok := read(r, &c)
-		s.mu.Lock()
+		ok := verb == "status" || read(r, &c)
+		for {
+			s.mu.Lock()
+			m := s.World.Machines[name]
+			if m == nil || !m.Hang && s.Now() >= m.Up {
+				break
+			}
+			s.mu.Unlock()
+			// What a hanging machine was told takes effect when it goes on, though the
+			// sender has given up.
+			pause(context.Background(), 100*time.Millisecond)
+		}
 		defer s.mu.Unlock()
 		m := s.World.Machines[name]
-		if m == nil || !ok {
-			write(w, http.StatusBadRequest, nil)
-			return
+		switch {
+		case m == nil || !ok:
+			write(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		case verb == "status":
+			write(w, http.StatusOK, m.Status())
+		default:
+			status, report := s.World.Commands(s.Now(), m, c)
+			write(w, status, report)
 		}
-		status, report := s.World.Commands(s.now(), m, c)
-		write(w, status, report)
 	})
 }
 
-// Step lets time pass on the machines and sends the reports that are due.
-func (s *Servers) Step(client *http.Client, addr string) {
-	type due struct {
-		m      *Machine
-		report wire.Report
-		sent   Micros
-		node   int
+const (
+	// stepEvery is how often time passes on the machines.
+	stepEvery = 50 * time.Millisecond
+	// reportWait is how long a worker waits for the answer to a report.
+	reportWait = 4 * time.Second
+	maxReports = 512 // at a time
+)
+
+// Drive lets time pass on the machines and sends workers' reports until ctx ends. The
+// workers' own address is addr.
+func (s *Servers) Drive(ctx context.Context, addr string) {
+	client := &http.Client{Timeout: reportWait, Transport: &http.Transport{MaxIdleConnsPerHost: 4096, IdleConnTimeout: time.Minute},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	defer client.CloseIdleConnections()
+	sem := make(chan struct{}, maxReports)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(stepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, d := range s.due(addr) {
+			select {
+			case sem <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			wg.Go(func() {
+				defer func() { <-sem }()
+				s.send(ctx, client, d)
+			})
+		}
 	}
+}
+
+type due struct {
+	m      *Machine
+	report wire.Report
+	sent   Micros
+	node   int
+}
+
+// due lets time pass and lists the reports that are to go out.
+func (s *Servers) due(addr string) []due {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	s.State.Expire(now)
+	s.World.Tick(now)
+	s.ring()
 	var out []due
-	s.With(func() {
-		now := s.now()
-		s.State.Expire(now)
-		s.World.Tick(now)
-		for _, name := range s.World.Names() {
-			m := s.World.Machines[name]
-			m.Addr = addr + "/" + name
-			if m.Due(now) {
-				out = append(out, due{m, m.Status(), now, m.Node % len(s.Nodes)})
-				m.Reported(now)
+	for _, name := range s.World.Names() {
+		m := s.World.Machines[name]
+		m.Addr = addr + "/" + name
+		if len(s.Nodes) > 0 && m.Due(now) {
+			out = append(out, due{m, m.Status(), now, m.Node % len(s.Nodes)})
+			every := s.World.ReportEvery
+			if every == 0 {
+				every = Second
 			}
+			m.Reported(now, Micros(float64(every)*(0.75+0.5*rand.Float64())))
+			m.busy = true
 		}
-	})
-	for _, d := range out {
-		raw, err := wire.Marshal(&d.report)
-		if err != nil {
-			continue
-		}
-		status, body := 0, []byte(nil)
-		res, err := client.Post("http://"+s.Nodes[d.node]+wire.PathReport, wire.ContentType, bytes.NewReader(raw))
-		if err == nil {
-			status = res.StatusCode
-			body, _ = io.ReadAll(res.Body)
-			_ = res.Body.Close()
-		}
-		s.With(func() {
-			var a wire.ReportAnswer
-			if status == http.StatusOK && wire.Unmarshal(body, &a) == nil {
-				s.World.Answered(s.now(), d.sent, d.report.Session, d.m, a)
-				return
+	}
+	return out
+}
+
+// send sends a report and does what the answer says.
+func (s *Servers) send(ctx context.Context, client *http.Client, d due) {
+	status, body := 0, []byte(nil)
+	raw, err := wire.Marshal(&d.report)
+	if err == nil {
+		var req *http.Request
+		if req, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Nodes[d.node]+wire.PathReport, bytes.NewReader(raw)); err == nil {
+			var res *http.Response
+			if res, err = client.Do(req); err == nil {
+				status = res.StatusCode
+				body, _ = io.ReadAll(io.LimitReader(res.Body, 1<<20))
+				_ = res.Body.Close()
 			}
-			d.m.Node++
-		})
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, now := d.m, s.Now()
+	m.busy = false
+	var a wire.ReportAnswer
+	var to wire.Redirect
+	switch {
+	case status == http.StatusOK && wire.Unmarshal(body, &a) == nil:
+		if !m.Hang {
+			s.World.Answered(now, d.sent, d.report.Session, m, a)
+		}
+		return
+	case status == http.StatusMisdirectedRequest && wire.Unmarshal(body, &to) == nil:
+		if i := slices.Index(s.Names, to.Node); i >= 0 && i != d.node {
+			m.Node, m.NextAt = i, now+Micros(rand.Int64N(Second/2))
+			return
+		}
 	}
+	m.Node, m.NextAt = d.node+1, now+Second
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -29,6 +29,10 @@
 	leases             map[uint64]*lease
 	next               uint64
 	changes            []wire.Change
+	// Keep is how many changes a watch can go back; 0 means all.
+	Keep int
+	// Disk keeps what is committed, before it is answered; nil: nothing does.
+	Disk *Disk
 }
 
 type lease struct {
@@ -73,6 +77,9 @@
 		}
 		sort.Strings(gone)
 		for _, k := range gone {
+			if s.Disk.save(s.rev+1, []wire.Change{{Delete: k}}) != nil {
+				continue // it goes with the next restart at the latest
+			}
 			s.rev++
 			delete(s.keys, k)
 			s.changes = append(s.changes, wire.Change{Delete: k, Version: s.rev})
@@ -103,9 +110,14 @@
 	if len(failed) > 0 {
 		return 409, wire.CommitAnswer{Failed: failed, Revision: s.rev}
 	}
-	if len(t.Changes) > 0 {
-		s.rev++
+	if len(t.Changes) == 0 {
+		return 200, wire.CommitAnswer{Revision: s.rev}
+	}
+	if err := s.Disk.save(s.rev+1, t.Changes); err != nil {
+		return 503, wire.CommitAnswer{Error: err.Error()}
 	}
+	s.rev++
+	s.forget()
 	for _, c := range t.Changes {
 		if c.Put != "" {
 			s.keys[c.Put] = wire.Item{Key: c.Put, Value: c.Value, Version: s.rev, Lease: c.Lease}
@@ -118,6 +130,47 @@
 	return 200, wire.CommitAnswer{Revision: s.rev}
 }
 
+// forget drops changes that watches can't ask for any more, some at a time.
+func (s *State) forget() {
+	if s.Keep > 0 && len(s.changes) > 2*s.Keep {
+		s.changes = append([]wire.Change(nil), s.changes[len(s.changes)-s.Keep:]...)
+	}
+}
+
+// Lost tells whether changes after a revision are not kept any more.
+func (s *State) Lost(rev uint64) bool {
+	return s.Keep > 0 && len(s.changes) >= s.Keep && rev+1 < s.changes[0].Version
+}
+
+// Page returns keys under a prefix, in order, after a key: at most so many.
+func (s *State) Page(prefix, from string, most int) (items []wire.Item, more bool) {
+	all := s.List(prefix)
+	i := sort.Search(len(all), func(i int) bool { return all[i].Key > from })
+	all = all[i:]
+	size := 0
+	for n, it := range all {
+		if size += len(it.Key) + len(it.Value); n == most || size > maxPageBytes {
+			return all[:n], true
+		}
+	}
+	return all, false
+}
+
+// maxPageBytes bounds a page of keys.
+const maxPageBytes = 512 << 10
+
+// End ends a lease at once.
+func (s *State) End(now Micros, id uint64) int {
+	if s.Down {
+		return 503
+	}
+	if l := s.leases[id]; l != nil {
+		l.until = now
+		s.Expire(now)
+	}
+	return 200
+}
+
 // beyond tells whether a transaction goes beyond the limits.
 func (s *State) beyond(t *wire.Commit) bool {
 	if s.TxnOps > 0 && (len(t.Changes) > s.TxnOps || len(t.Guards) > wire.GuardFactor*s.TxnOps) {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"coralhub/internal/judge"
 	"coralhub/wire"
 )
 
@@ -20,23 +21,34 @@
 	Jobs     map[string]*JobIn // what users have submitted
 	Machines map[string]*Machine
 	Fails    map[string]Micros // machines that fail every task that starts after that
-	CloudOff bool
-	Broken   []string
-	Rented   int
-	seq      int
-	asked    map[string][]string
-	done     map[string]map[int]bool
+	// ReportEvery is how often workers report; 0 is a second.
+	ReportEvery Micros
+	CloudOff    bool
+	Broken      []string
+	Rented      int
+	// Model has machines differ, boot late, fetch images and lose spot machines; nil:
+	// everything takes as long as it is said to.
+	Model *Model
+	// Watch hears what happens on machines; nil: nobody does.
+	Watch func(judge.Event)
+
+	seq    int
+	asked  map[string][]string
+	done   map[string]map[int]bool
+	saved  map[string]map[int]Micros // progress outside of machines; task -1 for a gang
+	listed []listing                 // lists of the last seconds, see List
 }
 
 // JobIn is a submission as its user sees it.
 type JobIn struct {
 	wire.Job
-	Cancelled Micros // when the user was told; 0: not
-	Asked     bool   // the user has asked to cancel it
-	Run       Micros // how long a task runs
-	Steps     Micros // how much longer each task of an array runs than the one before
-	Mistaken  bool   // fails wherever it runs
-	Starts    int    // how often its tasks have been started
+	Cancelled Micros  // when the user was told; 0: not
+	Asked     bool    // the user has asked to cancel it
+	Run       Micros  // how long a task runs
+	Steps     Micros  // how much longer each task of an array runs than the one before
+	Mistaken  bool    // fails wherever it runs
+	FetchGBs  float64 // of its image; 0: 0.4
+	Starts    int     // how often its tasks have been started
 }
 
 // Machine is a rented machine and its worker.
@@ -52,12 +64,21 @@
 	born    Micros
 	Node    int // which node it reports to
 	NextAt  Micros
+	sentAt  Micros
 	changed bool
+	busy    bool              // a report is on its way
+	Speed   float64           // how many times as fast as usual it runs
+	images  map[string]Micros // from when on it has them
+	recall  Micros            // when the cloud takes it back; 0: not
+	silent  bool              // and it gives no notice
+	Fails   bool              // every task that starts from now on fails
 }
 
 type task struct {
 	wire.TaskReport
 	began Micros
+	from  Micros // progress that it started from
+	on    bool   // it has its image and has not left
 }
 
 // NewWorld returns a world with one machine type and two zones, a and b.
@@ -81,10 +102,7 @@
 		return names
 	}
 	var names []string
-	for len(names) < r.Count && (w.Capacity[r.Zone] > 0 || r.Spot) {
-		if r.Spot && len(names) == 1 {
-			break
-		}
+	for len(names) < r.Count && w.free(r, len(names)) {
 		if !r.Spot {
 			w.Capacity[r.Zone]--
 		}
@@ -92,7 +110,9 @@
 		w.seq++
 		w.Rented++
 		w.Machines[name] = &Machine{Machine: wire.Machine{Name: name, Addr: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: wire.MachineBooting},
-			Up: now + w.Boot, Session: 1, alive: now + w.Boot, born: now}
+			Up: now + w.Boot, Session: 1, alive: now + w.Boot, born: now, Speed: 1, images: map[string]Micros{}}
+		w.Model.rented(now, w, w.Machines[name])
+		w.tell(judge.Event{At: now, Kind: judge.Machine, Machine: name, Host: &judge.Host{Type: r.Type, Zone: r.Zone, Spot: r.Spot}})
 		names = append(names, name)
 	}
 	if len(names) > 0 {
@@ -102,9 +122,11 @@
 }
 
 // Release deletes machines.
-func (w *World) Release(names []string) {
+func (w *World) Release(now Micros, names []string) {
 	for _, n := range names {
 		if m := w.Machines[n]; m != nil {
+			w.lose(now, m)
+			w.tell(judge.Event{At: now, Kind: judge.Gone, Machine: n})
 			if !m.Spot {
 				w.Capacity[m.Zone]++
 			}
@@ -115,6 +137,13 @@
 
 // List lists the machines.
 func (w *World) List(now Micros) []wire.Machine {
+	if w.Model != nil {
+		return w.Model.list(now, w)
+	}
+	return w.listNow(now)
+}
+
+func (w *World) listNow(now Micros) []wire.Machine {
 	var out []wire.Machine
 	for _, n := range w.Names() {
 		m := w.Machines[n]
@@ -136,10 +165,15 @@
 		if now >= m.Up {
 			m.State = wire.Running
 		}
+		if m.recall != 0 && now >= m.recall {
+			w.Release(now, []string{n})
+			continue
+		}
 		if m.Hang || now < m.Up {
 			continue
 		}
 		if now-m.alive > w.Lease {
+			w.lose(now, m)
 			m.tasks, m.changed = nil, true
 			m.Session++
 			m.alive = now
@@ -166,42 +200,50 @@
 	}
 	switch t.State {
 	case wire.Fetching:
+		if w.Model != nil && !m.has(now, j) {
+			return
+		}
 		if w.done[id][n] {
-			w.exit(m, t, wire.Done)
+			w.exit(now, m, t, wire.Done)
 			return
 		}
-		t.State, t.began, m.changed = wire.Running, now, true
+		t.on = true
+		w.tell(judge.Event{At: now, Kind: judge.On, Job: id, Task: n, Attempt: t.Attempt, Machine: m.Name})
+		t.State, t.began, t.from, m.changed = wire.Running, now, w.progressOf(j, n), true
 		if j.Shape == wire.Gang {
 			t.State = wire.Waiting
 		}
 	case wire.Waiting:
 		if now-t.began > w.GangWait {
-			w.exit(m, t, wire.CauseIncomplete)
+			w.exit(now, m, t, wire.CauseIncomplete)
 		}
 	case wire.Running:
 		if since, bad := w.Fails[m.Name]; bad && t.began > since || j.Mistaken {
-			w.exit(m, t, wire.CauseError)
-		} else if j.Shape == wire.Array && now-t.began >= j.Run+Micros(n)*j.Steps {
-			w.complete(m, t)
+			w.exit(now, m, t, wire.CauseError)
+		} else if j.Shape == wire.Array && w.progress(now, m, t) >= j.RunOf(n) {
+			w.complete(now, m, t)
 		}
 	case wire.Saving:
 		if now-t.began >= Second {
 			t.Saved = true
-			w.exit(m, t, wire.CauseStopped)
+			w.keep(j, n, t.from)
+			w.exit(now, m, t, wire.CauseStopped)
 		}
 	}
 }
 
-func (w *World) complete(m *Machine, t *task) {
+func (w *World) complete(now Micros, m *Machine, t *task) {
 	id, n, _ := wire.ParseTaskName(t.Task)
 	if w.done[id] == nil {
 		w.done[id] = map[int]bool{}
 	}
 	w.done[id][n] = true
-	w.exit(m, t, wire.Done)
+	w.tell(judge.Event{At: now, Kind: judge.Done, Job: id, Task: n})
+	w.exit(now, m, t, wire.Done)
 }
 
-func (w *World) exit(m *Machine, t *task, cause string) {
+func (w *World) exit(now Micros, m *Machine, t *task, cause string) {
+	w.leave(now, m, t)
 	t.State, t.Cause, m.changed = wire.Exited, cause, true
 }
 
@@ -233,7 +275,7 @@
 				waiting++
 			case x.t.State == wire.Running:
 				running++
-				ran = now - x.t.began
+				ran = w.slowest(ran, running, w.progress(now, x.m, x.t))
 			}
 		}
 		size := w.Jobs[id].Tasks
@@ -241,11 +283,11 @@
 			switch {
 			case x.m.Hang:
 			case waiting == size:
-				x.t.State, x.t.began, x.m.changed = wire.Running, now, true
+				x.t.State, x.t.began, x.t.from, x.m.changed = wire.Running, now, w.progressOf(w.Jobs[id], 0), true
 			case running == size && ran >= w.Jobs[id].Run:
-				w.complete(x.m, x.t)
+				w.complete(now, x.m, x.t)
 			case running > 0 && running < size && x.t.State == wire.Running:
-				w.exit(x.m, x.t, wire.CausePeers)
+				w.exit(now, x.m, x.t, wire.CausePeers)
 			}
 		}
 	}
@@ -256,6 +298,10 @@
 	m.Seq++
 	r := wire.Report{Machine: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 		Session: m.Session, Seq: m.Seq, Token: m.Token}
+	if m.recall != 0 && !m.silent {
+		left := 0.5
+		r.NoticeS = &left
+	}
 	for _, t := range m.tasks {
 		r.Tasks = append(r.Tasks, t.TaskReport)
 	}
@@ -264,11 +310,16 @@
 
 // Due tells whether the worker wants to report.
 func (m *Machine) Due(now Micros) bool {
-	return !m.Hang && now >= m.Up && (now >= m.NextAt || m.changed && now >= m.NextAt-Second/2)
+	return !m.Hang && !m.busy && now >= m.Up && (now >= m.NextAt || m.changed && now >= m.sentAt+Second/2)
 }
 
 // Reported notes that a report goes out.
-func (m *Machine) Reported(now Micros) { m.NextAt, m.changed = now+Second, false }
+func (m *Machine) Reported(now, every Micros) {
+	if every == 0 {
+		every = Second
+	}
+	m.NextAt, m.sentAt, m.changed = now+every, now, false
+}
 
 // Answered takes the 200 to a report.
 func (w *World) Answered(now, sent Micros, session uint64, m *Machine, a wire.ReportAnswer) {
@@ -311,9 +362,10 @@
 			id, _, _ := wire.ParseTaskName(o.Task)
 			j := w.Jobs[id]
 			if found.State == wire.Running && j.CheckpointS > 0 && o.GraceS != nil && *o.GraceS >= j.SaveS {
+				found.from = w.progress(now, m, found)
 				found.State, found.began, m.changed = wire.Saving, now, true
 			} else if found.State != wire.Saving || o.GraceS == nil || *o.GraceS == 0 {
-				w.exit(m, found, wire.CauseStopped)
+				w.exit(now, m, found, wire.CauseStopped)
 			}
 		case o.Verb == wire.Forget && found != nil && found.State == wire.Exited:
 			for i, t := range m.tasks {
@@ -328,12 +380,12 @@
 
 func (w *World) start(now Micros, m *Machine, o wire.Order) {
 	m.changed = true
-	t := &task{wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.Fetching}, now}
+	t := &task{TaskReport: wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.Fetching}, began: now}
 	m.tasks = append(m.tasks, t)
 	id, n, ok := wire.ParseTaskName(o.Task)
 	j := w.Jobs[id]
 	if !ok || j == nil || n >= j.Tasks {
-		w.exit(m, t, wire.CauseUnknown)
+		w.exit(now, m, t, wire.CauseUnknown)
 		return
 	}
 	used := 0.0
@@ -343,8 +395,8 @@
 			used += oj.GPUs
 		}
 	}
-	if used > 4 {
-		w.exit(m, t, wire.CauseNoRoom)
+	if used > w.gpusOf(m) {
+		w.exit(now, m, t, wire.CauseNoRoom)
 		return
 	}
 	j.Starts++
