--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -78,8 +78,8 @@
 }
 
 // Start starts a cluster. It returns when the processes run, not when they serve.
-func Start(opt Options) (c *Cluster, err error) {
-	c = &Cluster{Servers: standin.NewServers(), opt: opt}
+func Start(opt Options) (_ *Cluster, err error) {
+	c := &Cluster{Servers: standin.NewServers(), opt: opt}
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	defer func() {
