--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -29,6 +30,8 @@
 	Settings string
 	Log      string
 	Say      func(string) // a line about what happens; nil: nothing is said
+
+	wrap func(http.RoundTripper) http.RoundTripper // for tests: what users are told by way of
 }
 
 // Mark is a moment of a run, in seconds.
@@ -240,8 +243,9 @@
 		wg.Wait()
 		r.users.client.CloseIdleConnections()
 	}()
-	r.users = newUsers(r.cluster, r.record, r.now)
+	r.users = newUsers(r.cluster, r.record, r.now, r.opt.wrap)
 	wg.Go(func() { r.users.balance(ctx) })
+	wg.Go(func() { r.users.strangers(ctx) })
 	wg.Go(func() { r.trouble(ctx, began) })
 	var open sync.WaitGroup
 	for i := range r.jobs {
@@ -295,7 +299,7 @@
 	}
 }
 
-// leaderless is the time that the users of a class had to wait, from a histogram.
+// quantiles are read from a histogram of values in seconds.
 func quantiles(values []float64, unit float64) Quantiles {
 	if len(values) == 0 {
 		return Quantiles{}
--- a/internal/rehearse/users.go
+++ b/internal/rehearse/users.go
@@ -22,13 +22,12 @@
 
 // What users do by the protocol.
 const (
-	submitWait  = 5 * time.Second
-	pollWait    = 2 * time.Second
-	pollEvery   = 5 * time.Second
-	retryFor    = 60 * time.Second
-	longestWait = 30 * time.Second
-	// finalAfter is how long after a job's end its user expects to hear of it.
-	finalAfter = 3 * time.Second
+	submitWait     = 5 * time.Second
+	pollWait       = 2 * time.Second
+	pollEvery      = 5 * time.Second
+	retryFor       = 60 * time.Second
+	longestWait    = 30 * time.Second
+	strangersEvery = 3 * time.Second
 )
 
 // planned is a job that comes at a set time.
@@ -145,9 +144,13 @@
 	Errors              map[string]int
 }
 
-func newUsers(c *cluster.Cluster, record func(judge.Event), now func() int64) *users {
+func newUsers(c *cluster.Cluster, record func(judge.Event), now func() int64, wrap func(http.RoundTripper) http.RoundTripper) *users {
+	var transport http.RoundTripper = &http.Transport{MaxIdleConnsPerHost: 1024, IdleConnTimeout: time.Minute}
+	if wrap != nil {
+		transport = wrap(transport)
+	}
 	return &users{c: c, record: record, now: now, healthy: make([]bool, len(c.Nodes)), stats: map[string]*userStats{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, IdleConnTimeout: time.Minute}}}
+		client: &http.Client{Transport: transport}}
 }
 
 // balance probes the nodes until ctx ends.
@@ -223,6 +226,24 @@
 	return res.StatusCode, st, time.Duration(after * 1e9)
 }
 
+// strangers asks about jobs that nobody has submitted, until ctx ends.
+func (u *users) strangers(ctx context.Context) {
+	t := time.NewTicker(strangersEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		id := fmt.Sprintf("j-9%08d", rand.IntN(1e8))
+		status, st, _ := u.ask(ctx, pollWait, http.MethodGet, wire.PathJobs+"/"+id, nil)
+		if ctx.Err() == nil {
+			u.told(id, judge.ByPoll, status, st.Status)
+		}
+	}
+}
+
 func (u *users) note(class string, f func(*userStats)) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
