--- /dev/null
+++ b/cmd/coralhub/experiment.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"coralhub/internal/rehearse"
+)
+
+func experimentCommand() *cobra.Command {
+	var asJSON bool
+	var dir string
+	cmd := &cobra.Command{
+		Use:   "experiment FILE",
+		Short: "Play variants of a scenario pair by pair and say better, worse or noise",
+		Long: "Play a scenario with each variant of a table (settings, sizes, programs), for each seed one\n" +
+			"after the other, and compare each variant with the first, pair by pair.",
+		Example: "  coralhub experiment testdata/experiments/rank.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			e, err := rehearse.LoadExperiment(args[0])
+			if err != nil {
+				return err
+			}
+			program, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			return runUntilSignal(cmd.Context(), func(ctx context.Context) error {
+				opt := rehearse.Options{Program: program, Log: "info", Dir: filepath.Join(dir, e.Name+"-"+time.Now().Format("20060102-150405"))}
+				opt.Say = func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) }
+				t, err := e.Play(ctx, opt)
+				if err != nil {
+					return err
+				}
+				if asJSON {
+					return json.NewEncoder(out).Encode(t)
+				}
+				w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+				fmt.Fprintln(w, "measure\tvariant\tmedian\tspread\tratio\tverdict\t")
+				for _, r := range t.Rows {
+					fmt.Fprintf(w, "%s\t%s\t%.3g\t%.3g\t%.3f\t%s\t\n", r.Measure, r.Variant, r.Median, r.Spread, r.Against, r.Verdict)
+				}
+				if err := w.Flush(); err != nil {
+					return err
+				}
+				for _, f := range t.Failed {
+					fmt.Fprintln(out, "failed:", f)
+				}
+				return nil
+			})
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	cmd.Flags().StringVar(&dir, "dir", filepath.Join(os.TempDir(), "coralhub-runs"), "`FOLDER` for the runs")
+	return cmd
+}
--- a/cmd/coralhub/rehearse.go
+++ b/cmd/coralhub/rehearse.go
@@ -13,9 +13,11 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/mattn/go-isatty"
 	"github.com/spf13/cobra"
 
 	"coralhub/internal/rehearse"
+	"coralhub/internal/view"
 )
 
 func rehearseCommand() *cobra.Command {
@@ -80,11 +82,16 @@
 				opt := rehearse.Options{Program: program, Seed: seed, Settings: settings, Log: level,
 					Dir: filepath.Join(dir, fmt.Sprintf("%s-%s", s.Name, time.Now().Format("20060102-150405.000")))}
 				began := time.Now()
-				if !plain && !asJSON {
+				var screen *view.Screen
+				if f, ok := out.(*os.File); ok && !plain && !asJSON && isatty.IsTerminal(f.Fd()) {
+					screen = view.Open(ctx, f, stop, s.Name+": "+s.About)
+					opt.Watch = screen.Show
+				} else if !plain && !asJSON {
 					opt.Say = func(line string) { fmt.Fprintf(out, "%7.1f  %s\n", time.Since(began).Seconds(), line) }
 					fmt.Fprintf(out, "%s: %s\n", s.Name, s.About)
 				}
 				res, err := rehearse.Run(ctx, s, opt)
+				screen.Close()
 				if err != nil {
 					if ctx.Err() != nil {
 						return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -150,6 +150,7 @@
 	Estimates       bool    `json:"estimates"`
 	EstimateGroups  int     `json:"estimate_groups"`
 	Admin           bool    `json:"admin"`
+	Metrics         bool    `json:"metrics"`
 	Rank            string  `json:"rank"`
 	VictimsByLeft   bool    `json:"victims_by_remaining"`
 	GangsAvoidSlow  bool    `json:"gangs_avoid_slow"`
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -30,10 +30,14 @@
 	AskEstimates AdminQuery = iota
 	AskJob
 	AskRuns
+	// AskGauges is answered by every node.
+	AskGauges
 )
 
-// maxListed bounds the rows of an answer.
-const maxListed = 500
+const (
+	maxListed  = 500 // rows of an answer
+	maxClasses = 100 // counted apart
+)
 
 // AdminError answers a question that can't be answered, and names the leader if that is
 // another node.
@@ -97,7 +101,51 @@
 	Runs   []history.Line `json:"runs"`
 }
 
+// Gauges are what a node can count of itself at a moment, and since it began.
+type Gauges struct {
+	Leading      bool
+	Records      int            // jobs known, finished ones too
+	Unfinished   int            // jobs
+	Waiting      map[string]int // jobs that want places, by class; of a leader
+	Machines     map[string]int // by state; of a leader
+	Placements   int            // open
+	Writing      int            // changes of jobs on their way
+	Takeovers    uint64
+	Looked       Looked
+	EstimateRuns uint64
+}
+
+// gauges counts.
+func (c *Core) gauges() Gauges {
+	g := Gauges{Leading: c.ready, Records: len(c.jobs), Unfinished: len(c.active), Writing: c.writing, Takeovers: c.takeovers, Looked: c.survey.lookedAt,
+		Waiting: map[string]int{}, Machines: map[string]int{}}
+	for _, j := range c.active {
+		g.Placements += j.open
+	}
+	if !c.ready {
+		return g
+	}
+	for j := range c.survey.wanting {
+		class := j.Rec.Spec.Class
+		if _, had := g.Waiting[class]; !had && len(g.Waiting) >= maxClasses {
+			class = "" // users choose the names: whoever reads this must not drown in them
+		}
+		g.Waiting[class]++
+	}
+	for _, m := range c.machines.All() {
+		g.Machines[c.stateOf(m)]++
+	}
+	if c.learning.model != nil {
+		g.EstimateRuns = c.learning.model.Observed()
+	}
+	return g
+}
+
 func (c *Core) admin(x AdminIn) {
+	if x.What == AskGauges {
+		c.answer(x.Req, http.StatusOK, c.gauges())
+		return
+	}
 	if !c.ready {
 		c.emit(Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", c.leader.node}, RetryAfter: retryAfter})
 		return
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -1,6 +1,9 @@
 package core
 
-import "coralhub/internal/config"
+import (
+	"coralhub/internal/config"
+	"coralhub/internal/core/zone"
+)
 
 // countEvery is how often the debug log tells what the leader is busy with.
 const countEvery = 5 * config.Second
@@ -16,27 +19,40 @@
 	held    int // of them, jobs that had to wait for the state service
 }
 
+// The states that machines are counted by.
+const (
+	usable  = "usable"
+	quiet   = "quiet"
+	mailed  = "mailed"
+	sick    = "sick"
+	booting = "booting"
+	leaving = "leaving"
+)
+
+func (c *Core) stateOf(m *zone.Machine) string {
+	switch {
+	case m.Releasing || m.Failed || m.NoticeAt != 0:
+		return leaving
+	case m.Session == 0:
+		return booting
+	case c.sick(m):
+		return sick
+	case m.Mailed:
+		return mailed
+	case c.now-m.Spoke > c.suspectAfter():
+		return quiet
+	}
+	return usable
+}
+
 // count writes the line when it is due.
 func (c *Core) count() {
 	if c.now-c.counters.at < countEvery {
 		return
 	}
-	usable, quiet, mailed, sick, booting, leaving := 0, 0, 0, 0, 0, 0
+	states := map[string]int{}
 	for _, m := range c.machines.All() {
-		switch {
-		case m.Releasing || m.Failed || m.NoticeAt != 0:
-			leaving++
-		case m.Session == 0:
-			booting++
-		case c.sick(m):
-			sick++
-		case m.Mailed:
-			mailed++
-		case c.now-m.Spoke > c.suspectAfter():
-			quiet++
-		default:
-			usable++
-		}
+		states[c.stateOf(m)]++
 	}
 	closing := 0
 	for _, j := range c.active {
@@ -45,6 +61,6 @@
 	n := &c.counters
 	c.debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held,
 		"writing", c.writing, "waiting", len(c.dirty)+len(c.delayed), "closing", closing, "log", len(c.ended.fresh),
-		"usable", usable, "quiet", quiet, "mailed", mailed, "sick", sick, "booting", booting, "leaving", leaving)
+		usable, states[usable], quiet, states[quiet], mailed, states[mailed], sick, states[sick], booting, states[booting], leaving, states[leaving])
 	c.counters = counters{at: c.now}
 }
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -42,6 +42,7 @@
 	since     Micros
 	raising   bool
 	raised    Micros
+	takeovers uint64
 }
 
 func (c *Core) leaseTTL() Micros { return config.FromMillis(c.cfg.Settings.LeaderLeaseMS) }
@@ -114,6 +115,7 @@
 	c.resetLeader()
 	c.leading, c.token, c.baseToken, c.since = true, token, token, c.now
 	c.leader.node, c.leader.version, c.leader.nonce = c.cfg.Node, token, c.nonce
+	c.takeovers++
 	c.log("leading", "token", token)
 	c.emit(Relist{})
 }
--- a/internal/node/httpapi/httpapi.go
+++ b/internal/node/httpapi/httpapi.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// Serve adds what another package serves on the users' listener.
+func (a *API) Serve(path string, h http.Handler) { a.echo.GET(path, echo.WrapHandler(h)) }
+
+// Gauges asks the core to count; false if it has no time.
+func (a *API) Gauges() (core.Gauges, bool) {
+	g, ok := a.ask(nil, func(req uint64) core.Input { return core.AdminIn{Req: req, What: core.AskGauges} }).Body.(core.Gauges)
+	return g, ok
+}
+
 // Handler is the interface as an HTTP handler.
 func (a *API) Handler() http.Handler { return a.echo }
 
--- /dev/null
+++ b/internal/node/metrics/metrics.go
@@ -0,0 +1,118 @@
+// Package metrics tells Prometheus of a node. What the core counts is asked for when
+// somebody asks, so that it costs nothing else.
+package metrics
+
+import (
+	"net/http"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"coralhub/internal/core"
+)
+
+// Path is where the metrics are.
+const Path = "/metrics"
+
+// Metrics is a node's registry. A nil one takes nothing.
+type Metrics struct {
+	handler http.Handler
+	steps   *prometheus.HistogramVec
+}
+
+// New returns the metrics of a node: of what its core and adapters count.
+func New(gauges func() (core.Gauges, bool), store, peers func() map[string]float64) *Metrics {
+	r := prometheus.NewRegistry()
+	m := &Metrics{steps: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "coralhub_step_seconds",
+		Help: "Time that the core took for an input, by kind; a pass is part of the input that it followed.", Buckets: prometheus.ExponentialBuckets(1e-5, 4, 9)},
+		[]string{"input"})}
+	r.MustRegister(m.steps, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		&counted{gauges, store, peers})
+	m.handler = promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: 2, Timeout: 5 * time.Second})
+	return m
+}
+
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
+
+// Stepped takes how long the core took for an input.
+func (m *Metrics) Stepped(in core.Input, took time.Duration) {
+	if m != nil {
+		m.steps.WithLabelValues(strings.ToLower(reflect.TypeOf(in).Name())).Observe(took.Seconds())
+	}
+}
+
+// counted is what is counted when somebody asks.
+type counted struct {
+	gauges       func() (core.Gauges, bool)
+	store, peers func() map[string]float64
+}
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("coralhub_"+name, help, labels, nil)
+}
+
+var (
+	leading    = desc("leading", "1 if this node leads and has read the records.")
+	records    = desc("records", "Jobs that this node knows, finished ones too.")
+	unfinished = desc("unfinished_jobs", "Jobs that have anything left.")
+	placements = desc("placements", "Tasks that have a place.")
+	waiting    = desc("waiting_jobs", "Jobs that want places, by class; of the leader.", "class")
+	machines   = desc("machines", "Machines by state; of the leader.", "state")
+	writing    = desc("changes_on_their_way", "Changes of jobs that have no answer yet.")
+	takeovers  = desc("takeovers_total", "Times that this node has come to lead.")
+	passes     = desc("passes_total", "Passes over the queue.")
+	looked     = desc("looked_at_total", "Machines and jobs that passes have looked at.", "what")
+	learnt     = desc("runs_learnt_from", "Runs learnt from since this node leads.")
+	changes    = desc("changes_total", "Transactions with changes, by those that go first or later and what became of them.", "kind")
+	pace       = desc("changes_later_pace", "Changes a second that may be made by those that give way.")
+	reports    = desc("reports_total", "Reports of workers that were handed to the leader, or lost on the way.", "what")
+)
+
+func (c *counted) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{leading, records, unfinished, placements, waiting, machines, writing, takeovers, passes, looked, learnt, changes, pace, reports} {
+		ch <- d
+	}
+}
+
+func (c *counted) Collect(ch chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	total := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, v, labels...)
+	}
+	for name, v := range c.store() {
+		if name == "later_pace" {
+			gauge(pace, v)
+			continue
+		}
+		total(changes, v, name)
+	}
+	for name, v := range c.peers() {
+		total(reports, v, name)
+	}
+	g, ok := c.gauges()
+	if !ok {
+		return
+	}
+	gauge(leading, map[bool]float64{true: 1}[g.Leading])
+	gauge(records, float64(g.Records))
+	gauge(unfinished, float64(g.Unfinished))
+	gauge(placements, float64(g.Placements))
+	gauge(writing, float64(g.Writing))
+	gauge(learnt, float64(g.EstimateRuns))
+	total(takeovers, float64(g.Takeovers))
+	total(passes, float64(g.Looked.Passes))
+	total(looked, float64(g.Looked.Machines), "machines")
+	total(looked, float64(g.Looked.Jobs), "jobs")
+	for class, n := range g.Waiting {
+		gauge(waiting, float64(n), class)
+	}
+	for state, n := range g.Machines {
+		gauge(machines, float64(n), state)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"coralhub/internal/core"
 	"coralhub/internal/node/cloud"
 	"coralhub/internal/node/httpapi"
+	"coralhub/internal/node/metrics"
 	"coralhub/internal/node/peer"
 	"coralhub/internal/node/store"
 	"coralhub/internal/node/worker"
@@ -59,6 +60,7 @@
 	isolated atomic.Bool // the state service is out of reach for this node alone
 	retired  atomic.Bool // the records are of a later version
 	start    time.Time
+	metrics  *metrics.Metrics // nil: nobody asks
 }
 
 // New returns a node that is not running yet.
@@ -68,6 +70,10 @@
 	n.store = store.New(cfg, post)
 	n.peers = peer.New(cfg, post)
 	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() && !n.retired.Load() }, cfg.Settings.Admin)
+	if cfg.Settings.Metrics {
+		n.metrics = metrics.New(n.api.Gauges, n.store.Totals, n.peers.Totals)
+		n.api.Serve(metrics.Path, n.metrics)
+	}
 	n.adapters = []adapter{n.api, n.store, worker.New(post), cloud.New(cfg, post), n.peers}
 	return n
 }
@@ -157,7 +163,9 @@
 		case <-ctx.Done():
 			return
 		}
+		began := time.Now()
 		n.step(in)
+		n.metrics.Stepped(in, time.Since(began))
 		if _, ok := in.(core.Snapshot); ok {
 			n.loaded.Store(true)
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core"
 	"coralhub/internal/node/httpapi"
+	"coralhub/internal/node/metrics"
 	"coralhub/internal/standin"
 	"coralhub/wire"
 )
@@ -59,7 +60,7 @@
 	base.Limits = config.Limits{Cores: 1, MemoryMB: 500, MaxConnections: 200}
 	for _, name := range []string{"n1", "n2", "n3"} {
 		c := &config.Config{Settings: config.Defaults()}
-		c.Settings.Admin = true
+		c.Settings.Admin, c.Settings.Metrics = true, true
 		c.Node, c.Location, c.Cluster = name, "a", base
 		c.Listen, c.PeerListen = freeAddr(t), freeAddr(t)
 		c.External = config.Outside{Cloud: addr(cloud), State: addr(state)}
@@ -246,6 +247,22 @@
 		}
 		return false
 	})
+	leaders := 0
+	for _, c := range r.configs {
+		res, err := r.client.Get("http://" + c.Listen + metrics.Path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		leaders += strings.Count(string(text), "\ncoralhub_leading 1\n")
+		if !strings.Contains(string(text), `coralhub_step_seconds_count{input="tick"}`) || !strings.Contains(string(text), `coralhub_changes_total{kind="later_taken"}`) {
+			t.Errorf("metrics: %s", text)
+		}
+	}
+	if leaders != 1 {
+		t.Errorf("%d nodes say that they lead", leaders)
+	}
 	if ask(r, r.configs[0].Listen, httpapi.PathEstimates+"?most=0", &core.Estimates{}) {
 		t.Error("most=0 was taken")
 	}
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -97,6 +97,12 @@
 	sem   chan struct{}
 
 	handed, lost, full, closed atomic.Int64
+	allHanded, allLost         atomic.Int64 // since the process began
+}
+
+// Totals tells how many reports were handed on and lost since the process began.
+func (p *Peers) Totals() map[string]float64 {
+	return map[string]float64{"handed": float64(p.allHanded.Load()), "lost": float64(p.allLost.Load())}
 }
 
 // Counters tells, since it was last asked, how many reports the leader has
@@ -143,8 +149,10 @@
 		p.limited(func() {
 			if done.Answer = p.forward(x); done.Answer != nil {
 				p.handed.Add(1)
+				p.allHanded.Add(1)
 			} else {
 				p.lost.Add(1)
+				p.allLost.Add(1)
 			}
 			p.post(done)
 		}, func() { go p.post(done) })
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -52,6 +52,8 @@
 type tally struct {
 	taken, refused [2]atomic.Int64 // by the service
 	unsent         [2]atomic.Int64 // their turn would have come too late
+
+	allTaken, allRefused [2]atomic.Int64 // since the process began
 }
 
 const (
@@ -66,6 +68,17 @@
 	return first
 }
 
+// Totals tells what became of changes since the process began, by name.
+func (s *Store) Totals() map[string]float64 {
+	t := &s.tally
+	out := map[string]float64{"later_pace": float64(s.later.limiter.Limit())}
+	for i, kind := range []string{"first", "later"} {
+		out[kind+"_taken"] = float64(t.allTaken[i].Load())
+		out[kind+"_refused"] = float64(t.allRefused[i].Load())
+	}
+	return out
+}
+
 // Counters tells what became of changes since it was last asked, and how many a
 // second those may take that give way. It is for the debug log.
 func (s *Store) Counters() []any {
@@ -198,8 +211,10 @@
 		switch {
 		case refused:
 			s.tally.refused[s.tally.of(x.Later)].Add(1)
+			s.tally.allRefused[s.tally.of(x.Later)].Add(1)
 		case len(x.Txn.Changes) > 0:
 			s.tally.taken[s.tally.of(x.Later)].Add(1)
+			s.tally.allTaken[s.tally.of(x.Later)].Add(1)
 		}
 		switch {
 		case err != nil:
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -30,6 +30,7 @@
 	Settings string
 	Log      string
 	Say      func(string) // a line about what happens; nil: nothing is said
+	Watch    func(Status) // how the run stands, now and then; nil: nobody asks
 
 	wrap func(http.RoundTripper) http.RoundTripper // for tests: what users are told by way of
 }
@@ -247,6 +248,9 @@
 	wg.Go(func() { r.users.balance(ctx) })
 	wg.Go(func() { r.users.strangers(ctx) })
 	wg.Go(func() { r.trouble(ctx, began) })
+	if r.opt.Watch != nil {
+		wg.Go(func() { r.watch(ctx, began) })
+	}
 	var open sync.WaitGroup
 	for i := range r.jobs {
 		p := &r.jobs[i]
--- a/internal/rehearse/users.go
+++ b/internal/rehearse/users.go
@@ -201,6 +201,12 @@
 	return good[rand.IntN(len(good))]
 }
 
+func (u *users) isHealthy(i int) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.healthy[i]
+}
+
 // ask makes a request and returns the status, 0 if there was no answer.
 func (u *users) ask(ctx context.Context, wait time.Duration, method, path string, body []byte) (int, wire.JobStatus, time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
