Changed machines are looked at after each input; chains wait for what they need

What is placed adds up in whole millionths, so nothing is sorted.

Rehearsals: a job of a chain is submitted once what it needs was accepted; before, one that named a job which all nodes' crash had kept out was refused with 422, rightly.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -239,6 +239,7 @@
 			c.pass()
 			c.flushJobs()
 		}
+		c.refreshMachines()
 		c.sendUrgent()
 	}
 	c.flushChecks()
--- a/internal/core/survey.go
+++ b/internal/core/survey.go
@@ -1,8 +1,7 @@
 package core
 
 import (
-	"maps"
-	"slices"
+	"math"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
@@ -153,7 +152,12 @@
 // watch keeps the list of machines that may have to go back: all but those that
 // work. It notes since when a machine is idle.
 func (c *Core) watch(m *zone.Machine) {
-	busy := m.Session == 0 || len(c.expected[m.Name]) > 0 || len(c.survey.plans[m.Name]) > 0
+	c.watchIf(m, len(c.expected[m.Name]) > 0 || len(c.survey.plans[m.Name]) > 0)
+}
+
+// watchIf does the same for who knows already whether the machine has anything.
+func (c *Core) watchIf(m *zone.Machine, used bool) {
+	busy := m.Session == 0 || used
 	switch {
 	case busy:
 		m.IdleSince = 0
@@ -178,12 +182,8 @@
 	}
 	c.machines.Silent(c.now-c.suspectAfter(), c.reconsider)
 	s.lookedAt.Passes++
-	s.lookedAt.Machines += len(s.machines)
 	s.lookedAt.Jobs += len(s.jobs)
-	for _, m := range s.machines {
-		c.refreshMachine(m)
-	}
-	s.machines = s.machines[:0]
+	c.refreshMachines()
 	for _, j := range s.jobs {
 		c.refreshJob(j)
 	}
@@ -211,6 +211,17 @@
 	}
 }
 
+// refreshMachines looks at the machines that have changed. It is asked after every
+// input, when what is looked at is at hand, and not in the pass that follows.
+func (c *Core) refreshMachines() {
+	s := &c.survey
+	s.lookedAt.Machines += len(s.machines)
+	for _, m := range s.machines {
+		c.refreshMachine(m)
+	}
+	s.machines = s.machines[:0]
+}
+
 func (c *Core) refreshMachine(m *zone.Machine) {
 	s := &c.survey
 	m.Stale = false
@@ -223,47 +234,56 @@
 		delete(s.kinds, m)
 	}
 	delete(s.booting, m)
-	if c.machines.Get(m.Name) != m {
+	if !m.Known() {
 		delete(s.watched, m)
 		delete(s.strange, m)
 		return
 	}
-	c.watch(m)
+	open, plans := c.expected[m.Name], s.plans[m.Name]
+	c.watchIf(m, len(open)+len(plans) > 0)
 	if !m.Releasing && m.Type != "" {
 		k := fleet.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 		s.kinds[m] = k
 		s.count[k]++
-		if m.Session == 0 && !m.Failed && len(c.expected[m.Name]) == 0 {
+		if m.Session == 0 && !m.Failed && len(open) == 0 {
 			s.booting[m] = true
 		}
 	}
 	if !c.offers(m) {
 		return
 	}
-	c.addUp(m)
+	c.addUp(m, open, plans)
 	t := c.catalog[m.Type]
-	m.Room = &zone.Room{Machine: m, Zone: m.Zone, Idle: len(c.expected[m.Name]) == 0,
+	m.Room = &zone.Room{Machine: m, Zone: m.Zone, Idle: len(open) == 0,
 		Free: zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}.Plus(m.Used, -1)}
 	s.byName[m.Zone].Put(m.Room)
 }
 
 // addUp adds up what is placed on a machine or about to be. Everything open counts,
-// whatever the worker last said of it.
-func (c *Core) addUp(m *zone.Machine) {
-	m.Used = zone.Res{}
-	for _, key := range sortedKeys(c.expected[m.Name]) {
+// whatever the worker last said of it. Whole millionths add up to the same in any order,
+// so nothing has to be sorted.
+func (c *Core) addUp(m *zone.Machine, open map[job.Key]job.Placement, plans map[*Job]int) {
+	var cpus, gpus, memory int64
+	add := func(s *wire.Job, n int) {
+		cpus += millionths(s.CPUs) * int64(n)
+		gpus += millionths(s.GPUs) * int64(n)
+		memory += millionths(s.MemoryGB) * int64(n)
+	}
+	for key := range open {
 		if j := c.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
-			m.Used = m.Used.Plus(taskRes(j.Rec.Spec), 1)
+			add(j.Rec.Spec, 1)
 		}
 	}
-	plans := c.survey.plans[m.Name]
-	for _, j := range slices.SortedFunc(maps.Keys(plans), byID) {
+	for j, n := range plans {
 		if j.Rec.Spec != nil {
-			m.Used = m.Used.Plus(taskRes(j.Rec.Spec), float64(plans[j]))
+			add(j.Rec.Spec, n)
 		}
 	}
+	m.Used = zone.Res{CPUs: float64(cpus) / 1e6, GPUs: float64(gpus) / 1e6, MemoryGB: float64(memory) / 1e6}
 }
 
+func millionths(amount float64) int64 { return int64(math.Round(amount * 1e6)) }
+
 func (c *Core) refreshJob(j *Job) {
 	s := &c.survey
 	j.listed = false
@@ -327,16 +347,6 @@
 	return !queue.HasGuarantee(team) || j.member.Within
 }
 
-func byID(a, b *Job) int {
-	switch {
-	case a.ID < b.ID:
-		return -1
-	case a.ID > b.ID:
-		return 1
-	}
-	return 0
-}
-
 func taskRes(s *wire.Job) zone.Res { return zone.Res{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB} }
 
 func taskAmount(s *wire.Job) queue.Amount { return queue.Amount{CPUs: s.CPUs, GPUs: s.GPUs} }
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -62,7 +62,8 @@
 	FullUntil  Micros
 	Errors     map[string]Micros // jobs that failed here since the last success
 
-	listed       bool // in the roster's order of silence
+	known        bool // in a roster
+	listed       bool // in its order of silence
 	older, newer *Machine
 }
 
--- a/internal/core/zone/roster.go
+++ b/internal/core/zone/roster.go
@@ -20,6 +20,9 @@
 // Get returns a machine, nil if it is not known.
 func (r *Roster) Get(name string) *Machine { return r.byName[name] }
 
+// Known tells whether a machine is still in a roster.
+func (m *Machine) Known() bool { return m.known }
+
 // Len tells how many machines there are.
 func (r *Roster) Len() int { return len(r.list) }
 
@@ -35,6 +38,7 @@
 func (r *Roster) Add(m *Machine) {
 	i, _ := r.find(m.Name)
 	r.byName[m.Name] = m
+	m.known = true
 	r.list = slices.Insert(r.list, i, m)
 }
 
@@ -96,6 +100,7 @@
 func (r *Roster) Remove(name string) {
 	if m := r.byName[name]; m != nil {
 		r.unlist(m)
+		m.known = false
 	}
 	if i, ok := r.find(name); ok {
 		delete(r.byName, name)
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -150,6 +150,12 @@
 // ownerErrors is how far owners' estimates are thought to be off before any was seen.
 var ownerErrors = curve{-1.6, -1, -0.5, 0, 0.5, 1, 1.6}
 
+// owners is the logarithm of an owner's estimate, if there is one.
+type owners struct {
+	given bool
+	log   float64
+}
+
 // step is the estimate at one level: a location, and the errors around it.
 type step struct {
 	at    float64
@@ -163,6 +169,7 @@
 	if f.Expect > 0 {
 		s, last = step{at: logOf(f.Expect), errs: ownerErrors, known: true}, Owner
 	}
+	x := owners{f.Expect > 0, s.at}
 	keys := f.keys()
 	for l := Everything; l < levels; l++ {
 		g := m.groups[keys[l]]
@@ -172,7 +179,7 @@
 			}
 			continue
 		}
-		at, n := g.predict(f.Expect, s), g.n()
+		at, n := g.predict(x), g.n()
 		if s.known {
 			w := n / (n + g.pull())
 			at = w*at + (1-w)*s.at
@@ -317,6 +324,10 @@
 	slow := m.slowness(e.Machine)
 	y := logOf(e.Ran) - slow
 	keys := e.keys()
+	x := owners{}
+	if e.Expect > 0 {
+		x = owners{true, logOf(e.Expect)}
+	}
 	var found Level
 	s, level, _ := m.walk(&e.Features, func(l Level, g *group, s step) {
 		if g == nil {
@@ -325,16 +336,16 @@
 		g.used = m.clock
 		if s.known {
 			r := y - s.at
-			if e.Done && g.suddenly(r, y, e.Expect) && found == Unknown {
+			if e.Done && g.suddenly(r, y, x) && found == Unknown {
 				found = l
 			}
 			g.miss(r, e.Done)
 		}
 		if e.Done {
-			g.add(y, e.Expect)
+			g.add(y, x)
 		} else if s.known {
 			if longer, ok := s.given(y); ok {
-				g.addCut(longer, e.Expect)
+				g.add(longer, x)
 			}
 		}
 	})
--- a/internal/estimate/group.go
+++ b/internal/estimate/group.go
@@ -68,7 +68,7 @@
 func grains(y float64) int64 { return int64(math.Round(y / unit)) }
 
 // add counts a run.
-func (g *group) add(y float64, expect Micros) {
+func (g *group) add(y float64, x owners) {
 	if g.N >= memory {
 		g.halve()
 		g.base.halve()
@@ -76,19 +76,15 @@
 	t := &g.tally
 	t.N++
 	t.Y += grains(y)
-	if expect > 0 {
-		x := logOf(expect)
+	if x.given {
 		t.Nx++
-		t.X += grains(x)
+		t.X += grains(x.log)
 		t.Yx += grains(y)
-		t.XX += grains(x * x)
-		t.XY += grains(x * y)
+		t.XX += grains(x.log * x.log)
+		t.XY += grains(x.log * y)
 	}
 }
 
-// addCut counts a run that was cut off, by what it would have taken.
-func (g *group) addCut(longer float64, expect Micros) { g.add(longer, expect) }
-
 func (t *tally) halve() {
 	for _, v := range []*int64{&t.N, &t.Y, &t.Nx, &t.X, &t.Yx, &t.XX, &t.XY} {
 		*v /= 2
@@ -123,11 +119,10 @@
 	slopeSpread = 0.16 // variance of the logarithm of estimates
 )
 
-// predict tells the run time's logarithm for an owner's estimate; above is the estimate
-// of the level above.
-func (g *group) predict(expect Micros, above step) float64 {
+// predict tells the run time's logarithm for an owner's estimate.
+func (g *group) predict(x owners) float64 {
 	mean := float64(g.Y) * unit / g.n()
-	if expect <= 0 || g.Nx == 0 {
+	if !x.given || g.Nx == 0 {
 		return mean
 	}
 	n := float64(g.Nx)
@@ -136,7 +131,7 @@
 	sxy := float64(g.XY)*unit - n*mx*my
 	slope := (sxy + slopeRuns*slopeSpread) / (sxx + slopeRuns*slopeSpread)
 	slope = math.Min(math.Max(slope, 0), 1.2)
-	return my + slope*(logOf(expect)-mx)
+	return my + slope*(x.log-mx)
 }
 
 func binOf(r float64) int {
@@ -162,7 +157,7 @@
 		g.Longer[b]++
 	}
 	// What has hundreds changes little by one more.
-	if g.stale++; g.stale > int(g.errors)/24 {
+	if g.stale++; g.stale > int(g.errors)/16 {
 		g.reckon()
 	}
 }
@@ -304,8 +299,8 @@
 
 // past is a run that may belong to the time after a change.
 type past struct {
-	y, r   float64
-	expect Micros
+	y, r float64
+	x    owners
 }
 
 // rank is the part of earlier errors below r.
@@ -320,7 +315,7 @@
 }
 
 // suddenly tells whether the work has changed with this end.
-func (g *group) suddenly(r, y float64, expect Micros) bool {
+func (g *group) suddenly(r, y float64, x owners) bool {
 	if g.level < Class || g.Errors < leastErrors {
 		return false
 	}
@@ -329,7 +324,7 @@
 	if math.Abs(r) < leastMove {
 		u = 0.5 // work that always takes the same is not changed by a few per cent
 	}
-	d.recent[d.next] = past{y, r, expect}
+	d.recent[d.next] = past{y, r, x}
 	d.next = (d.next + 1) % recents
 	move := func(sum, u float64) float64 { return math.Max(0, sum+math.Log(steep)+(steep-1)*math.Log(u)) }
 	d.Up, d.Down = move(d.Up, u), move(d.Down, 1-u)
@@ -352,7 +347,7 @@
 		if r := last(i).r; i > 1 && r/moved[1] < sided {
 			return
 		}
-		g.add(last(i).y, last(i).expect)
+		g.add(last(i).y, last(i).x)
 	}
 }
 
--- a/internal/rehearse/users.go
+++ b/internal/rehearse/users.go
@@ -135,6 +135,39 @@
 	mu      sync.Mutex
 	healthy []bool
 	stats   map[string]*userStats
+	decided map[string]*decision // of jobs that others need
+}
+
+// decision is whether a job was accepted, once that is known.
+type decision struct {
+	known    chan struct{}
+	accepted bool
+}
+
+func (u *users) decision(id string) *decision {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.decided[id] == nil {
+		u.decided[id] = &decision{known: make(chan struct{})}
+	}
+	return u.decided[id]
+}
+
+// maySubmit waits until all that a job needs was accepted: one that names a job which
+// was not is refused. It returns false if that never comes.
+func (u *users) maySubmit(ctx context.Context, j *wire.Job) bool {
+	for _, id := range j.Needs {
+		d := u.decision(id)
+		select {
+		case <-d.known:
+			if !d.accepted {
+				return false
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
 }
 
 // userStats is what the users of a class have met.
@@ -149,7 +182,7 @@
 	if wrap != nil {
 		transport = wrap(transport)
 	}
-	return &users{c: c, record: record, now: now, healthy: make([]bool, len(c.Nodes)), stats: map[string]*userStats{},
+	return &users{c: c, record: record, now: now, healthy: make([]bool, len(c.Nodes)), stats: map[string]*userStats{}, decided: map[string]*decision{},
 		client: &http.Client{Transport: transport}}
 }
 
@@ -272,9 +305,17 @@
 	if err != nil {
 		return
 	}
+	if len(p.job.Needs) > 0 {
+		if !u.maySubmit(ctx, &p.job) {
+			u.decide(p.job.ID, false)
+			return
+		}
+		due = later(due, time.Now())
+	}
 	u.record(judge.Event{At: u.now(), Kind: judge.Submitted, Job: p.job.ID, Spec: specOf(&p.job)})
 	u.note(p.class.Name, func(s *userStats) { s.Submitted++ })
-	if !u.repeat(ctx, p, submitWait, judge.BySubmit, http.MethodPost, wire.PathJobs, raw) {
+	accepted := u.repeat(ctx, p, submitWait, judge.BySubmit, http.MethodPost, wire.PathJobs, raw)
+	if u.decide(p.job.ID, accepted); !accepted {
 		return
 	}
 	u.note(p.class.Name, func(s *userStats) {
@@ -311,6 +352,19 @@
 	}
 }
 
+func (u *users) decide(id string, accepted bool) {
+	d := u.decision(id)
+	d.accepted = accepted
+	close(d.known)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // repeat makes a request until it is taken, as the protocol lets users.
 func (u *users) repeat(ctx context.Context, p *planned, wait time.Duration, via, method, path string, body []byte) bool {
 	for began := time.Now(); ctx.Err() == nil; {
