A claim whose answer was lost is this node's; a lease that nobody leads by ends

Change: every claim that this process has made on its present lease is its own, and it leads by whichever is there.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,7 +2,6 @@
 package config
 
 import (
-	"bytes"
 	_ "embed"
 	"encoding/json"
 	"errors"
@@ -13,7 +12,8 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"coralhub/internal/schema"
 )
 
 // Micros is a time or a duration in whole microseconds.
@@ -199,9 +199,9 @@
 		if errors.As(err, &de) {
 			row, col := de.Position()
 			return nil, fmt.Errorf("platform file %s: line %d column %d: field %s: %s",
-				platform, row, col, strings.Join(de.Key(), "."), oneLine(de.Error()))
+				platform, row, col, strings.Join(de.Key(), "."), schema.OneLine(de.Error()))
 		}
-		return nil, fmt.Errorf("platform file %s: %s", platform, oneLine(err.Error()))
+		return nil, fmt.Errorf("platform file %s: %s", platform, schema.OneLine(err.Error()))
 	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("platform file %s: %w", platform, err)
@@ -219,38 +219,12 @@
 }
 
 func readSettings(raw []byte, s *Settings) error {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
-	if err != nil {
-		return fmt.Errorf("not JSON: %s", oneLine(err.Error()))
-	}
-	schemaDoc, err := jsonschema.UnmarshalJSON(bytes.NewReader(settingsSchema))
-	if err != nil {
-		return fmt.Errorf("schema: %w", err)
-	}
-	compiler := jsonschema.NewCompiler()
-	if err := compiler.AddResource("settings.schema.json", schemaDoc); err != nil {
-		return fmt.Errorf("schema: %w", err)
-	}
-	schema, err := compiler.Compile("settings.schema.json")
-	if err != nil {
-		return fmt.Errorf("schema: %w", err)
-	}
-	if err := schema.Validate(doc); err != nil {
-		var ve *jsonschema.ValidationError
-		if errors.As(err, &ve) {
-			for len(ve.Causes) > 0 {
-				ve = ve.Causes[0]
-			}
-			lines := strings.Split(ve.Error(), "\n")
-			return errors.New(strings.TrimPrefix(strings.TrimSpace(lines[len(lines)-1]), "- "))
-		}
-		return errors.New(oneLine(err.Error()))
+	if err := schema.Check(settingsSchema, raw); err != nil {
+		return err
 	}
 	return json.Unmarshal(raw, s)
 }
 
-func oneLine(s string) string { return strings.Join(strings.Fields(s), " ") }
-
 // check refuses a file that the service can't run with.
 func (c *Config) check() error {
 	if c.Node == "" {
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -33,7 +33,8 @@
 	renewSent Micros
 	confirmed Micros // when the last request was sent that proved our lease alive
 	claiming  bool
-	nonce     uint64
+	nonce     uint64 // of the last claim
+	nonceFrom uint64 // of the first one that was made on the present lease
 
 	leading   bool
 	ready     bool   // leading, and the records have been read since the claim
@@ -51,6 +52,7 @@
 	if !c.serving() {
 		return
 	}
+	c.letGo()
 	if c.lease != 0 && !c.renewing && c.now-c.renewSent > c.leaseTTL()/4 {
 		c.renewing, c.renewSent = true, c.now
 		c.emit(RenewLease{c.lease})
@@ -68,6 +70,22 @@
 	c.makeClaim()
 }
 
+// ours tells whether a claim is one that this process has made on its present lease:
+// the last, or an earlier one whose answer was lost. They all guard against each other,
+// so whichever is there is the one that holds.
+func (c *Core) ours(node string, nonce uint64) bool {
+	return node == c.cfg.Node && c.lease != 0 && nonce >= c.nonceFrom && nonce <= c.nonce
+}
+
+// letGo stops renewing a lease while somebody holds the claim and this node doesn't lead
+// by it. If the claim is one of ours that we don't know for ours, it ends with the lease,
+// and somebody can claim anew: else nobody ever would.
+func (c *Core) letGo() {
+	if c.lease != 0 && !c.leading && !c.claiming && c.leader.version != 0 {
+		c.lease = 0
+	}
+}
+
 // inDoubt tells whether our lease may have ended. A leader in doubt goes on
 // answering its workers, but asks nothing of the cloud: a request that a cut
 // holds back would come late and delete machines that an heir is using.
@@ -97,11 +115,11 @@
 		case Gone:
 			c.lease = 0
 		case Unknown, Conflict:
-			if c.leader.node == c.cfg.Node && c.leader.nonce == c.nonce {
+			if c.leader.version != 0 && c.ours(c.leader.node, c.leader.nonce) {
 				c.lead(c.leader.version) // the watch was faster than the answer
 				return
 			}
-			c.emit(Relist{}) // the listing tells whether the claim went through
+			c.emit(Relist{}) // the listing tells whether a claim went through
 		}
 	})
 }
@@ -216,7 +234,7 @@
 	}
 	c.leasing = false
 	if x.Outcome == OK {
-		c.lease = x.Lease
+		c.lease, c.nonceFrom = x.Lease, c.nonce+1
 		c.renewSent, c.confirmed = c.now, c.now
 		if c.leader.version == 0 && !c.leading && !c.claiming {
 			c.makeClaim()
@@ -259,7 +277,7 @@
 	// this node: the latter has to end by itself before we can claim.
 	switch {
 	case c.claiming || c.raising:
-	case !c.leading && cl.Nonce == c.nonce && c.lease != 0:
+	case !c.leading && c.ours(cl.Node, cl.Nonce):
 		c.lead(ev.Version)
 	case !c.leading:
 		c.lease = 0
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -13,6 +13,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 )
 
 // Micros is a duration in whole microseconds.
@@ -395,16 +396,12 @@
 		return g
 	}
 	if len(m.groups) >= max(m.settings.Groups, int(levels)) {
-		var oldest key
-		first := true
-		for o, g := range m.groups {
-			if o.level == Everything {
-				continue
+		oldest := unused(m.groups, func(g *group) uint64 {
+			if g.level == Everything {
+				return math.MaxUint64 // always of use
 			}
-			if first || g.used < m.groups[oldest].used || g.used == m.groups[oldest].used && compareKeys(o, oldest) < 0 {
-				oldest, first = o, false
-			}
-		}
+			return g.used
+		}, compareKeys)
 		delete(m.groups, oldest)
 	}
 	g := &group{level: k.level, class: class, used: m.clock}
@@ -412,19 +409,24 @@
 	return g
 }
 
+// unused returns the key of what was used last before all else; of several, the first.
+func unused[K comparable, V any](m map[K]V, used func(V) uint64, compare func(a, b K) int) (oldest K) {
+	least, first := uint64(0), true
+	for k, v := range m {
+		if u := used(v); first || u < least || u == least && compare(k, oldest) < 0 {
+			oldest, least, first = k, u, false
+		}
+	}
+	return oldest
+}
+
 // score notes whether an outcome fell into the intervals stated for it: by how much it
 // was off, and by how much such statements are.
 func (m *Model) score(class string, off float64, errs *curve) {
 	t := m.trust[class]
 	if t == nil {
 		if len(m.trust) >= m.settings.Groups {
-			var oldest string
-			first := true
-			for name, o := range m.trust {
-				if first || o.used < m.trust[oldest].used || o.used == m.trust[oldest].used && name < oldest {
-					oldest, first = name, false
-				}
-			}
+			oldest := unused(m.trust, func(t *trust) uint64 { return t.used }, strings.Compare)
 			delete(m.trust, oldest)
 		}
 		t = &trust{}
--- a/internal/estimate/group.go
+++ b/internal/estimate/group.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 )
 
 const (
@@ -254,13 +255,7 @@
 	s := m.machines[machine]
 	if s == nil {
 		if len(m.machines) >= m.settings.Machines {
-			var oldest string
-			first := true
-			for name, o := range m.machines {
-				if first || o.used < m.machines[oldest].used || o.used == m.machines[oldest].used && name < oldest {
-					oldest, first = name, false
-				}
-			}
+			oldest := unused(m.machines, func(s *speed) uint64 { return s.used }, strings.Compare)
 			delete(m.machines, oldest)
 		}
 		s = &speed{}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -4,10 +4,8 @@
 package load
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -16,6 +14,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"coralhub/internal/user"
 	"coralhub/wire"
 )
 
@@ -52,16 +51,13 @@
 }
 
 const (
-	submitWait = 5 * time.Second
-	pollWait   = 2 * time.Second
-	pollEvery  = time.Second
-	retryFor   = 60 * time.Second
-	longest    = int64(time.Hour / time.Microsecond)
+	pollEvery = time.Second
+	longest   = int64(time.Hour / time.Microsecond)
 )
 
 type generator struct {
 	opt    Options
-	client *http.Client
+	ask    *user.Asker
 	mu     sync.Mutex
 	res    Result
 	submit *hdrhistogram.Histogram
@@ -75,9 +71,10 @@
 		return nil, fmt.Errorf("load: %d jobs at %v a second, %d at a time, to %d addresses", opt.Jobs, opt.Rate, opt.Limit, len(opt.To))
 	}
 	g := &generator{opt: opt, res: Result{Jobs: opt.Jobs, Statuses: map[string]int{}},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opt.Limit}},
+		ask: &user.Asker{Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opt.Limit}},
+			Pick: func() string { return opt.To[rand.IntN(len(opt.To))] }},
 		submit: hdrhistogram.New(1, longest, 3), end: hdrhistogram.New(1, longest, 3)}
-	defer g.client.CloseIdleConnections()
+	defer g.ask.Client.CloseIdleConnections()
 	rnd := rand.New(rand.NewPCG(opt.Seed, 1))
 	sem := make(chan struct{}, opt.Limit)
 	var wg sync.WaitGroup
@@ -131,66 +128,24 @@
 	_ = h.RecordValue(min(max(time.Since(due).Microseconds(), 1), longest)) // within its bounds
 }
 
-// user submits a job as the protocol lets users, and follows it.
+// user submits a job and follows it.
 func (g *generator) user(ctx context.Context, j *wire.Job, due time.Time) {
 	raw, err := wire.Marshal(j)
 	if err != nil {
 		return
 	}
-	for {
-		status, _, after := g.ask(ctx, submitWait, http.MethodPost, wire.PathJobs, raw)
-		g.count(func(r *Result) { r.Statuses[strconv.Itoa(status)]++ })
-		if status == http.StatusOK || status == http.StatusCreated {
-			break
-		}
-		after = min(max(after, time.Second), 30*time.Second)
-		if status == http.StatusBadRequest || status == http.StatusUnprocessableEntity || time.Since(due)+after > retryFor || !sleep(ctx, after) {
-			return
-		}
+	if !g.ask.Repeat(ctx, http.MethodPost, wire.PathJobs, raw, func(a *user.Answer) {
+		g.count(func(r *Result) { r.Statuses[strconv.Itoa(a.Status)]++ })
+	}) {
+		return
 	}
 	g.took(g.submit, due)
 	g.count(func(r *Result) { r.Accepted++ })
-	for g.opt.Wait && j.Shape != wire.Service {
-		if !sleep(ctx, pollEvery) {
-			return
-		}
-		status, st, _ := g.ask(ctx, pollWait, http.MethodGet, wire.PathJobs+"/"+j.ID, nil)
-		if status == http.StatusOK && (st.Status == wire.Done || st.Status == wire.Cancelled) {
+	for g.opt.Wait && j.Shape != wire.Service && user.Sleep(ctx, pollEvery) {
+		if a := g.ask.Poll(ctx, j.ID); a.Over() {
 			g.took(g.end, due)
 			g.count(func(r *Result) { r.Ended++ })
 			return
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (g *generator) ask(ctx context.Context, wait time.Duration, method, path string, body []byte) (int, wire.JobStatus, time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	var st wire.JobStatus
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+g.opt.To[rand.IntN(len(g.opt.To))]+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, st, 0
-	}
-	res, err := g.client.Do(req)
-	if err != nil {
-		return 0, st, 0
-	}
-	defer res.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(res.Body, wire.MaxBody))
-	if err != nil || res.StatusCode < 300 && wire.Unmarshal(raw, &st) != nil {
-		return 0, st, 0
-	}
-	after, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64) // none: the usual pause
-	return res.StatusCode, st, time.Duration(after * 1e9)
-}
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -242,7 +242,7 @@
 	defer func() {
 		stop()
 		wg.Wait()
-		r.users.client.CloseIdleConnections()
+		r.users.ask.Client.CloseIdleConnections()
 	}()
 	r.users = newUsers(r.cluster, r.record, r.now, r.opt.wrap)
 	wg.Go(func() { r.users.balance(ctx) })
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -3,9 +3,7 @@
 package rehearse
 
 import (
-	"bytes"
 	"embed"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -15,7 +13,8 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"coralhub/internal/schema"
 )
 
 // Scenario is a script: a deployment, load over time, faults at set times, and what is
@@ -149,7 +148,7 @@
 	if err := toml.Unmarshal(raw, &doc); err != nil {
 		return nil, place(err)
 	}
-	if err := validate(doc); err != nil {
+	if err := schema.CheckValue(schemaText, doc); err != nil {
 		return nil, err
 	}
 	s := &Scenario{SettleS: 60, Deploy: Deploy{Nodes: 3, Zones: []string{"a", "b"}, Machines: 40, GPUs: 4, BootS: 3, ReportS: 1, LeaseS: 8, CancelS: 16,
@@ -178,42 +177,6 @@
 	return err
 }
 
-func validate(doc any) error {
-	// What a TOML document holds is handed to the schema as JSON has it.
-	raw, err := json.Marshal(doc)
-	if err != nil {
-		return err
-	}
-	plain, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
-	if err != nil {
-		return err
-	}
-	text, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
-	if err != nil {
-		return err
-	}
-	c := jsonschema.NewCompiler()
-	if err := c.AddResource("scenario.schema.json", text); err != nil {
-		return err
-	}
-	schema, err := c.Compile("scenario.schema.json")
-	if err != nil {
-		return err
-	}
-	if err := schema.Validate(plain); err != nil {
-		var ve *jsonschema.ValidationError
-		if errors.As(err, &ve) {
-			for len(ve.Causes) > 0 {
-				ve = ve.Causes[0]
-			}
-			lines := strings.Split(ve.Error(), "\n")
-			return errors.New(strings.TrimPrefix(strings.TrimSpace(lines[len(lines)-1]), "- "))
-		}
-		return err
-	}
-	return nil
-}
-
 // check finds what a schema can't.
 func (s *Scenario) check() error {
 	known := map[string]bool{}
--- a/internal/rehearse/users.go
+++ b/internal/rehearse/users.go
@@ -1,10 +1,8 @@
 package rehearse
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -17,6 +15,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/judge"
 	"coralhub/internal/standin"
+	"coralhub/internal/user"
 	"coralhub/wire"
 )
 
@@ -130,7 +129,7 @@
 	c      *cluster.Cluster
 	record func(judge.Event)
 	now    func() int64
-	client *http.Client
+	ask    *user.Asker
 
 	mu      sync.Mutex
 	healthy []bool
@@ -182,8 +181,9 @@
 	if wrap != nil {
 		transport = wrap(transport)
 	}
-	return &users{c: c, record: record, now: now, healthy: make([]bool, len(c.Nodes)), stats: map[string]*userStats{}, decided: map[string]*decision{},
-		client: &http.Client{Transport: transport}}
+	u := &users{c: c, record: record, now: now, healthy: make([]bool, len(c.Nodes)), stats: map[string]*userStats{}, decided: map[string]*decision{}}
+	u.ask = &user.Asker{Client: &http.Client{Transport: transport}, Pick: func() string { return u.node().Users.Addr() }}
+	return u
 }
 
 // balance probes the nodes until ctx ends.
@@ -195,7 +195,7 @@
 			defer t.Stop()
 			bad, good := 0, 1
 			for {
-				if n.Ready(ctx, u.client) {
+				if n.Ready(ctx, u.ask.Client) {
 					bad, good = 0, good+1
 				} else {
 					bad, good = bad+1, 0
@@ -240,31 +240,6 @@
 	return u.healthy[i]
 }
 
-// ask makes a request and returns the status, 0 if there was no answer.
-func (u *users) ask(ctx context.Context, wait time.Duration, method, path string, body []byte) (int, wire.JobStatus, time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	var st wire.JobStatus
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.node().Users.Addr()+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, st, 0
-	}
-	res, err := u.client.Do(req)
-	if err != nil {
-		return 0, st, 0
-	}
-	defer res.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(res.Body, wire.MaxBody))
-	if err != nil {
-		return 0, st, 0
-	}
-	if res.StatusCode < 300 && wire.Unmarshal(raw, &st) != nil {
-		return 0, st, 0
-	}
-	after, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64) // none: the usual pause
-	return res.StatusCode, st, time.Duration(after * 1e9)
-}
-
 // strangers asks about jobs that nobody has submitted, until ctx ends.
 func (u *users) strangers(ctx context.Context) {
 	t := time.NewTicker(strangersEvery)
@@ -276,9 +251,8 @@
 		case <-t.C:
 		}
 		id := fmt.Sprintf("j-9%08d", rand.IntN(1e8))
-		status, st, _ := u.ask(ctx, pollWait, http.MethodGet, wire.PathJobs+"/"+id, nil)
-		if ctx.Err() == nil {
-			u.told(id, judge.ByPoll, status, st.Status)
+		if a := u.ask.Poll(ctx, id); ctx.Err() == nil {
+			u.told(id, judge.ByPoll, &a)
 		}
 	}
 }
@@ -294,8 +268,8 @@
 	f(s)
 }
 
-func (u *users) told(id, via string, status int, said string) {
-	u.record(judge.Event{At: u.now(), Kind: judge.Told, Job: id, Via: via, Status: status, Said: said})
+func (u *users) told(id, via string, a *user.Answer) {
+	u.record(judge.Event{At: u.now(), Kind: judge.Told, Job: id, Via: via, Status: a.Status, Said: a.Job.Status})
 }
 
 // follow is a user with one job: it submits at its time, polls until the job is over,
@@ -314,7 +288,7 @@
 	}
 	u.record(judge.Event{At: u.now(), Kind: judge.Submitted, Job: p.job.ID, Spec: specOf(&p.job)})
 	u.note(p.class.Name, func(s *userStats) { s.Submitted++ })
-	accepted := u.repeat(ctx, p, submitWait, judge.BySubmit, http.MethodPost, wire.PathJobs, raw)
+	accepted := u.repeat(ctx, p, judge.BySubmit, http.MethodPost, wire.PathJobs, raw)
 	if u.decide(p.job.ID, accepted); !accepted {
 		return
 	}
@@ -337,14 +311,13 @@
 		case <-cancelAt:
 			cancelAt = nil
 			u.record(judge.Event{At: u.now(), Kind: judge.Asked, Job: p.job.ID})
-			u.repeat(ctx, p, submitWait, judge.ByCancel, http.MethodPost, wire.PathJobs+"/"+p.job.ID+"/"+wire.CancelVerb, nil)
+			u.repeat(ctx, p, judge.ByCancel, http.MethodPost, wire.PathJobs+"/"+p.job.ID+"/"+wire.CancelVerb, nil)
 		case <-poll.C:
-			status, st, _ := u.ask(ctx, pollWait, http.MethodGet, wire.PathJobs+"/"+p.job.ID, nil)
+			a := u.ask.Poll(ctx, p.job.ID)
 			if ctx.Err() != nil {
 				return
 			}
-			u.told(p.job.ID, judge.ByPoll, status, st.Status)
-			if status == http.StatusOK && (st.Status == wire.Done || st.Status == wire.Cancelled) {
+			if u.told(p.job.ID, judge.ByPoll, &a); a.Over() {
 				return
 			}
 			poll.Reset(pollEvery)
@@ -365,35 +338,14 @@
 	return b
 }
 
-// repeat makes a request until it is taken, as the protocol lets users.
-func (u *users) repeat(ctx context.Context, p *planned, wait time.Duration, via, method, path string, body []byte) bool {
-	for began := time.Now(); ctx.Err() == nil; {
-		status, st, after := u.ask(ctx, wait, method, path, body)
-		if ctx.Err() != nil {
-			return false
+// repeat makes a request until it is taken, and records what it is told.
+func (u *users) repeat(ctx context.Context, p *planned, via, method, path string, body []byte) bool {
+	return u.ask.Repeat(ctx, method, path, body, func(a *user.Answer) {
+		u.told(p.job.ID, via, a)
+		if !a.Taken() {
+			u.note(p.class.Name, func(s *userStats) { s.Errors[strconv.Itoa(a.Status)]++ })
 		}
-		u.told(p.job.ID, via, status, st.Status)
-		switch {
-		case status == http.StatusOK || status == http.StatusCreated:
-			return true
-		case status == http.StatusBadRequest || status == http.StatusUnprocessableEntity || status == http.StatusNotFound:
-			u.note(p.class.Name, func(s *userStats) { s.Errors[strconv.Itoa(status)]++ })
-			return false
-		}
-		u.note(p.class.Name, func(s *userStats) { s.Errors[strconv.Itoa(status)]++ })
-		after = min(max(after, time.Second), longestWait)
-		if time.Since(began)+after > retryFor {
-			return false
-		}
-		t := time.NewTimer(after)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-			return false
-		}
-	}
-	return false
+	})
 }
 
 func specOf(j *wire.Job) *judge.Spec {
--- /dev/null
+++ b/internal/user/user.go
@@ -0,0 +1,108 @@
+// Package user asks a service as the protocol lets users.
+package user
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"coralhub/wire"
+)
+
+// How long users wait, and how long they try.
+const (
+	SubmitWait  = 5 * time.Second
+	PollWait    = 2 * time.Second
+	TryFor      = 60 * time.Second
+	leastPause  = time.Second
+	longestWait = 30 * time.Second
+)
+
+// Answer is what a user hears.
+type Answer struct {
+	Status     int // of HTTP; 0: there was no answer
+	Job        wire.JobStatus
+	RetryAfter time.Duration
+}
+
+// Taken tells whether the request was done.
+func (a *Answer) Taken() bool { return a.Status == http.StatusOK || a.Status == http.StatusCreated }
+
+// Refused tells whether it never will be.
+func (a *Answer) Refused() bool {
+	return a.Status == http.StatusBadRequest || a.Status == http.StatusUnprocessableEntity || a.Status == http.StatusNotFound
+}
+
+// Asker makes requests to addresses that pick chooses for each.
+type Asker struct {
+	Client *http.Client
+	Pick   func() string
+}
+
+// Ask makes one request.
+func (u *Asker) Ask(ctx context.Context, wait time.Duration, method, path string, body []byte) (a Answer) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.Pick()+path, bytes.NewReader(body))
+	if err != nil {
+		return a
+	}
+	res, err := u.Client.Do(req)
+	if err != nil {
+		return a
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(res.Body, wire.MaxBody))
+	if err != nil || res.StatusCode < 300 && wire.Unmarshal(raw, &a.Job) != nil {
+		return Answer{}
+	}
+	a.Status = res.StatusCode
+	after, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64) // none: the usual pause
+	a.RetryAfter = time.Duration(after * 1e9)
+	return a
+}
+
+// Repeat makes a request until it is taken or refused for good, or the time to try is
+// over. Each answer is told; it returns whether the request was taken.
+func (u *Asker) Repeat(ctx context.Context, method, path string, body []byte, told func(*Answer)) bool {
+	for began := time.Now(); ctx.Err() == nil; {
+		a := u.Ask(ctx, SubmitWait, method, path, body)
+		if ctx.Err() != nil {
+			return false
+		}
+		told(&a)
+		pause := min(max(a.RetryAfter, leastPause), longestWait)
+		switch {
+		case a.Taken():
+			return true
+		case a.Refused(), time.Since(began)+pause > TryFor, !Sleep(ctx, pause):
+			return false
+		}
+	}
+	return false
+}
+
+// Poll asks for a job's state.
+func (u *Asker) Poll(ctx context.Context, id string) Answer {
+	return u.Ask(ctx, PollWait, http.MethodGet, wire.PathJobs+"/"+id, nil)
+}
+
+// Over tells whether an answer says that a job is over.
+func (a *Answer) Over() bool {
+	return a.Status == http.StatusOK && (a.Job.Status == wire.Done || a.Job.Status == wire.Cancelled)
+}
+
+// Sleep waits; false if ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
