One piece each for waiting, counting and how long a task has worked

Found in a last read of the whole change; behaviour stays as it is but for one thing: a gang's tasks are called overdue by all that the gang has worked, as its estimate is, and no longer by the present run alone.

user.Sleep serves the recorder, the load tool and rehearsals, which had six copies of a timer that gives way; play waits in two steps instead of nested selects, and for its users in one place. Adapters count once (node/count): totals for metrics, and what has come since the last line for the debug log. estimate.Groups had no caller.

--- a/cmd/coralhub/estimate.go
+++ b/cmd/coralhub/estimate.go
@@ -8,10 +8,8 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -131,13 +129,6 @@
 		Example: "  coralhub estimate record --node 10.0.0.1:8080 --node 10.0.0.2:8080 --out runs.jsonl --for 1h",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			if span > 0 {
-				var cancel context.CancelFunc
-				ctx, cancel = context.WithTimeout(ctx, span)
-				defer cancel()
-			}
 			w := cmd.OutOrStdout()
 			if out != "" {
 				f, err := os.OpenFile(out, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -148,7 +139,14 @@
 				w = f
 			}
 			r := &recorder.Recorder{Nodes: nodes, Client: &http.Client{Timeout: 5 * time.Second}, Tell: func(s string) { fmt.Fprintln(cmd.ErrOrStderr(), s) }}
-			return r.Run(ctx, w)
+			return runUntilSignal(cmd.Context(), func(ctx context.Context) error {
+				if span > 0 {
+					var cancel context.CancelFunc
+					ctx, cancel = context.WithTimeout(ctx, span)
+					defer cancel()
+				}
+				return r.Run(ctx, w)
+			})
 		},
 	}
 	cmd.Flags().StringArrayVar(&nodes, "node", nil, "`HOST:PORT` of a node, repeated for each")
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -260,7 +260,7 @@
 		}
 	}
 	j.eachOpen(func(p job.Placement) {
-		if began, ok := j.started[p.Task]; ok && len(out.Overdue) < maxListed && a.Overdue(j.kept[p.Task]+c.now-began) {
+		if _, runs := j.started[p.Task]; runs && len(out.Overdue) < maxListed && a.Overdue(c.worked(j, &p)) {
 			out.Overdue = append(out.Overdue, wire.TaskName(j.ID, p.Task))
 		}
 	})
--- a/internal/core/learning.go
+++ b/internal/core/learning.go
@@ -273,15 +273,21 @@
 	if a.Level == estimate.Unknown {
 		return a, false
 	}
+	return a.Left(c.worked(j, p)), true
+}
+
+// worked is how long a placed task, or its gang, has worked: what is safe of earlier
+// runs and this one.
+func (c *Core) worked(j *Job, p *job.Placement) Micros {
 	task := p.Task
 	if j.Rec.Spec.Shape == wire.Gang {
 		task = -1
 	}
-	ran := j.kept[task]
+	work := j.kept[task]
 	if began, ok := j.started[p.Task]; ok {
-		ran += c.now - began
+		work += c.now - began
 	}
-	return a.Left(ran), true
+	return work
 }
 
 // avoidSlow adds the machines that are known to be slow to those that a gang avoids: it
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -117,9 +117,6 @@
 // Changes counts the sudden changes that were found.
 func (m *Model) Changes() int { return m.changes }
 
-// Groups tells how many kinds of work are known.
-func (m *Model) Groups() int { return len(m.groups) }
-
 func (f *Features) keys() [levels]key {
 	var k [levels]key
 	k[Everything] = key{level: Everything}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -81,11 +81,7 @@
 	due := time.Now()
 	for i := range opt.Jobs {
 		due = due.Add(time.Duration(rnd.ExpFloat64() / opt.Rate * 1e9))
-		t := time.NewTimer(time.Until(due))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !user.Sleep(ctx, time.Until(due)) {
 			wg.Wait()
 			return nil, ctx.Err()
 		}
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -7,11 +7,11 @@
 	"net/http"
 	"net/rpc"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core"
+	"coralhub/internal/node/count"
 	"coralhub/wire"
 )
 
@@ -96,20 +96,19 @@
 	conns map[string]*rpc.Client
 	sem   chan struct{}
 
-	handed, lost, full, closed atomic.Int64
-	allHanded, allLost         atomic.Int64 // since the process began
+	handed, lost, full, closed count.Counter
 }
 
 // Totals tells how many reports were handed on and lost since the process began.
 func (p *Peers) Totals() map[string]float64 {
-	return map[string]float64{"handed": float64(p.allHanded.Load()), "lost": float64(p.allLost.Load())}
+	return map[string]float64{"handed": p.handed.Total(), "lost": p.lost.Total()}
 }
 
 // Counters tells, since it was last asked, how many reports the leader has
 // answered, how many it has not, how many messages found too many others on their
 // way, and how often a connection was given up. It is for the debug log.
 func (p *Peers) Counters() []any {
-	return []any{"handed", p.handed.Swap(0), "lost", p.lost.Swap(0), "full", p.full.Swap(0), "closed", p.closed.Swap(0)}
+	return []any{"handed", p.handed.Since(), "lost", p.lost.Since(), "full", p.full.Since(), "closed", p.closed.Since()}
 }
 
 // New returns the peers of a node.
@@ -148,11 +147,9 @@
 		done := core.ForwardDone{Req: x.Req, Report: x.Report}
 		p.limited(func() {
 			if done.Answer = p.forward(x); done.Answer != nil {
-				p.handed.Add(1)
-				p.allHanded.Add(1)
+				p.handed.Add()
 			} else {
-				p.lost.Add(1)
-				p.allLost.Add(1)
+				p.lost.Add()
 			}
 			p.post(done)
 		}, func() { go p.post(done) })
@@ -178,7 +175,7 @@
 			f()
 		}()
 	default:
-		p.full.Add(1)
+		p.full.Add()
 		instead()
 	}
 }
@@ -259,7 +256,7 @@
 		p.mu.Lock()
 		if p.conns[node] == c {
 			delete(p.conns, node)
-			p.closed.Add(1)
+			p.closed.Add()
 		}
 		p.mu.Unlock()
 		_ = c.Close()
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -20,6 +20,7 @@
 	"coralhub/internal/core"
 	"coralhub/internal/core/job"
 	"coralhub/internal/node/call"
+	"coralhub/internal/node/count"
 	"coralhub/wire"
 )
 
@@ -47,13 +48,11 @@
 	tally  tally
 }
 
-// tally counts what became of transactions that change something, since it was
-// last taken: by those that go first and those that give way.
+// tally counts what became of transactions that change something, since the process
+// began: by those that go first and those that give way.
 type tally struct {
-	taken, refused [2]atomic.Int64 // by the service
-	unsent         [2]atomic.Int64 // their turn would have come too late
-
-	allTaken, allRefused [2]atomic.Int64 // since the process began
+	taken, refused [2]count.Counter // by the service
+	unsent         [2]count.Counter // their turn would have come too late
 }
 
 const (
@@ -73,19 +72,19 @@
 	t := &s.tally
 	out := map[string]float64{"later_pace": float64(s.later.limiter.Limit())}
 	for i, kind := range []string{"first", "later"} {
-		out[kind+"_taken"] = float64(t.allTaken[i].Load())
-		out[kind+"_refused"] = float64(t.allRefused[i].Load())
+		out[kind+"_taken"] = t.taken[i].Total()
+		out[kind+"_refused"] = t.refused[i].Total()
 	}
 	return out
 }
 
 // Counters tells what became of changes since it was last asked, and how many a
-// second those may take that give way. It is for the debug log.
+// second those may take that give way. It is for the debug log, which alone asks.
 func (s *Store) Counters() []any {
 	t := &s.tally
 	return []any{
-		"first", t.taken[first].Swap(0), "first_refused", t.refused[first].Swap(0), "first_unsent", t.unsent[first].Swap(0),
-		"later", t.taken[givesWay].Swap(0), "later_refused", t.refused[givesWay].Swap(0), "later_unsent", t.unsent[givesWay].Swap(0),
+		"first", t.taken[first].Since(), "first_refused", t.refused[first].Since(), "first_unsent", t.unsent[first].Since(),
+		"later", t.taken[givesWay].Since(), "later_refused", t.refused[givesWay].Since(), "later_unsent", t.unsent[givesWay].Since(),
 		"later_pace", math.Round(float64(s.later.limiter.Limit())*10) / 10,
 	}
 }
@@ -193,7 +192,7 @@
 	defer cancel()
 	done := core.CommitDone{ID: x.ID, Outcome: core.Refused}
 	if s.calls.Wait(ctx) != nil || s.turn(ctx, &x) != nil {
-		s.tally.unsent[s.tally.of(x.Later)].Add(1)
+		s.tally.unsent[s.tally.of(x.Later)].Add()
 	} else {
 		var a wire.CommitAnswer
 		status, err := s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
@@ -210,11 +209,9 @@
 		}
 		switch {
 		case refused:
-			s.tally.refused[s.tally.of(x.Later)].Add(1)
-			s.tally.allRefused[s.tally.of(x.Later)].Add(1)
+			s.tally.refused[s.tally.of(x.Later)].Add()
 		case len(x.Txn.Changes) > 0:
-			s.tally.taken[s.tally.of(x.Later)].Add(1)
-			s.tally.allTaken[s.tally.of(x.Later)].Add(1)
+			s.tally.taken[s.tally.of(x.Later)].Add()
 		}
 		switch {
 		case err != nil:
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -13,6 +13,7 @@
 
 	"coralhub/internal/core"
 	"coralhub/internal/node/httpapi"
+	"coralhub/internal/user"
 )
 
 const (
@@ -47,7 +48,7 @@
 				r.Tell(fmt.Sprintf("no node answers as the leader; the last: %v", err))
 			}
 			r.at = (r.at + 1) % len(r.Nodes)
-			sleep(ctx, pause/time.Duration(len(r.Nodes)))
+			user.Sleep(ctx, pause/time.Duration(len(r.Nodes)))
 			continue
 		}
 		failures = 0
@@ -61,7 +62,7 @@
 		}
 		r.from = page.Next
 		if len(page.Runs) == 0 {
-			sleep(ctx, pause)
+			user.Sleep(ctx, pause)
 		}
 	}
 	return nil
@@ -99,12 +100,3 @@
 	r.leader = node
 	return page, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -12,6 +12,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/faults"
 	"coralhub/internal/standin"
+	"coralhub/internal/user"
 )
 
 // strike brings a fault about and returns what ends it; nil if nothing does.
@@ -221,14 +222,10 @@
 	}
 	slices.SortStableFunc(all, func(a, b moment) int { return int(a.at - b.at) })
 	for _, m := range all {
-		t := time.NewTimer(time.Until(began.Add(m.at)))
-		select {
-		case <-t.C:
-			m.do()
-		case <-ctx.Done():
-			t.Stop()
+		if !user.Sleep(ctx, time.Until(began.Add(m.at))) {
 			return
 		}
+		m.do()
 	}
 }
 
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -19,6 +19,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/judge"
 	"coralhub/internal/standin"
+	"coralhub/internal/user"
 	"coralhub/wire"
 )
 
@@ -238,9 +239,10 @@
 // play has everything come at its time, and waits for jobs to end.
 func (r *run) play(ctx context.Context, began time.Time) {
 	ctx, stop := context.WithCancel(ctx)
-	var wg sync.WaitGroup
+	var wg, open sync.WaitGroup // open: users whose jobs end by themselves
 	defer func() {
 		stop()
+		open.Wait()
 		wg.Wait()
 		r.users.ask.Client.CloseIdleConnections()
 	}()
@@ -251,15 +253,10 @@
 	if r.opt.Watch != nil {
 		wg.Go(func() { r.watch(ctx, began) })
 	}
-	var open sync.WaitGroup
 	for i := range r.jobs {
 		p := &r.jobs[i]
 		due := began.Add(p.at)
-		t := time.NewTimer(time.Until(due))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !user.Sleep(ctx, time.Until(due)) {
 			return
 		}
 		follow := &wg
@@ -274,32 +271,16 @@
 		open.Wait()
 		close(ended)
 	}()
-	last := time.NewTimer(time.Until(began.Add(time.Duration((r.scenario.DurationS + r.scenario.SettleS) * 1e9))))
+	until := func(s float64) time.Duration { return time.Until(began.Add(time.Duration(s * 1e9))) }
+	if !user.Sleep(ctx, until(r.scenario.DurationS)) { // services are watched until then
+		return
+	}
+	last := time.NewTimer(until(r.scenario.DurationS + r.scenario.SettleS))
 	defer last.Stop()
-	whole := time.NewTimer(time.Until(began.Add(time.Duration(r.scenario.DurationS * 1e9))))
-	defer whole.Stop()
-	for range 2 {
-		select {
-		case <-ended:
-			ended = nil // services are watched until the end of the time
-		case <-whole.C:
-			if ended == nil {
-				return
-			}
-			select {
-			case <-ended:
-				return
-			case <-last.C:
-			case <-ctx.Done():
-			}
-			stop()
-			open.Wait()
-			return
-		case <-ctx.Done():
-			stop()
-			open.Wait()
-			return
-		}
+	select {
+	case <-ended:
+	case <-last.C:
+	case <-ctx.Done():
 	}
 }
 
