Machine types are asked for at once; rehearsals at another speed, ports of their own

- In the first second of a new cluster's life every submission was refused: a node asked for the machine types only once its clock stood at 1 s.
It now asks as soon as its records are read and don't hold them.

--- a/cmd/coralhub/rehearse.go
+++ b/cmd/coralhub/rehearse.go
@@ -54,7 +54,7 @@
 func rehearseRun() *cobra.Command {
 	var plain, asJSON bool
 	var seed uint64
-	var scale float64
+	var scale, speed float64
 	var dir, settings, level string
 	cmd := &cobra.Command{
 		Use:   "run SCENARIO...",
@@ -70,6 +70,9 @@
 			if err != nil {
 				return err
 			}
+			if scale <= 0 || speed <= 0 {
+				return errors.New("--scale and --speed must be above 0")
+			}
 			out, failed := cmd.OutOrStdout(), false
 			for _, name := range args {
 				s, err := rehearse.Load(name)
@@ -79,8 +82,14 @@
 				if scale != 1 {
 					s = s.Scaled(scale)
 				}
-				opt := rehearse.Options{Program: program, Seed: seed, Settings: settings, Log: level,
-					Dir: filepath.Join(dir, fmt.Sprintf("%s-%s", s.Name, time.Now().Format("20060102-150405.000")))}
+				if speed != 1 {
+					s = s.Sped(speed)
+				}
+				folder, err := runFolder(dir, s.Name)
+				if err != nil {
+					return err
+				}
+				opt := rehearse.Options{Program: program, Seed: seed, Settings: settings, Log: level, Dir: folder}
 				began := time.Now()
 				var screen *view.Screen
 				if f, ok := out.(*os.File); ok && !plain && !asJSON && isatty.IsTerminal(f.Fd()) {
@@ -114,12 +123,22 @@
 	f.BoolVar(&asJSON, "json", false, "print each result as JSON")
 	f.Uint64Var(&seed, "seed", 1, "draws arrivals, run times and machines")
 	f.Float64Var(&scale, "scale", 1, "so many times the machines and the load")
+	f.Float64Var(&speed, "speed", 1, "so many times the jobs, as much shorter each; the protocol's times stay")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "coralhub-runs"), "`FOLDER` for results, settings and logs")
 	f.StringVar(&settings, "settings", "", "the operators' settings `FILE` for the nodes")
 	f.StringVar(&level, "log", "info", "how much the nodes log")
 	return cmd
 }
 
+// runFolder makes a run's folder. Two that begin at the same moment get one each: in one,
+// each would start its nodes with the other's settings.
+func runFolder(dir, name string) (string, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", err
+	}
+	return os.MkdirTemp(dir, fmt.Sprintf("%s-%s-", name, time.Now().Format("20060102-150405")))
+}
+
 func tell(out io.Writer, res *rehearse.Result, dir string, plain, asJSON bool) error {
 	if asJSON {
 		return json.NewEncoder(out).Encode(res)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -159,14 +160,21 @@
 	return p, err
 }
 
-// freePort returns a loopback address that nobody listens on.
+// freePort returns a loopback address that nobody listens on. A node binds it a moment
+// later, and again whenever it is restarted: so it is none of those that the system
+// hands out by itself, to the next connection or listener that asks for any.
 func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const from, to, tries = 16_000, 32_000, 100 // systems hand out ports above
+	var last error
+	for range tries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", from+rand.IntN(to-from)))
+		if err != nil {
+			last = err
+			continue
+		}
+		return l.Addr().String(), l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no free port: %w", last)
 }
 
 // lay lays the links.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -285,7 +285,9 @@
 	c.sendMail()
 	c.announceFormat()
 	c.tickLeadership()
-	if c.catalog == nil && c.now-c.catalogAsked > config.Second || c.ready && c.now-c.catalogAsked > 30*config.Second {
+	// Without the machine types no job can be accepted: a node whose records don't have
+	// them asks at once.
+	if c.catalog == nil && c.loaded && (c.catalogAsked == 0 || c.now-c.catalogAsked > config.Second) || c.ready && c.now-c.catalogAsked > 30*config.Second {
 		c.catalogAsked = c.now
 		c.emit(FetchCatalog{})
 	}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -41,6 +41,17 @@
 	return node.New(cfg).Run(context.Background())
 }
 
+// work adds up what comes after the start, in task seconds.
+func work(s *Scenario) float64 {
+	sum := 0.0
+	for _, p := range s.plan(5) {
+		if p.at.Seconds() > 2 {
+			sum += float64(p.job.Tasks) * float64(p.run) / 1e6
+		}
+	}
+	return sum
+}
+
 func TestScenariosAreSound(t *testing.T) {
 	names := Names()
 	if len(names) < 10 {
@@ -55,6 +66,9 @@
 		if s.Name != name || len(s.Expect) == 0 {
 			t.Errorf("%s is called %q and expects %d things", name, s.Name, len(s.Expect))
 		}
+		if x := s.Sped(4); work(x) < 0.6*work(s) || work(x) > 1.7*work(s) {
+			t.Errorf("%s at four times the speed: %.0f task seconds, %.0f before", name, work(x), work(s))
+		}
 		if a, b := s.plan(5), s.plan(5); !reflect.DeepEqual(a, b) || len(a) == 0 {
 			t.Errorf("%s: the same seed draws other jobs", name)
 		}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -226,3 +226,18 @@
 	}
 	return &out
 }
+
+// Sped returns the scenario with the work of a so many times longer day: as many times
+// the jobs, each with as much shorter runs, fetches, saves and boots. What the protocol sets
+// in seconds stays, and with it the faults, which are to outlast leases, and what is
+// expected.
+func (s *Scenario) Sped(times float64) *Scenario {
+	out := *s
+	out.Deploy.BootS /= times
+	out.Classes = slices.Clone(s.Classes)
+	for i := range out.Classes {
+		c := &out.Classes[i]
+		c.RunS, c.ImageGB, c.CheckpointS, c.RatePerS = c.RunS/times, c.ImageGB/times, c.CheckpointS/times, c.RatePerS*times
+	}
+	return &out
+}
