--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -120,7 +120,7 @@
 	g := Gauges{Leading: c.ready, Records: len(c.jobs), Unfinished: len(c.active), Writing: c.writing, Takeovers: c.takeovers, Looked: c.survey.lookedAt,
 		Waiting: map[string]int{}, Machines: map[string]int{}}
 	for _, j := range c.active {
-		g.Placements += j.open
+		g.Placements += j.Open
 	}
 	if !c.ready {
 		return g
@@ -259,7 +259,7 @@
 			out.Chance = &chance
 		}
 	}
-	j.eachOpen(func(p job.Placement) {
+	j.EachOpen(func(p job.Placement) {
 		if _, runs := j.started[p.Task]; runs && len(out.Overdue) < maxListed && a.Overdue(c.worked(j, &p)) {
 			out.Overdue = append(out.Overdue, wire.TaskName(j.ID, p.Task))
 		}
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -22,20 +22,20 @@
 	planned := map[string]zone.Res{}
 	for _, j := range c.active {
 		spec := j.Rec.Spec
-		n := j.open + len(j.plan)
+		n := j.Open + len(j.plan)
 		used[spec.Team] = used[spec.Team].Plus(taskAmount(spec), float64(n))
 		for _, p := range j.plan {
 			planned[p.Machine] = planned[p.Machine].Plus(taskRes(spec), 1)
 		}
-		wants := !j.held() && j.done+j.open < spec.Tasks && !j.Rec.Final() && !j.Rec.Cancel && c.teams[spec.Team] != nil
+		wants := !j.Held() && j.Done+j.Open < spec.Tasks && !j.Rec.Final() && !j.Rec.Cancel && c.teams[spec.Team] != nil
 		if !j.listed && wants != c.survey.wanting[j] {
 			return fmt.Errorf("%s wants places: %v", j.ID, wants)
 		}
 		team := c.teams[spec.Team]
-		if j.Rec.Final() || team == nil || j.held() || !queue.HasGuarantee(team) {
+		if j.Rec.Final() || team == nil || j.Held() || !queue.HasGuarantee(team) {
 			continue
 		}
-		sum := guaranteed[spec.Team].Plus(taskAmount(spec), float64(spec.Tasks-j.done))
+		sum := guaranteed[spec.Team].Plus(taskAmount(spec), float64(spec.Tasks-j.Done))
 		guaranteed[spec.Team] = sum
 		if settled && queue.UnderGuarantee(team, sum) != c.within(j) {
 			return fmt.Errorf("%s is within its guarantee: %v", j.ID, !c.within(j))
@@ -75,7 +75,7 @@
 	open := 0
 	var wrong error
 	for _, j := range c.jobs {
-		j.eachOpen(func(p job.Placement) {
+		j.EachOpen(func(p job.Placement) {
 			open++
 			if _, ok := c.expected[p.Machine][p.Key(j.ID)]; !ok {
 				wrong = fmt.Errorf("%s/%d is not known to be on %s", j.ID, p.Task, p.Machine)
--- /dev/null
+++ b/internal/core/book.go
@@ -0,0 +1,67 @@
+package core
+
+import (
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/records"
+)
+
+// listener passes what the records say on to the roles.
+type listener struct{ c *Core }
+
+func (l listener) Born(r *records.Job) {
+	l.c.jobs[r.ID] = &Job{Job: r, arrived: l.c.now}
+}
+
+func (l listener) Placed(r *records.Job, old, now []job.Placement) {
+	l.c.reindex(l.c.jobs[r.ID], old, now)
+}
+
+func (l listener) Stored(r *records.Job) {
+	l.c.outdatePlan(l.c.jobs[r.ID])
+}
+
+func (l listener) Recorded(r *records.Job) {
+	c, j := l.c, l.c.jobs[r.ID]
+	c.setActive(j, r.Rec.Spec != nil)
+	if r.Rec.Created > 0 && c.wallAhead > 0 && !r.NeedsOthers() {
+		j.arrived = min(c.now, r.Rec.Created-c.wallAhead)
+	}
+}
+
+func (l listener) Ended(r *records.Job) {
+	j := l.c.jobs[r.ID]
+	if r.Rec.Spec == nil {
+		j.stops, j.started, j.failedOn, j.closes, j.reserved = nil, nil, nil, nil, nil
+		j.runs = runs{}
+	}
+	l.c.answerWaiters(j)
+}
+
+func (l listener) Changed(r *records.Job) {
+	j := l.c.jobs[r.ID]
+	l.c.changed(j)
+	l.c.revise(j)
+}
+
+func (l listener) Freed(r *records.Job) {
+	j := l.c.jobs[r.ID]
+	j.arrived = l.c.now // its times count from now on
+	l.c.changed(j)
+	l.c.passDue = true
+}
+
+func (l listener) Doomed(r *records.Job) {
+	j := l.c.jobs[r.ID]
+	l.c.changed(j)
+	if l.c.ready {
+		l.c.dirty[r.ID] = true
+	}
+}
+
+// revise has a pass and the writing of records look at a job.
+func (c *Core) revise(j *Job) {
+	c.passDue = true
+	if c.ready {
+		c.dirty[j.ID] = true
+	}
+}
--- a/internal/core/chain_test.go
+++ b/internal/core/chain_test.go
@@ -55,17 +55,17 @@
 		c := chained(t, backwards)
 		for n := range links {
 			j := c.jobs[fmt.Sprintf("j-%d", n)]
-			if j.held() != (n > 0) || j.priority() != wire.High {
-				t.Fatalf("job %d: held %v, priority %s", n, j.held(), j.priority())
+			if j.Held() != (n > 0) || j.Priority() != wire.High {
+				t.Fatalf("job %d: held %v, priority %s", n, j.Held(), j.Priority())
 			}
 		}
 		link(t, c, links+1, job.Record{Phase: job.Done}, 0)
-		if c.jobs["j-1"].held() || !c.jobs["j-2"].held() || c.jobs["j-1"].arrived != links+1 {
+		if c.jobs["j-1"].Held() || !c.jobs["j-2"].Held() || c.jobs["j-1"].arrived != links+1 {
 			t.Fatal("the end of a job frees the next, and its times count from then")
 		}
 		link(t, c, links+2, job.Record{Phase: job.Cancelled}, 1)
 		for n := 2; n < links; n++ {
-			if !c.jobs[fmt.Sprintf("j-%d", n)].doomed {
+			if !c.jobs[fmt.Sprintf("j-%d", n)].Doomed() {
 				t.Fatalf("job %d goes on after a cancellation", n)
 			}
 		}
--- a/internal/core/records.go
+++ b/internal/core/commits.go
@@ -6,6 +6,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/records"
 	"coralhub/wire"
 )
 
@@ -76,7 +77,7 @@
 		c.note(j, t.closes)
 		return !more
 	}
-	if len(j.plan) == 0 && !j.Rec.Cancel && !j.doomed && len(j.neededBy) == 0 && c.writing >= c.mostWriting() {
+	if len(j.plan) == 0 && !j.Rec.Cancel && !j.Doomed() && j.AwaitedBy() == 0 && c.writing >= c.mostWriting() {
 		return false
 	}
 	t.placed = j.plan
@@ -141,7 +142,7 @@
 	if j.parting || j.Rec.Apart || c.format < job.Grouped {
 		return false
 	}
-	return !slices.ContainsFunc(j.parts, func(p part) bool { return p.version != 0 })
+	return !slices.ContainsFunc(j.Parts, func(p records.Part) bool { return p.Version != 0 })
 }
 
 // putable tells whether every value of a transaction may be put.
@@ -181,7 +182,7 @@
 				more = true
 				return nil
 			}
-			old, _ := j.part(n)
+			old, _ := j.Part(n)
 			p = old.Clone()
 			t.parts[n] = p
 		}
@@ -213,14 +214,11 @@
 	t.ends = changed && !j.parting && !j.mergeNow && len(j.plan) == 0 && (rec.Spec.Shape != wire.Service || rec.Cancel || rec.Final())
 	if j.mergeNow {
 		changed = true
-		for _, f := range j.facts {
-			if f.merged {
-				continue
-			}
-			if p := part(f.Task); p != nil {
-				keep(f.Task, p)
+		j.Unmerged(func(task int) {
+			if p := part(task); p != nil {
+				keep(task, p)
 			}
-		}
+		})
 	}
 	if !rec.Cancel && !rec.Final() {
 		for _, pl := range j.plan {
@@ -236,8 +234,8 @@
 	}
 	// What the job would be with this transaction applied.
 	done, open := rec.Part.Count(), len(rec.Open)
-	for i := range j.parts {
-		p := &j.parts[i].Part
+	for i := range j.Parts {
+		p := &j.Parts[i].Part
 		if q, ok := t.parts[i+1]; ok {
 			p = &q
 		}
@@ -245,7 +243,7 @@
 		open += len(p.Open)
 	}
 	for n, p := range t.parts {
-		if n > len(j.parts) {
+		if n > len(j.Parts) {
 			done += p.Count()
 			open += len(p.Open)
 		}
@@ -293,9 +291,9 @@
 	if c.format < job.Grouped {
 		return nil
 	}
-	done, open := j.done, j.open
+	done, open := j.Done, j.Open
 	for _, cl := range j.closes {
-		p, _ := j.part(j.Rec.PartOf(cl.key.Task))
+		p, _ := j.Part(j.Rec.PartOf(cl.key.Task))
 		if p.IsOpen(cl.key.Task, cl.key.Attempt, cl.machine) {
 			open--
 		}
@@ -311,7 +309,7 @@
 	case rec.Final():
 	case done >= spec.Tasks || spec.Shape == wire.Gang && done > 0:
 		rec.Phase, rec.Count = job.Done, spec.Tasks
-	case j.cancelling || j.doomed:
+	case j.cancelling || j.Doomed():
 		rec.Phase = job.Cancelled
 	default:
 		return nil
@@ -327,7 +325,7 @@
 // leftover returns the deletion of what parts are left of a job that is over.
 func (c *Core) leftover(j *Job) (*txn, bool) {
 	t := &txn{token: c.token}
-	if !j.over() || c.dropParts(j, t, c.ops()) == 0 {
+	if !j.Over() || c.dropParts(j, t, c.ops()) == 0 {
 		return nil, false
 	}
 	t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: leaderKey, Version: c.token})
@@ -340,15 +338,15 @@
 func (c *Core) dropParts(j *Job, t *txn, room int) int {
 	n := 0
 	t.parts = map[int]job.Part{}
-	for i := range j.parts {
-		if j.parts[i].version == 0 {
+	for i := range j.Parts {
+		if j.Parts[i].Version == 0 {
 			continue
 		}
 		if n++; n > room {
 			break
 		}
 		key := job.PartKey(j.ID, i+1)
-		t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: key, Version: j.parts[i].version})
+		t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: key, Version: j.Parts[i].Version})
 		t.commit.Changes = append(t.commit.Changes, wire.Change{Delete: key})
 	}
 	return n
@@ -375,7 +373,7 @@
 		if err != nil {
 			return err
 		}
-		_, version := j.part(n)
+		_, version := j.Part(n)
 		t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: job.PartKey(j.ID, n), Version: version})
 		t.commit.Changes = append(t.commit.Changes, wire.Change{Put: job.PartKey(j.ID, n), Value: value})
 	}
@@ -394,7 +392,7 @@
 	c.writing += len(t.commit.Changes)
 	// An end that others wait for doesn't give way, nor does a cancellation that
 	// a job before this one has brought.
-	first := t.rec != nil && t.rec.Final() && (len(j.neededBy) > 0 || j.doomed)
+	first := t.rec != nil && t.rec.Final() && (j.AwaitedBy() > 0 || j.Doomed())
 	c.transact(t.commit, !first, func(d CommitDone) {
 		if reign == c.reign {
 			c.writing -= len(t.commit.Changes)
@@ -457,17 +455,17 @@
 	j.forget(t.closes)
 	j.mergeNow, j.parting = false, false
 	if t.rec != nil && j.Version < revision { // first: tasks may have moved out of it
-		c.setRecord(j.ID, *t.rec, revision)
+		c.book.SetRecord(j.ID, *t.rec, revision)
 	}
 	nums := slices.Sorted(maps.Keys(t.parts))
 	for _, n := range nums {
-		if _, v := j.part(n); v < revision {
-			c.setPart(j, n, t.parts[n], revision)
+		if _, v := j.Part(n); v < revision {
+			c.book.SetPart(j.Job, n, t.parts[n], revision)
 		}
 	}
 	for _, ch := range t.commit.Changes {
-		if _, n, ok := job.ParseKey(ch.Delete); ok && n > 0 && n <= len(j.parts) {
-			c.setPart(j, n, job.Part{}, 0)
+		if _, n, ok := job.ParseKey(ch.Delete); ok && n > 0 && n <= len(j.Parts) {
+			c.book.SetPart(j.Job, n, job.Part{}, 0)
 		}
 	}
 	c.noteMine(j, t.placed)
@@ -492,7 +490,7 @@
 			if d.Item.Version != 0 {
 				c.apply(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
 			} else if _, n, ok := job.ParseKey(key); ok && n > 0 {
-				c.setPart(j, n, job.Part{}, 0)
+				c.book.SetPart(j.Job, n, job.Part{}, 0)
 			}
 			c.dirty[j.ID] = true
 		})
@@ -509,7 +507,7 @@
 		return
 	}
 	sure := true
-	j.eachOpen(func(p job.Placement) {
+	j.EachOpen(func(p job.Placement) {
 		m := c.machines.Get(p.Machine)
 		if m == nil || m.Token < c.baseToken {
 			sure = false
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/queue"
+	"coralhub/internal/core/records"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
 )
@@ -45,9 +46,10 @@
 	commits map[uint64]func(CommitDone)
 	reads   map[uint64]func(ReadDone)
 
-	loaded         bool // a first Snapshot has come
-	jobs           map[string]*Job
-	active         []*Job // jobs that have anything left, oldest first: passes must not cost more with every finished job
+	loaded         bool            // a first Snapshot has come
+	book           *records.Book   // what is committed about jobs
+	jobs           map[string]*Job // the same jobs, with what this node adds to them
+	active         []*Job          // jobs that have anything left, oldest first: passes must not cost more with every finished job
 	catalog        map[string]*wire.MachineType
 	catalogVersion uint64
 	catalogAsked   Micros
@@ -88,22 +90,15 @@
 
 // Job is a job as this node knows it.
 type Job struct {
-	ID      string
-	Rec     job.Record
-	Version uint64
-	parts   []part // from part 1 on; part 0 is in Rec
+	*records.Job
 
 	// For the leader: what has been learnt or decided and is to be committed.
 	active  bool
 	created Micros // as it stands in the order of active jobs
-	done    int    // done tasks
-	open    int    // open placements
-	chain
 	standing
 	runs
 	types    typeSet
 	closes   []closing
-	facts    []*fact           // lines of the log of ended attempts
 	mergeNow bool              // to be written so that a page of the log can go
 	left     map[string]uint64 // machines that an attempt of a gang has left
 	plan     []job.Placement
@@ -125,11 +120,6 @@
 	parting    bool // its tasks are to be moved out of its record
 }
 
-type part struct {
-	job.Part
-	version uint64
-}
-
 type stop struct {
 	since Micros
 	grace float64
@@ -155,6 +145,7 @@
 		dirty:   map[string]bool{},
 		tight:   math.MaxInt32,
 	}
+	c.book = records.New(listener{c})
 	for i := range cfg.Cluster.Teams {
 		t := &cfg.Cluster.Teams[i]
 		c.teams[t.Name] = t
@@ -166,7 +157,6 @@
 	for _, p := range cfg.Peers {
 		c.location[p.Node] = p.Location
 	}
-	c.ended.pages = map[uint64]*endedPage{}
 	c.upgrade = upgrade{format: job.Placements, announced: map[string]job.Format{}}
 	c.jitter = Micros(seed % 200_000)
 	c.nonce = seed
@@ -310,20 +300,7 @@
 	if !listed[leaderKey] && c.leader.version != 0 && c.leader.version <= s.Revision {
 		c.apply(&wire.Change{Delete: leaderKey, Version: s.Revision})
 	}
-	ids := c.sortedJobs()
-	for _, id := range ids {
-		j := c.jobs[id]
-		for n := range j.parts {
-			if v := j.parts[n].version; v != 0 && v <= s.Revision && !listed[job.PartKey(id, n+1)] {
-				c.setPart(j, n+1, job.Part{}, 0)
-			}
-		}
-	}
-	for _, n := range slices.Sorted(maps.Keys(c.ended.pages)) {
-		if p := c.ended.pages[n]; p.version <= s.Revision && !listed[endedKey(n)] {
-			c.forgetPage(n)
-		}
-	}
+	c.book.Listed(s.Revision, listed)
 	c.loaded = true
 	c.afterSnapshot(s.Revision)
 }
@@ -361,10 +338,6 @@
 		c.hintsIn(name, ev)
 		return
 	}
-	if num, ok := strings.CutPrefix(key, endedPrefix); ok {
-		c.endedIn(num, ev)
-		return
-	}
 	if num, ok := strings.CutPrefix(key, learntPrefix); ok {
 		c.learntIn(num, ev)
 		return
@@ -373,69 +346,8 @@
 		c.mailIn(ev)
 		return
 	}
-	id, n, ok := job.ParseKey(key)
-	if !ok {
-		return
-	}
-	if n > 0 {
-		c.applyPart(id, n, ev)
-		return
-	}
-	if ev.Put == "" {
-		return
-	}
-	if old := c.jobs[id]; old != nil && old.Version >= ev.Version {
-		return
-	}
-	var rec job.Record
-	if err := job.DecodeRecord(ev.Value, &rec); err != nil {
-		c.log("unreadable record", "job", id, "error", err.Error())
-		return
-	}
-	c.setRecord(id, rec, ev.Version)
-}
-
-func (c *Core) job(id string) *Job {
-	j := c.jobs[id]
-	if j == nil {
-		j = &Job{ID: id, arrived: c.now}
-		c.jobs[id] = j
-	}
-	return j
-}
-
-// setRecord takes a newer record of a job.
-func (c *Core) setRecord(id string, rec job.Record, version uint64) {
-	j := c.job(id)
-	old := j.Rec.Open
-	j.Rec, j.Version = rec, version
-	if rec.Spec != nil {
-		j.applyFacts(0, &j.Rec.Part)
-	}
-	c.reindex(j, old, j.Rec.Open)
-	c.outdatePlan(j)
-	c.setActive(j, rec.Spec != nil)
-	if rec.Created > 0 && c.wallAhead > 0 && !j.needsOthers() {
-		j.arrived = min(c.now, rec.Created-c.wallAhead)
-	}
-	c.link(j)
-	if rec.Final() {
-		if rec.Spec == nil { // nothing of it is left, but for parts to be deleted
-			j.stops, j.started, j.failedOn, j.closes, j.reserved = nil, nil, nil, nil, nil
-			j.runs = runs{}
-			for n := range j.parts {
-				c.reindex(j, j.parts[n].Open, nil)
-				j.parts[n].Part = job.Part{}
-			}
-		}
-		c.answerWaiters(j)
-		c.settled(j)
-	}
-	j.recount()
-	c.changed(j)
-	c.passDue = true
-	if c.ready {
-		c.dirty[id] = true
+	if _, err := c.book.Apply(ev); err != nil {
+		c.log("unreadable", "error", err.Error())
 	}
 }
 
@@ -457,38 +369,6 @@
 	}
 }
 
-// over tells whether a job is over and nothing is left of it but its phase.
-func (j *Job) over() bool { return j.Rec.Final() && j.Rec.Spec == nil }
-
-// recount keeps the counts of a job's tasks.
-func (j *Job) recount() {
-	j.done, j.open = j.Rec.Part.Count(), len(j.Rec.Open)
-	for i := range j.parts {
-		j.done += j.parts[i].Count()
-		j.open += len(j.parts[i].Open)
-	}
-}
-
-// setPart takes a newer part of a job; version 0 means that it was deleted.
-func (c *Core) setPart(j *Job, n int, p job.Part, version uint64) {
-	for len(j.parts) < n {
-		j.parts = append(j.parts, part{})
-	}
-	if j.over() {
-		p = job.Part{} // what it says of tasks is out of date
-	}
-	j.applyFacts(n, &p)
-	c.reindex(j, j.parts[n-1].Open, p.Open)
-	j.parts[n-1] = part{p, version}
-	j.recount()
-	c.changed(j)
-	c.outdatePlan(j)
-	c.passDue = true
-	if c.ready {
-		c.dirty[j.ID] = true
-	}
-}
-
 // outdatePlan drops a plan that was made for an older record. A transaction
 // that had no answer may have placed the same tasks after all: placed once more
 // they would run twice. What is in flight keeps its plan, for its places count.
@@ -498,25 +378,6 @@
 	}
 }
 
-func (c *Core) applyPart(id string, n int, ev *wire.Change) {
-	j := c.job(id)
-	if n <= len(j.parts) && j.parts[n-1].version >= ev.Version {
-		return
-	}
-	var p job.Part
-	if ev.Put == "" {
-		if n <= len(j.parts) {
-			c.setPart(j, n, p, 0)
-		}
-		return
-	}
-	if err := job.DecodePart(ev.Value, &p); err != nil {
-		c.log("unreadable part", "job", id, "part", n, "error", err.Error())
-		return
-	}
-	c.setPart(j, n, p, ev.Version)
-}
-
 // reindex keeps the open placements by machine.
 func (c *Core) reindex(j *Job, old, now []job.Placement) {
 	for _, p := range old {
@@ -561,28 +422,6 @@
 	}
 }
 
-// eachOpen calls f for each open placement of a job.
-func (j *Job) eachOpen(f func(job.Placement)) {
-	for _, p := range j.Rec.Open {
-		f(p)
-	}
-	for i := range j.parts {
-		for _, p := range j.parts[i].Open {
-			f(p)
-		}
-	}
-}
-
-func (j *Job) part(n int) (*job.Part, uint64) {
-	if n == 0 {
-		return &j.Rec.Part, j.Version
-	}
-	if n <= len(j.parts) {
-		return &j.parts[n-1].Part, j.parts[n-1].version
-	}
-	return &job.Part{}, 0
-}
-
 func (c *Core) setCatalog(cat *wire.Catalog) {
 	c.catalog = map[string]*wire.MachineType{}
 	c.survey.whole = true
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -1,12 +1,11 @@
 package core
 
 import (
-	"maps"
 	"slices"
-	"strconv"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/records"
 	"coralhub/wire"
 )
 
@@ -19,7 +18,6 @@
 // next; a page whose every line has been taken over is deleted.
 
 const (
-	endedPrefix = job.Root + "ended/"
 	// endedShare is the part of all changes that the log may take.
 	endedShare = 0.2
 	// pageBits is how many bits of a page's number count the pages of a leader. The
@@ -31,134 +29,24 @@
 	maxLogBytes = 64 << 10
 )
 
-// endedLine says that an attempt of a task is not on a machine any more.
-type endedLine struct {
-	//lint:ignore U1000 read by the encoder: a line is a list, to be short
-	_msgpack struct{} `msgpack:",as_array"`
-	Job      string
-	Task     int
-	Attempt  uint64
-	Machine  string
-	Done     bool
-}
-
-// fact is a line of a page as its job knows it.
-type fact struct {
-	endedLine
-	merged bool // the job's record, as it is stored, says so too
-}
-
-type endedPage struct {
-	version uint64
-	facts   []*fact
-	leaving bool // its deletion is under way
-}
-
-// endedLog holds the pages and, in the leader, what is to be written.
+// endedLog is what the leader is to write into the log.
 type endedLog struct {
-	pages   map[uint64]*endedPage
 	begun   uint64 // how many pages this leader has begun
 	current uint64 // the page that the leader fills; 0: none
-	fresh   []endedLine
-	txn     *wire.Commit // has not been settled
-	out     bool         // and its answer may still come
+	fresh   []records.Ended
+	txn     *wire.Commit    // has not been settled
+	out     bool            // and its answer may still come
+	leaving map[uint64]bool // pages whose deletion is under way
 	writeAt Micros
 }
 
-func endedKey(n uint64) string { return endedPrefix + strconv.FormatUint(n, 10) }
-
-// endedIn takes a page.
-func (c *Core) endedIn(num string, ev *wire.Change) {
-	n, err := strconv.ParseUint(num, 10, 64)
-	if err != nil {
-		return
-	}
-	p := c.ended.pages[n]
-	if p != nil && p.version >= ev.Version {
-		return
-	}
-	if ev.Put == "" {
-		if p != nil {
-			c.forgetPage(n)
-		}
-		return
-	}
-	var lines []endedLine
-	if err := job.Decode(ev.Value, &lines); err != nil {
-		c.log("unreadable log of ended attempts", "page", n, "error", err.Error())
-		return
-	}
-	if p == nil {
-		p = &endedPage{}
-		c.ended.pages[n] = p
-	}
-	p.version = ev.Version
-	for _, l := range lines[min(len(p.facts), len(lines)):] { // a page only grows
-		f := &fact{endedLine: l}
-		p.facts = append(p.facts, f)
-		c.learn(f)
-	}
-}
-
-func (c *Core) forgetPage(n uint64) {
-	for _, f := range c.ended.pages[n].facts {
-		if j := c.jobs[f.Job]; j != nil {
-			j.facts = slices.DeleteFunc(j.facts, func(o *fact) bool { return o == f })
-		}
-	}
-	delete(c.ended.pages, n)
-}
-
-// learn holds a line against what is known of its job.
-func (c *Core) learn(f *fact) {
-	j := c.job(f.Job)
-	j.facts = append(j.facts, f)
-	n := j.Rec.PartOf(f.Task)
-	if j.Version == 0 || j.over() || n > len(j.parts) {
-		return // the record or the part comes later, or not at all
-	}
-	p, _ := j.part(n)
-	q := p.Clone()
-	if !f.apply(&q) {
-		return
-	}
-	c.reindex(j, p.Open, q.Open)
-	*p = q
-	j.recount()
-	c.changed(j)
-	c.passDue = true
-	if c.ready {
-		c.dirty[j.ID] = true
-	}
-}
-
-// apply brings a part up to a line; it returns whether that changed anything.
-func (f *fact) apply(p *job.Part) bool {
-	changed := p.Remove(f.Task, f.Attempt, f.Machine)
-	if f.Done && !p.IsDone(f.Task%job.PartTasks) {
-		p.SetDone(f.Task % job.PartTasks)
-		changed = true
-	}
-	f.merged = !changed
-	return changed
-}
-
-// applyFacts brings the stored value of a job's n-th part up to the log.
-func (j *Job) applyFacts(n int, p *job.Part) {
-	for _, f := range j.facts {
-		if j.Rec.PartOf(f.Task) == n {
-			f.apply(p)
-		}
-	}
-}
-
 // note hands closings to the log.
 func (c *Core) note(j *Job, closes []closing) {
 	for _, cl := range closes {
 		for i := range j.closes {
 			if o := &j.closes[i]; o.key == cl.key && o.machine == cl.machine && !o.noted {
 				o.noted = true
-				c.ended.fresh = append(c.ended.fresh, endedLine{Job: cl.key.Job, Task: cl.key.Task, Attempt: cl.key.Attempt,
+				c.ended.fresh = append(c.ended.fresh, records.Ended{Job: cl.key.Job, Task: cl.key.Task, Attempt: cl.key.Attempt,
 					Machine: cl.machine, Done: cl.done})
 			}
 		}
@@ -178,12 +66,12 @@
 	if len(e.fresh) == 0 {
 		return
 	}
-	var lines []endedLine
+	var lines []records.Ended
 	version := uint64(0)
-	if p := e.pages[e.current]; p != nil {
-		version = p.version
-		for _, f := range p.facts {
-			lines = append(lines, f.endedLine)
+	if p := c.book.Page(e.current); p != nil {
+		version = p.Version
+		for _, f := range p.Facts {
+			lines = append(lines, f.Ended)
 		}
 	}
 	value := c.fitEnded(lines)
@@ -195,7 +83,7 @@
 		}
 	}
 	e.writeAt = c.now + c.writePause(endedShare)
-	key := endedKey(e.current)
+	key := records.PageKey(e.current)
 	e.txn = &wire.Commit{
 		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: version}},
 		Changes: []wire.Change{{Put: key, Value: value}},
@@ -204,7 +92,7 @@
 }
 
 // fitEnded adds as many fresh lines to a page as it has room for; nil: none.
-func (c *Core) fitEnded(lines []endedLine) []byte {
+func (c *Core) fitEnded(lines []records.Ended) []byte {
 	for n := len(c.ended.fresh); n > 0; n /= 2 {
 		value, err := job.Encode(append(lines[:len(lines):len(lines)], c.ended.fresh[:n]...))
 		if err == nil && c.fits(value) {
@@ -263,7 +151,7 @@
 	for _, l := range e.fresh {
 		j := c.jobs[l.Job]
 		if j != nil && j.Rec.Spec != nil {
-			if p, _ := j.part(j.Rec.PartOf(l.Task)); p.IsOpen(l.Task, l.Attempt, l.Machine) {
+			if p, _ := j.Part(j.Rec.PartOf(l.Task)); p.IsOpen(l.Task, l.Attempt, l.Machine) {
 				left = append(left, l)
 				continue
 			}
@@ -282,19 +170,20 @@
 // tidyEnded deletes pages that no record needs any more, and has jobs written
 // for the sake of the oldest page when there are many.
 func (c *Core) tidyEnded() {
-	for i, n := range slices.Sorted(maps.Keys(c.ended.pages)) {
-		p := c.ended.pages[n]
-		if n == c.ended.current || p.leaving {
+	pages := c.book.Pages()
+	for i, n := range pages {
+		p := c.book.Page(n)
+		if n == c.ended.current || c.ended.leaving[n] {
 			continue
 		}
 		needed := false
-		for _, f := range p.facts {
+		for _, f := range p.Facts {
 			j := c.jobs[f.Job]
-			if f.merged || j == nil || j.Rec.Spec == nil {
+			if f.Merged || j == nil || j.Rec.Spec == nil {
 				continue
 			}
 			needed = true
-			if i == 0 && len(c.ended.pages)*c.room() > maxLogBytes && !j.mergeNow {
+			if i == 0 && len(pages)*c.room() > maxLogBytes && !j.mergeNow {
 				j.mergeNow = true
 				c.dirty[j.ID] = true
 			}
@@ -302,17 +191,17 @@
 		if needed {
 			continue
 		}
-		p.leaving = true
-		key := endedKey(n)
+		leaving := c.ended.leaving
+		leaving[n] = true
+		key := records.PageKey(n)
 		c.commitLater(wire.Commit{
-			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: p.version}},
+			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: p.Version}},
 			Changes: []wire.Change{{Delete: key}},
 		}, func(d CommitDone) {
-			if d.Outcome == OK && c.ended.pages[n] == p {
-				c.forgetPage(n)
-				return
+			delete(leaving, n)
+			if d.Outcome == OK && c.book.Page(n) == p {
+				c.book.Forget(n)
 			}
-			p.leaving = false
 		})
 		return // one at a time
 	}
--- a/internal/core/front.go
+++ b/internal/core/front.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 
+	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/queue"
 	"coralhub/wire"
@@ -81,7 +82,7 @@
 	case j.Rec.Phase == job.Cancelled:
 		s.Status = wire.Cancelled
 	default:
-		done, running = j.done, j.open
+		done, running = j.Done, j.Open
 		s.Status = wire.Queued
 		if running > 0 {
 			s.Status = wire.Running
@@ -172,7 +173,7 @@
 	var left []string
 	for _, id := range spec.Needs {
 		n := c.jobs[id] // nil: it exists, and its record is on its way here
-		if n != nil && (n.Rec.Phase == job.Cancelled || n.doomed) {
+		if n != nil && (n.Rec.Phase == job.Cancelled || n.Doomed()) {
 			rec := &job.Record{Phase: job.Cancelled}
 			value, err := job.EncodeRecord(rec, c.format)
 			return rec, value, err
@@ -434,7 +435,7 @@
 	switch {
 	case j.Rec.Final():
 		c.answer(req, http.StatusOK, c.status(j))
-	case j.doomed:
+	case j.Doomed():
 		c.mark(req, j)
 	case c.stale(j):
 		c.later(req, "not sure about the jobs that it needs")
@@ -571,3 +572,40 @@
 		}
 	}
 }
+
+// stale tells whether this node can't know well enough whether a job that waits
+// for others is still to be called queued.
+func (c *Core) stale(j *Job) bool {
+	return j.Waits() && c.now-c.currentAt > config.FromSeconds(c.cfg.Cluster.Workers.CancelS)/4
+}
+
+// needed hands over which of the ids were never accepted, as the state service
+// confirms it now: this node's copy may lag, and users submit a job as soon as
+// those that it needs are accepted, perhaps by another node.
+func (c *Core) needed(ids []string, then func(missing string, o Outcome)) {
+	batch := c.book.Unknown(ids)
+	if len(batch) == 0 {
+		then("", OK)
+		return
+	}
+	batch = batch[:min(len(batch), wire.GuardFactor*c.ops())]
+	t := wire.Commit{}
+	for _, id := range batch {
+		t.Guards = append(t.Guards, wire.Guard{Key: job.RecordKey(id)})
+	}
+	c.commit(t, func(d CommitDone) {
+		if d.Outcome != OK && (d.Outcome != Conflict || len(d.Failed) == 0) {
+			then("", Unknown)
+			return
+		}
+		left := slices.Clone(ids)
+		for _, id := range batch {
+			if d.Outcome == OK || !slices.Contains(d.Failed, job.RecordKey(id)) {
+				then(id, OK)
+				return
+			}
+			left = slices.DeleteFunc(left, func(o string) bool { return o == id })
+		}
+		c.needed(left, then)
+	})
+}
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -150,16 +150,16 @@
 		j := c.jobs[id]
 		j.closes, j.plan, j.txn, j.stops = nil, nil, nil, nil
 		c.reindex(j, nil, j.Rec.Open)
-		for i := range j.parts {
-			c.reindex(j, nil, j.parts[i].Open)
+		for i := range j.Parts {
+			c.reindex(j, nil, j.Parts[i].Open)
 		}
-		open += j.open
-		if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang && j.open > 0 && j.open < j.Rec.Spec.Tasks {
+		open += j.Open
+		if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang && j.Open > 0 && j.Open < j.Rec.Spec.Tasks {
 			// Where the missing tasks were is not known any more, and an attempt
 			// must not come to the same machine twice: the gang starts anew.
 			j.deadGang = max(j.deadGang, j.Rec.Attempt)
 		}
-		if !j.over() || len(j.parts) > 0 {
+		if !j.Over() || len(j.Parts) > 0 {
 			c.dirty[id] = true
 		}
 	}
@@ -209,7 +209,7 @@
 	}
 	c.reign++
 	c.writing = 0
-	c.ended = endedLog{pages: c.ended.pages, writeAt: c.ended.writeAt}
+	c.ended = endedLog{writeAt: c.ended.writeAt, leaving: map[uint64]bool{}}
 	c.dirty, c.delayed, c.urgent = map[string]bool{}, map[string]bool{}, nil
 	c.deleted = map[string]Micros{}
 	if c.expected == nil {
--- a/internal/core/learning.go
+++ b/internal/core/learning.go
@@ -367,9 +367,9 @@
 	if a.Level == estimate.Unknown {
 		return stretch{}, false
 	}
-	left := spec.Tasks - j.done
+	left := spec.Tasks - j.Done
 	var out stretch
-	if j.open == 0 {
+	if j.Open == 0 {
 		if w := c.learning.waits[spec.Class]; w != nil {
 			out = stretch{w.mean, w.mean * w.mean}
 		}
@@ -381,15 +381,15 @@
 	}
 	// What runs is through when its longest task is, and the rest takes its places.
 	var latest stretch
-	j.eachOpen(func(p job.Placement) {
+	j.EachOpen(func(p job.Placement) {
 		if x, ok := c.taskLeft(j, &p); ok {
 			if s := largest(&x, 1); s.mean > latest.mean {
 				latest = s
 			}
 		}
 	})
-	if rest := left - j.open; rest > 0 {
-		return latest.plus(inTurns(&a, rest, j.open, spec.Shape)), true
+	if rest := left - j.Open; rest > 0 {
+		return latest.plus(inTurns(&a, rest, j.Open, spec.Shape)), true
 	}
 	return latest, true
 }
@@ -412,11 +412,8 @@
 		return own, ok
 	}
 	var before stretch
-	for _, n := range j.needs {
-		if n.Rec.Spec == nil || n.Rec.Final() {
-			continue
-		}
-		s, known := c.outlook(n, depth+1)
+	for _, id := range j.UndoneNeeds() {
+		s, known := c.outlook(c.jobs[id], depth+1)
 		if !known {
 			return stretch{}, false
 		}
@@ -431,7 +428,7 @@
 // can't be told.
 func (c *Core) judge(j *Job) (verdict string, chance float64) {
 	spec := j.Rec.Spec
-	if c.learning.model == nil || spec == nil || spec.DeadlineS == nil || j.Rec.Final() || j.Rec.Cancel || j.doomed {
+	if c.learning.model == nil || spec == nil || spec.DeadlineS == nil || j.Rec.Final() || j.Rec.Cancel || j.Doomed() {
 		return "", -1
 	}
 	due := float64(j.Rec.Created-c.wallAhead-c.now)/1e6 + *spec.DeadlineS
@@ -502,10 +499,10 @@
 	}
 	free := 0.0
 	for _, j := range c.active {
-		if j.Rec.Spec.Shape == wire.Service || j.open == 0 {
+		if j.Rec.Spec.Shape == wire.Service || j.Open == 0 {
 			continue
 		}
-		j.eachOpen(func(p job.Placement) {
+		j.EachOpen(func(p job.Placement) {
 			if a, ok := c.taskLeft(j, &p); ok {
 				free += 0.5 * a.Within(config.FromSeconds(boot)) * taskRes(j.Rec.Spec).Weight()
 			}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -98,10 +98,10 @@
 func (c *Core) couldStop(s *scan, j *Job) {
 	spec := j.Rec.Spec
 	needs := taskRes(spec)
-	level := queue.Level(j.priority(), c.within(j))
+	level := queue.Level(j.Priority(), c.within(j))
 	var gang *zone.Victim // the same one in every zone that it is in
 	listed := map[string]bool{}
-	j.eachOpen(func(p job.Placement) {
+	j.EachOpen(func(p job.Placement) {
 		m := c.machines.Get(p.Machine)
 		if _, stopping := j.stops[p.Key(j.ID)]; stopping || m == nil || m.Room == nil {
 			return
@@ -152,7 +152,7 @@
 			}
 			continue
 		}
-		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.priority(), c.within(j)), Within: c.rankWithin(j), Created: j.Rec.Created,
+		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.Priority(), c.within(j)), Within: c.rankWithin(j), Created: j.Rec.Created,
 			Credit: queue.Credit(&c.cfg.Settings, c.now-j.arrived, c.usage.Share(spec.Team))})
 	}
 	return out
@@ -172,7 +172,7 @@
 	tasks := j.Rec.Spec.Tasks
 	var out []int
 	for n, end := j.Rec.Parts(tasks); n < end; n++ {
-		p, _ := j.part(n)
+		p, _ := j.Part(n)
 		first, count := j.Rec.Span(n, tasks)
 		for _, i := range p.Missing(count) {
 			if out = append(out, first+i); len(out) == most {
@@ -191,7 +191,7 @@
 	team := c.teams[spec.Team]
 	gang := spec.Shape == wire.Gang
 	attempt := j.Rec.Attempt + 1
-	if gang && j.open > 0 {
+	if gang && j.Open > 0 {
 		// A gang that hasn't started takes a replacement under its number; one
 		// that has, or that is going, starts again once all of it has left.
 		if j.Rec.Attempt <= j.deadGang || j.Rec.Attempt <= j.gangRan || len(j.stops) > 0 {
@@ -212,7 +212,7 @@
 	if gang && c.cfg.Settings.GangsAvoidSlow {
 		q.Avoid = c.avoidSlow(q.Avoid)
 	}
-	if gang && j.open > 0 {
+	if gang && j.Open > 0 {
 		// An attempt must not come to a machine that it has left: what the worker
 		// says of the one could not be told from what it says of the other.
 		q.Avoid = maps.Clone(q.Avoid)
@@ -226,7 +226,7 @@
 		}
 	}
 	inZone := map[string]int{}
-	j.eachOpen(func(p job.Placement) { inZone[p.Zone]++ })
+	j.EachOpen(func(p job.Placement) { inZone[p.Zone]++ })
 	// When the state service takes no more changes for now, those that rank
 	// highest have gone first. The rest hold their places in this pass, so that
 	// nothing ranking lower takes them and machines are rented for what is left.
@@ -323,14 +323,14 @@
 		q.Keep = j.reserved
 		return q
 	}
-	own := queue.Level(j.priority(), true)
+	own := queue.Level(j.Priority(), true)
 	q.May = func(v *zone.Victim) bool {
 		of := c.jobs[v.Job]
 		victim := of.Rec.Spec
 		if victim.Team != spec.Team && !c.within(of) && c.within(j) && queue.HasGuarantee(c.teams[spec.Team]) {
 			return true // what another team has borrowed
 		}
-		return queue.Level(of.priority(), true) < own && v.Level < e.Level
+		return queue.Level(of.Priority(), true) < own && v.Level < e.Level
 	}
 	return q
 }
@@ -441,7 +441,7 @@
 		v.Gone = true
 		victim := c.jobs[v.Job]
 		only := map[job.Key]bool{}
-		victim.eachOpen(func(p job.Placement) {
+		victim.EachOpen(func(p job.Placement) {
 			if p.Task == v.Task {
 				only[p.Key(v.Job)] = true
 			}
--- a/internal/core/chain.go
+++ b/internal/core/records/chain.go
@@ -1,9 +1,6 @@
-package core
+package records
 
 import (
-	"slices"
-
-	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/queue"
 	"coralhub/wire"
@@ -29,15 +26,36 @@
 	lent string
 }
 
-// needsOthers tells whether a job was submitted with jobs that it needs.
-func (j *Job) needsOthers() bool { return j.Rec.Spec != nil && len(j.Rec.Spec.Needs) > 0 }
+// NeedsOthers tells whether a job was submitted with jobs that it needs.
+func (j *Job) NeedsOthers() bool { return j.Rec.Spec != nil && len(j.Rec.Spec.Needs) > 0 }
+
+// Waits tells whether a job that it needs is not done yet.
+func (j *Job) Waits() bool { return j.waits > 0 }
+
+// Doomed tells whether a job that it needs, directly or not, is cancelled.
+func (j *Job) Doomed() bool { return j.doomed }
 
-// held tells whether a job still waits for others, or never will start because
+// Held tells whether a job still waits for others, or never will start because
 // one of them is cancelled. It holds no part of anything until then.
-func (j *Job) held() bool { return j.waits > 0 || j.doomed }
+func (j *Job) Held() bool { return j.waits > 0 || j.doomed }
 
-// priority is that of the job, or of one that needs it if that is higher.
-func (j *Job) priority() string {
+// UndoneNeeds lists the jobs that it needs which are neither done nor cancelled, and whose
+// records have come.
+func (j *Job) UndoneNeeds() []string {
+	var out []string
+	for _, n := range j.needs {
+		if n.Rec.Spec != nil && !n.Rec.Final() {
+			out = append(out, n.ID)
+		}
+	}
+	return out
+}
+
+// AwaitedBy tells how many jobs wait for this one.
+func (j *Job) AwaitedBy() int { return len(j.neededBy) }
+
+// Priority is that of the job, or of one that needs it if that is higher.
+func (j *Job) Priority() string {
 	if p := j.Rec.Spec.Priority; j.lent == "" || queue.Level(p, false) >= queue.Level(j.lent, false) {
 		return p
 	}
@@ -46,7 +64,7 @@
 
 // link ties a job to those that it needs when its record first comes. The
 // record of a needed job may come later.
-func (c *Core) link(j *Job) {
+func (b *Book) link(j *Job) {
 	if j.linked || j.Rec.Spec == nil {
 		return
 	}
@@ -55,24 +73,24 @@
 		return
 	}
 	for _, id := range j.Rec.Spec.Needs {
-		n := c.job(id)
+		n := b.job(id)
 		if n.Rec.Phase == job.Done {
 			continue
 		}
 		j.needs = append(j.needs, n)
 		j.waits++
 		if n.Rec.Phase == job.Cancelled || n.doomed {
-			c.doom(j)
+			b.doom(j)
 			continue
 		}
 		n.neededBy = append(n.neededBy, j)
 	}
-	c.lend(j)
+	lend(j)
 }
 
 // lend gives the jobs that one needs its priority, and so on. Those of services
 // stay with them: nothing waits for a service.
-func (c *Core) lend(j *Job) {
+func lend(j *Job) {
 	if j.Rec.Spec.Shape == wire.Service {
 		return
 	}
@@ -81,7 +99,7 @@
 		todo = todo[:len(todo)-1]
 		p := x.lent
 		if x.Rec.Spec != nil {
-			p = x.priority()
+			p = x.Priority()
 		}
 		for _, n := range x.needs {
 			if n.lent == "" || queue.Level(p, false) > queue.Level(n.lent, false) {
@@ -93,25 +111,23 @@
 }
 
 // settled tells the jobs that wait for one that its phase is final.
-func (c *Core) settled(j *Job) {
+func (b *Book) settled(j *Job) {
 	waiting := j.neededBy
 	j.neededBy, j.needs = nil, nil
 	for _, d := range waiting {
 		if j.Rec.Phase == job.Cancelled {
-			c.doom(d)
+			b.doom(d)
 			continue
 		}
 		if d.waits--; d.waits == 0 && !d.Rec.Final() {
-			d.arrived = c.now // its times count from now on
-			c.changed(d)
-			c.passDue = true
+			b.to.Freed(d)
 		}
 	}
 }
 
 // doom marks a job, and those that need it, directly or not, as cancelled by a
 // cancellation before them.
-func (c *Core) doom(j *Job) {
+func (b *Book) doom(j *Job) {
 	for todo := []*Job{j}; len(todo) > 0; {
 		x := todo[len(todo)-1]
 		todo = todo[:len(todo)-1]
@@ -119,58 +135,18 @@
 			continue
 		}
 		x.doomed = true
-		c.changed(x)
-		if c.ready {
-			c.dirty[x.ID] = true
-		}
+		b.to.Doomed(x)
 		todo = append(todo, x.neededBy...)
 	}
 }
 
-// stale tells whether this node can't know well enough whether a job that waits
-// for others is still to be called queued.
-func (c *Core) stale(j *Job) bool {
-	return j.waits > 0 && c.now-c.currentAt > config.FromSeconds(c.cfg.Cluster.Workers.CancelS)/4
-}
-
-// unknown lists the ids that this node has no record of.
-func (c *Core) unknown(ids []string) []string {
+// Unknown lists those of the ids that the copy has no record of.
+func (b *Book) Unknown(ids []string) []string {
 	var out []string
 	for _, id := range ids {
-		if j := c.jobs[id]; j == nil || j.Version == 0 {
+		if j := b.jobs[id]; j == nil || j.Version == 0 {
 			out = append(out, id)
 		}
 	}
 	return out
 }
-
-// needed hands over which of the ids were never accepted, as the state service
-// confirms it now: this node's copy may lag, and users submit a job as soon as
-// those that it needs are accepted, perhaps by another node.
-func (c *Core) needed(ids []string, then func(missing string, o Outcome)) {
-	batch := c.unknown(ids)
-	if len(batch) == 0 {
-		then("", OK)
-		return
-	}
-	batch = batch[:min(len(batch), wire.GuardFactor*c.ops())]
-	t := wire.Commit{}
-	for _, id := range batch {
-		t.Guards = append(t.Guards, wire.Guard{Key: job.RecordKey(id)})
-	}
-	c.commit(t, func(d CommitDone) {
-		if d.Outcome != OK && (d.Outcome != Conflict || len(d.Failed) == 0) {
-			then("", Unknown)
-			return
-		}
-		left := slices.Clone(ids)
-		for _, id := range batch {
-			if d.Outcome == OK || !slices.Contains(d.Failed, job.RecordKey(id)) {
-				then(id, OK)
-				return
-			}
-			left = slices.DeleteFunc(left, func(o string) bool { return o == id })
-		}
-		c.needed(left, then)
-	})
-}
--- /dev/null
+++ b/internal/core/records/log.go
@@ -0,0 +1,133 @@
+package records
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"coralhub/internal/core/job"
+	"coralhub/wire"
+)
+
+const pagePrefix = job.Root + "ended/"
+
+// PageKey is where a page of the log of ended attempts is.
+func PageKey(n uint64) string { return pagePrefix + strconv.FormatUint(n, 10) }
+
+// Ended is a line of the log: an attempt of a task is not on a machine any more. That
+// is true for ever, whichever record it is held against, so it can be applied any number
+// of times.
+type Ended struct {
+	//lint:ignore U1000 read by the encoder: a line is a list, to be short
+	_msgpack struct{} `msgpack:",as_array"`
+	Job      string
+	Task     int
+	Attempt  uint64
+	Machine  string
+	Done     bool
+}
+
+// Fact is a line of a page as its job knows it.
+type Fact struct {
+	Ended
+	Merged bool // the job's record, as it is stored, says so too
+}
+
+// Page is a page of the log.
+type Page struct {
+	Version uint64
+	Facts   []*Fact
+}
+
+// Pages lists the pages' numbers, oldest first.
+func (b *Book) Pages() []uint64 { return slices.Sorted(maps.Keys(b.pages)) }
+
+// Page returns a page; nil: there is none.
+func (b *Book) Page(n uint64) *Page { return b.pages[n] }
+
+func (b *Book) applyPage(n uint64, ev *wire.Change) error {
+	p := b.pages[n]
+	if p != nil && p.Version >= ev.Version {
+		return nil
+	}
+	if ev.Put == "" {
+		if p != nil {
+			b.Forget(n)
+		}
+		return nil
+	}
+	var lines []Ended
+	if err := job.Decode(ev.Value, &lines); err != nil {
+		return fmt.Errorf("log of ended attempts, page %d: %w", n, err)
+	}
+	if p == nil {
+		p = &Page{}
+		b.pages[n] = p
+	}
+	p.Version = ev.Version
+	for _, l := range lines[min(len(p.Facts), len(lines)):] { // a page only grows
+		f := &Fact{Ended: l}
+		p.Facts = append(p.Facts, f)
+		b.learn(f)
+	}
+	return nil
+}
+
+// Forget drops a page that was deleted.
+func (b *Book) Forget(n uint64) {
+	for _, f := range b.pages[n].Facts {
+		if j := b.jobs[f.Job]; j != nil {
+			j.facts = slices.DeleteFunc(j.facts, func(o *Fact) bool { return o == f })
+		}
+	}
+	delete(b.pages, n)
+}
+
+// learn holds a line against what is known of its job.
+func (b *Book) learn(f *Fact) {
+	j := b.job(f.Job)
+	j.facts = append(j.facts, f)
+	n := j.Rec.PartOf(f.Task)
+	if j.Version == 0 || j.Over() || n > len(j.Parts) {
+		return // the record or the part comes later, or not at all
+	}
+	p, _ := j.Part(n)
+	q := p.Clone()
+	if !f.apply(&q) {
+		return
+	}
+	b.to.Placed(j, p.Open, q.Open)
+	*p = q
+	j.recount()
+	b.to.Changed(j)
+}
+
+// apply brings a part up to a line; it returns whether that changed anything.
+func (f *Fact) apply(p *job.Part) bool {
+	changed := p.Remove(f.Task, f.Attempt, f.Machine)
+	if f.Done && !p.IsDone(f.Task%job.PartTasks) {
+		p.SetDone(f.Task % job.PartTasks)
+		changed = true
+	}
+	f.Merged = !changed
+	return changed
+}
+
+// applyFacts brings the stored value of a job's n-th part up to the log.
+func (j *Job) applyFacts(n int, p *job.Part) {
+	for _, f := range j.facts {
+		if j.Rec.PartOf(f.Task) == n {
+			f.apply(p)
+		}
+	}
+}
+
+// Unmerged calls f for the task of each line that the job's record doesn't say yet.
+func (j *Job) Unmerged(f func(task int)) {
+	for _, x := range j.facts {
+		if !x.Merged {
+			f(x.Task)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/records/records.go
@@ -0,0 +1,215 @@
+// Package records is a node's copy of what is committed about jobs: their records and
+// parts, the log of ended attempts, and how chains of jobs hang together. It takes changes
+// as they come, in whatever order, and tells a listener what each means. It decides
+// nothing and writes nothing.
+package records
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"coralhub/internal/core/job"
+	"coralhub/wire"
+)
+
+// Job is a job as the records have it. Whoever gets one only reads it.
+type Job struct {
+	ID      string
+	Rec     job.Record
+	Version uint64 // 0: its record has not come yet
+	Parts   []Part // from part 1 on; part 0 is in Rec
+	Done    int    // done tasks
+	Open    int    // open placements
+
+	facts []*Fact // lines of the log that are about it
+	chain
+}
+
+// Part is a part of a job as it is stored; version 0: it doesn't exist.
+type Part struct {
+	job.Part
+	Version uint64
+}
+
+// Listener hears what changes mean, in the order in which they take effect.
+type Listener interface {
+	Born(*Job)                               // the copy holds a job of that name from now on
+	Placed(j *Job, old, now []job.Placement) // what is open of one part of a job
+	Stored(*Job)                             // a newer value was taken than plans were made for
+	Recorded(*Job)                           // a newer record was taken
+	Ended(*Job)                              // its phase is final
+	Changed(*Job)                            // something about it has changed
+	Freed(*Job)                              // the last job that it needed is done
+	Doomed(*Job)                             // a job that it needs, directly or not, is cancelled
+}
+
+// Book is the copy.
+type Book struct {
+	to    Listener
+	jobs  map[string]*Job
+	pages map[uint64]*Page
+}
+
+// New returns a Book that knows nothing yet.
+func New(to Listener) *Book {
+	return &Book{to: to, jobs: map[string]*Job{}, pages: map[uint64]*Page{}}
+}
+
+// Apply takes a put or a delete of a key that is a job's or a page's. It returns false for
+// other keys, and an error for a value that can't be read, which changes nothing.
+func (b *Book) Apply(ev *wire.Change) (bool, error) {
+	key := ev.Put
+	if key == "" {
+		key = ev.Delete
+	}
+	if num, ok := strings.CutPrefix(key, pagePrefix); ok {
+		n, err := strconv.ParseUint(num, 10, 64)
+		if err != nil {
+			return true, fmt.Errorf("log of ended attempts: %w", err)
+		}
+		return true, b.applyPage(n, ev)
+	}
+	id, n, ok := job.ParseKey(key)
+	switch {
+	case !ok:
+		return false, nil
+	case n > 0:
+		return true, b.applyPart(id, n, ev)
+	case ev.Put == "":
+		return true, nil
+	}
+	if old := b.jobs[id]; old != nil && old.Version >= ev.Version {
+		return true, nil
+	}
+	var rec job.Record
+	if err := job.DecodeRecord(ev.Value, &rec); err != nil {
+		return true, fmt.Errorf("record of %s: %w", id, err)
+	}
+	b.SetRecord(id, rec, ev.Version)
+	return true, nil
+}
+
+// Listed drops what a listing of this revision doesn't hold any more.
+func (b *Book) Listed(revision uint64, listed map[string]bool) {
+	for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
+		j := b.jobs[id]
+		for n := range j.Parts {
+			if v := j.Parts[n].Version; v != 0 && v <= revision && !listed[job.PartKey(id, n+1)] {
+				b.SetPart(j, n+1, job.Part{}, 0)
+			}
+		}
+	}
+	for _, n := range b.Pages() {
+		if b.pages[n].Version <= revision && !listed[PageKey(n)] {
+			b.Forget(n)
+		}
+	}
+}
+
+func (b *Book) job(id string) *Job {
+	j := b.jobs[id]
+	if j == nil {
+		j = &Job{ID: id}
+		b.jobs[id] = j
+		b.to.Born(j)
+	}
+	return j
+}
+
+// SetRecord takes a newer record of a job.
+func (b *Book) SetRecord(id string, rec job.Record, version uint64) {
+	j := b.job(id)
+	old := j.Rec.Open
+	j.Rec, j.Version = rec, version
+	if rec.Spec != nil {
+		j.applyFacts(0, &j.Rec.Part)
+	}
+	b.to.Placed(j, old, j.Rec.Open)
+	b.to.Stored(j)
+	b.to.Recorded(j)
+	b.link(j)
+	if rec.Final() {
+		if rec.Spec == nil { // nothing of it is left, but for parts to be deleted
+			for n := range j.Parts {
+				b.to.Placed(j, j.Parts[n].Open, nil)
+				j.Parts[n].Part = job.Part{}
+			}
+		}
+		b.to.Ended(j)
+		b.settled(j)
+	}
+	j.recount()
+	b.to.Changed(j)
+}
+
+func (b *Book) applyPart(id string, n int, ev *wire.Change) error {
+	j := b.job(id)
+	if n <= len(j.Parts) && j.Parts[n-1].Version >= ev.Version {
+		return nil
+	}
+	var p job.Part
+	if ev.Put == "" {
+		if n <= len(j.Parts) {
+			b.SetPart(j, n, p, 0)
+		}
+		return nil
+	}
+	if err := job.DecodePart(ev.Value, &p); err != nil {
+		return fmt.Errorf("part %d of %s: %w", n, id, err)
+	}
+	b.SetPart(j, n, p, ev.Version)
+	return nil
+}
+
+// SetPart takes a newer part of a job; version 0 means that it was deleted.
+func (b *Book) SetPart(j *Job, n int, p job.Part, version uint64) {
+	for len(j.Parts) < n {
+		j.Parts = append(j.Parts, Part{})
+	}
+	if j.Over() {
+		p = job.Part{} // what it says of tasks is out of date
+	}
+	j.applyFacts(n, &p)
+	b.to.Placed(j, j.Parts[n-1].Open, p.Open)
+	j.Parts[n-1] = Part{p, version}
+	j.recount()
+	b.to.Changed(j)
+	b.to.Stored(j)
+}
+
+// Over tells whether a job is over and nothing is left of it but its phase.
+func (j *Job) Over() bool { return j.Rec.Final() && j.Rec.Spec == nil }
+
+// Part returns a job's n-th part and its version.
+func (j *Job) Part(n int) (*job.Part, uint64) {
+	if n == 0 {
+		return &j.Rec.Part, j.Version
+	}
+	if n <= len(j.Parts) {
+		return &j.Parts[n-1].Part, j.Parts[n-1].Version
+	}
+	return &job.Part{}, 0
+}
+
+// EachOpen calls f for each open placement of a job.
+func (j *Job) EachOpen(f func(job.Placement)) {
+	for _, p := range j.Rec.Open {
+		f(p)
+	}
+	for i := range j.Parts {
+		for _, p := range j.Parts[i].Open {
+			f(p)
+		}
+	}
+}
+
+func (j *Job) recount() {
+	j.Done, j.Open = j.Rec.Part.Count(), len(j.Rec.Open)
+	for i := range j.Parts {
+		j.Done += j.Parts[i].Count()
+		j.Open += len(j.Parts[i].Open)
+	}
+}
--- a/internal/core/survey.go
+++ b/internal/core/survey.go
@@ -291,7 +291,7 @@
 	use, team := queue.Amount{}, ""
 	if spec != nil && j.active {
 		team = spec.Team
-		use = queue.Amount{}.Plus(taskAmount(spec), float64(j.open+len(j.plan)))
+		use = queue.Amount{}.Plus(taskAmount(spec), float64(j.Open+len(j.plan)))
 	}
 	if j.use != use || j.team != team {
 		if j.team != "" {
@@ -303,7 +303,7 @@
 		j.use, j.team = use, team
 	}
 	c.refreshLine(j)
-	if spec != nil && j.active && !j.held() && j.done+j.open < spec.Tasks && !j.Rec.Final() && !j.Rec.Cancel && c.teams[spec.Team] != nil {
+	if spec != nil && j.active && !j.Held() && j.Done+j.Open < spec.Tasks && !j.Rec.Final() && !j.Rec.Cancel && c.teams[spec.Team] != nil {
 		s.wanting[j] = true
 	} else {
 		delete(s.wanting, j)
@@ -328,20 +328,20 @@
 		l = queue.NewLine(team)
 		c.survey.lines[spec.Team] = l
 	}
-	if !j.active || j.Rec.Final() || j.held() {
+	if !j.active || j.Rec.Final() || j.Held() {
 		l.Leave(&j.member)
 		return
 	}
 	j.lineOf = spec.Team
 	j.member.Created, j.member.ID = j.created, j.ID
-	l.Set(&j.member, queue.Amount{}.Plus(taskAmount(spec), float64(spec.Tasks-j.done)))
+	l.Set(&j.member, queue.Amount{}.Plus(taskAmount(spec), float64(spec.Tasks-j.Done)))
 }
 
 // within tells whether a job fits into its team's guarantee together with the
 // team's earlier unfinished jobs, as of the last pass.
 func (c *Core) within(j *Job) bool {
 	team := c.teams[j.Rec.Spec.Team]
-	if team == nil || j.Rec.Final() || j.held() {
+	if team == nil || j.Rec.Final() || j.Held() {
 		return false
 	}
 	return !queue.HasGuarantee(team) || j.member.Within
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -309,7 +309,7 @@
 	if j.stops == nil {
 		j.stops = map[job.Key]stop{}
 	}
-	j.eachOpen(func(p job.Placement) {
+	j.EachOpen(func(p job.Placement) {
 		key := p.Key(j.ID)
 		if _, had := j.stops[key]; had || only != nil && j.Rec.Spec.Shape != wire.Gang && !only[key] {
 			return
--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"coralhub/internal/core"
@@ -46,6 +49,28 @@
 	}
 }
 
+// TestSameInputsSameEffects plays days twice: nothing that a node does may depend on the
+// order of a map or on anything else but its inputs. The digests also tell whether a change
+// of the code has changed what nodes do (go test -run SameInputs -v).
+func TestSameInputsSameEffects(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			var sums [2]uint64
+			for i := range sums {
+				s := newSimFor(3, 4, 25, []string{"n1", "n2", "n3"})
+				s.effects = fnv.New64a()
+				chaos(t, s, rand.New(rand.NewPCG(seed, 33)), 10, 60, 70)
+				sums[i] = s.effects.Sum64()
+			}
+			if sums[0] != sums[1] {
+				t.Errorf("%x and %x", sums[0], sums[1])
+			}
+			t.Logf("effects %x", sums[0])
+		})
+	}
+}
+
 func chaos(t *testing.T, s *Sim, rnd *rand.Rand, early, events, tasks int) {
 	s.Run(2 * standin.Second)
 	var needable []string // accepted, and no service
@@ -124,13 +149,14 @@
 	}
 	s.Release()
 	s.Run(60 * standin.Second)
-	for id := range accepted {
+	for _, id := range slices.Sorted(maps.Keys(accepted)) {
 		for try := 0; services[id] && s.told[id] != wire.Cancelled && try < 20; try++ {
 			s.Cancel(s.nodes[0], id)
 		}
 	}
 	s.Run(120 * standin.Second)
-	for id, told := range accepted {
+	for _, id := range slices.Sorted(maps.Keys(accepted)) {
+		told := accepted[id]
 		a := s.Ask(s.nodes[1], func(req uint64) core.Input { return core.PollIn{Req: req, ID: id} })
 		s.judge(id, a)
 		st, _ := a.Body.(wire.JobStatus)
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -4,7 +4,9 @@
 package scenario
 
 import (
+	"encoding/json"
 	"fmt"
+	"hash"
 	"maps"
 	"slices"
 	"strings"
@@ -36,6 +38,7 @@
 	announced bool
 	seeds     uint64
 	late      wire.Report // held back by a script
+	effects   hash.Hash64 // of all that nodes have done, if anybody wants to know
 }
 
 type node struct {
@@ -150,6 +153,21 @@
 	s.inbox = append(s.inbox, delivery{n, n.core, in})
 }
 
+// step hands an input to a node.
+func (s *Sim) step(n *node, in core.Input) []core.Effect {
+	out := n.core.Step(s.now-n.born+1, in)
+	if s.effects != nil {
+		for _, e := range out {
+			raw, err := json.Marshal(e)
+			if err != nil {
+				raw = []byte(err.Error())
+			}
+			fmt.Fprintf(s.effects, "%d %s %T %s\n", s.now, n.name, e, raw)
+		}
+	}
+	return out
+}
+
 // settle delivers what is on its way.
 func (s *Sim) settle() {
 	for len(s.inbox) > 0 {
@@ -158,7 +176,7 @@
 		if !d.n.alive || d.n.core != d.core {
 			continue
 		}
-		for _, e := range d.n.core.Step(s.now-d.n.born+1, d.in) {
+		for _, e := range s.step(d.n, d.in) {
 			s.carry(d.n, e)
 		}
 	}
@@ -270,7 +288,7 @@
 		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
 			s.req++
 			req := s.req
-			for _, e := range to.core.Step(s.now-to.born+1, core.ReportIn{Req: req, Report: x.Report, Forwarded: true}) {
+			for _, e := range s.step(to, core.ReportIn{Req: req, Report: x.Report, Forwarded: true}) {
 				s.carry(to, e)
 			}
 			if a, ok := to.answers[req].Body.(wire.ReportAnswer); ok {
@@ -282,7 +300,7 @@
 	case core.Beat:
 		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
 			s.req++
-			for _, e := range to.core.Step(s.now-to.born+1, core.BeatIn{Req: s.req, Heard: x.Heard}) {
+			for _, e := range s.step(to, core.BeatIn{Req: s.req, Heard: x.Heard}) {
 				s.carry(to, e)
 			}
 			wanted, _ := to.answers[s.req].Body.([]string)
