--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -5,35 +5,12 @@
 	"net/http"
 
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/estimate"
 	"coralhub/internal/history"
 	"coralhub/wire"
 )
 
-// AdminIn is a question of an operator. What is learnt is the leader's: another node
-// says who that is.
-type AdminIn struct {
-	Req  uint64
-	What AdminQuery
-	ID   string
-	From uint64
-	Most int
-}
-
-func (AdminIn) input() {}
-
-// AdminQuery names what an operator asks for.
-type AdminQuery int
-
-// The queries.
-const (
-	AskEstimates AdminQuery = iota
-	AskJob
-	AskRuns
-	// AskGauges is answered by every node.
-	AskGauges
-)
-
 const (
 	maxListed  = 500 // rows of an answer
 	maxClasses = 100 // counted apart
@@ -141,13 +118,13 @@
 	return g
 }
 
-func (c *Core) admin(x AdminIn) {
-	if x.What == AskGauges {
+func (c *Core) admin(x msg.AdminIn) {
+	if x.What == msg.AskGauges {
 		c.answer(x.Req, http.StatusOK, c.gauges())
 		return
 	}
 	if !c.ready {
-		c.emit(Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", c.leader.node}, RetryAfter: retryAfter})
+		c.emit(msg.Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", c.leader.node}, RetryAfter: retryAfter})
 		return
 	}
 	if c.learning.model == nil {
@@ -159,11 +136,11 @@
 		most = min(most, x.Most)
 	}
 	switch x.What {
-	case AskEstimates:
+	case msg.AskEstimates:
 		c.answer(x.Req, http.StatusOK, c.listEstimates(most))
-	case AskRuns:
+	case msg.AskRuns:
 		c.answer(x.Req, http.StatusOK, c.listRuns(x.From, most))
-	case AskJob:
+	case msg.AskJob:
 		j := c.jobs[x.ID]
 		if j == nil || j.Version == 0 {
 			c.answer(x.Req, http.StatusNotFound, AdminError{Error: "no such job"})
--- a/internal/core/chain_test.go
+++ b/internal/core/chain_test.go
@@ -7,6 +7,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/wire"
 )
 
@@ -20,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Step(Micros(version), Changed{Events: []wire.Change{{Put: job.RecordKey(fmt.Sprintf("j-%d", n)), Value: value, Version: version}}})
+	c.Step(Micros(version), msg.Changed{Events: []wire.Change{{Put: job.RecordKey(fmt.Sprintf("j-%d", n)), Value: value, Version: version}}})
 }
 
 // chained returns a node that knows a chain whose last job alone is urgent. The
--- a/internal/core/claim_test.go
+++ b/internal/core/claim_test.go
@@ -6,6 +6,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/wire"
 )
 
@@ -16,34 +17,34 @@
 	now  core.Micros
 }
 
-func (c *claimant) step(in core.Input) []core.Effect {
+func (c *claimant) step(in msg.Input) []msg.Effect {
 	c.now += 100 * 1000
 	return c.core.Step(c.now, in)
 }
 
 // claim returns the transaction among the effects that puts the leader's key.
-func claim(effects []core.Effect) *core.Commit {
+func claim(effects []msg.Effect) *msg.Commit {
 	for _, e := range effects {
-		if x, ok := e.(core.Commit); ok && len(x.Txn.Changes) == 1 && x.Txn.Changes[0].Put == job.Root+"leader" {
+		if x, ok := e.(msg.Commit); ok && len(x.Txn.Changes) == 1 && x.Txn.Changes[0].Put == job.Root+"leader" {
 			return &x
 		}
 	}
 	return nil
 }
 
-func (c *claimant) mustClaim(in core.Input) *core.Commit {
+func (c *claimant) mustClaim(in msg.Input) *msg.Commit {
 	c.t.Helper()
 	for range 5 {
 		effects := c.step(in)
 		for _, e := range effects {
-			if _, ok := e.(core.GrantLease); ok {
-				effects = append(effects, c.step(core.LeaseDone{Outcome: core.OK, Lease: 7})...)
+			if _, ok := e.(msg.GrantLease); ok {
+				effects = append(effects, c.step(msg.LeaseDone{Outcome: msg.OK, Lease: 7})...)
 			}
 		}
 		if x := claim(effects); x != nil {
 			return x
 		}
-		in = core.Tick{Wall: c.now}
+		in = msg.Tick{Wall: c.now}
 	}
 	c.t.Fatal("no claim was made")
 	return nil
@@ -54,27 +55,27 @@
 // took the claim for that of an earlier process, and went on renewing its lease.
 func TestClaimWithoutAnAnswer(t *testing.T) {
 	c := &claimant{t: t, core: core.New(fleetConfig(10), 5), now: config.Second}
-	c.step(core.Snapshot{Revision: 3})
-	first := c.mustClaim(core.Tick{Wall: c.now})
-	c.step(core.CommitDone{ID: first.ID, Outcome: core.Unknown}) // it is applied, as revision 9
-	second := c.mustClaim(core.Tick{Wall: c.now})
+	c.step(msg.Snapshot{Revision: 3})
+	first := c.mustClaim(msg.Tick{Wall: c.now})
+	c.step(msg.CommitDone{ID: first.ID, Outcome: msg.Unknown}) // it is applied, as revision 9
+	second := c.mustClaim(msg.Tick{Wall: c.now})
 	told := wire.Change{Put: first.Txn.Changes[0].Put, Value: first.Txn.Changes[0].Value, Version: 9}
-	effects := c.step(core.Changed{Events: []wire.Change{told}})
-	effects = append(effects, c.step(core.CommitDone{ID: second.ID, Outcome: core.Conflict, Failed: []string{told.Put}})...)
+	effects := c.step(msg.Changed{Events: []wire.Change{told}})
+	effects = append(effects, c.step(msg.CommitDone{ID: second.ID, Outcome: msg.Conflict, Failed: []string{told.Put}})...)
 	leads := false
 	for range 50 {
-		var next []core.Effect
+		var next []msg.Effect
 		for _, e := range effects {
 			switch x := e.(type) {
-			case core.Log:
+			case msg.Log:
 				leads = leads || x.Text == "leading"
-			case core.Relist:
-				next = append(next, c.step(core.Snapshot{Items: []wire.Item{{Key: told.Put, Value: told.Value, Version: 9, Lease: 7}}, Revision: 9})...)
-			case core.RenewLease:
-				next = append(next, c.step(core.LeaseDone{Outcome: core.OK, Lease: x.Lease, Renewal: true})...)
+			case msg.Relist:
+				next = append(next, c.step(msg.Snapshot{Items: []wire.Item{{Key: told.Put, Value: told.Value, Version: 9, Lease: 7}}, Revision: 9})...)
+			case msg.RenewLease:
+				next = append(next, c.step(msg.LeaseDone{Outcome: msg.OK, Lease: x.Lease, Renewal: true})...)
 			}
 		}
-		effects = append(next, c.step(core.Tick{Wall: c.now})...)
+		effects = append(next, c.step(msg.Tick{Wall: c.now})...)
 	}
 	if !leads {
 		t.Error("nobody leads, though the claim is this node's")
@@ -85,20 +86,20 @@
 // of an earlier process of the same node, say.
 func TestLeaseWithoutLeadingEnds(t *testing.T) {
 	c := &claimant{t: t, core: core.New(fleetConfig(10), 5), now: config.Second}
-	c.step(core.Snapshot{Revision: 3})
-	x := c.mustClaim(core.Tick{Wall: c.now})
+	c.step(msg.Snapshot{Revision: 3})
+	x := c.mustClaim(msg.Tick{Wall: c.now})
 	value, err := job.Encode(map[string]any{"node": "n1", "nonce": uint64(1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.step(core.Changed{Events: []wire.Change{{Put: job.Root + "leader", Value: value, Version: 9}}})
-	c.step(core.CommitDone{ID: x.ID, Outcome: core.Conflict, Failed: []string{job.Root + "leader"}})
+	c.step(msg.Changed{Events: []wire.Change{{Put: job.Root + "leader", Value: value, Version: 9}}})
+	c.step(msg.CommitDone{ID: x.ID, Outcome: msg.Conflict, Failed: []string{job.Root + "leader"}})
 	renewals := 0
 	for range 100 {
-		for _, e := range c.step(core.Tick{Wall: c.now}) {
-			if r, ok := e.(core.RenewLease); ok {
+		for _, e := range c.step(msg.Tick{Wall: c.now}) {
+			if r, ok := e.(msg.RenewLease); ok {
 				renewals++
-				c.step(core.LeaseDone{Outcome: core.OK, Lease: r.Lease, Renewal: true})
+				c.step(msg.LeaseDone{Outcome: msg.OK, Lease: r.Lease, Renewal: true})
 			}
 		}
 	}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -7,6 +7,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
 )
@@ -25,11 +26,11 @@
 	}
 	if !c.listing && c.now-c.lastList > c.listPeriod() {
 		c.listing, c.lastList = true, c.now
-		c.emit(ListMachines{})
+		c.emit(msg.ListMachines{})
 	}
 	if !c.inDoubt() {
 		for _, r := range c.fleet.Due(c.now) {
-			c.emit(Rent{r})
+			c.emit(msg.Rent{Request: r})
 		}
 		c.returnMachines()
 	}
@@ -42,9 +43,9 @@
 	return max(config.FromSeconds(c.cfg.Cluster.Cloud.ListLagS)/2, 2*config.Second)
 }
 
-func (c *Core) listDone(x ListDone) {
+func (c *Core) listDone(x msg.ListDone) {
 	c.listing = false
-	if !c.ready || x.Outcome != OK {
+	if !c.ready || x.Outcome != msg.OK {
 		return
 	}
 	listed := make(map[string]bool, len(x.Machines))
@@ -72,13 +73,13 @@
 	}
 }
 
-func (c *Core) rentDone(x RentDone) {
+func (c *Core) rentDone(x msg.RentDone) {
 	if !c.ready {
 		return
 	}
 	switch x.Outcome {
-	case OK, Conflict:
-		r, ok := c.fleet.Done(c.now, x.Name, len(x.Machines), x.Outcome == Conflict)
+	case msg.OK, msg.Conflict:
+		r, ok := c.fleet.Done(c.now, x.Name, len(x.Machines), x.Outcome == msg.Conflict)
 		if !ok {
 			return
 		}
@@ -159,7 +160,7 @@
 	}
 	for len(names) > 0 {
 		n := min(len(names), wire.MaxRelease)
-		c.emit(Release{names[:n:n]})
+		c.emit(msg.Release{Machines: names[:n:n]})
 		names = names[n:]
 	}
 }
@@ -218,16 +219,16 @@
 	return config.FromSeconds(boot*c.cfg.Settings.BootGiveUpTimes) + 5*config.Second
 }
 
-func (c *Core) releaseDone(x ReleaseDone) {
+func (c *Core) releaseDone(x msg.ReleaseDone) {
 	if !c.ready {
 		return
 	}
-	if x.Outcome != OK {
+	if x.Outcome != msg.OK {
 		// Certainly not deleted: it may be used again. Otherwise the deletion
 		// may come late, and nothing must be there by then.
 		for _, name := range x.Machines {
 			if m := c.machines.Get(name); m != nil {
-				m.Doomed = m.Doomed || x.Outcome == Unknown
+				m.Doomed = m.Doomed || x.Outcome == msg.Unknown
 				m.Releasing = m.Doomed
 				c.touch(m)
 			}
--- a/internal/core/commits.go
+++ b/internal/core/commits.go
@@ -6,6 +6,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/records"
 	"coralhub/wire"
 )
@@ -393,7 +394,7 @@
 	// An end that others wait for doesn't give way, nor does a cancellation that
 	// a job before this one has brought.
 	first := t.rec != nil && t.rec.Final() && (j.AwaitedBy() > 0 || j.Doomed())
-	c.transact(t.commit, !first, func(d CommitDone) {
+	c.transact(t.commit, !first, func(d msg.CommitDone) {
 		if reign == c.reign {
 			c.writing -= len(t.commit.Changes)
 		}
@@ -402,22 +403,22 @@
 		}
 		c.dirty[j.ID] = true
 		switch d.Outcome {
-		case OK:
+		case msg.OK:
 			j.txn = nil
 			c.setPlan(j, nil)
 			c.passDue = true
 			c.committed(j, t, d.Revision)
-		case Unknown:
+		case msg.Unknown:
 			// It may be applied later. The same transaction again: either it
 			// or the late one fails by its guards, and until then what it
 			// places is counted.
 			t.unsure, t.resendAt = true, c.now+commitPause
-		case Conflict:
+		case msg.Conflict:
 			j.txn = nil
 			c.setPlan(j, nil)
 			c.passDue = true
 			c.conflict(j, t, d.Failed)
-		case Invalid:
+		case msg.Invalid:
 			// Whether an earlier sending was applied is to be read: the same bytes
 			// will not be from now on.
 			j.txn = nil
@@ -482,8 +483,8 @@
 			continue
 		}
 		j.retryAt = c.now + config.Second // unless the answer comes sooner
-		c.read(key, func(d ReadDone) {
-			if d.Outcome != OK || !c.leading {
+		c.read(key, func(d msg.ReadDone) {
+			if d.Outcome != msg.OK || !c.leading {
 				return
 			}
 			j.retryAt = c.now
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/records"
 	"coralhub/internal/core/zone"
@@ -30,6 +31,9 @@
 	catalogKey = job.Root + "catalog"
 )
 
+// Micros is a time or a duration in whole microseconds.
+type Micros = config.Micros
+
 // slackBytes is what values stay below the state service's limit.
 const slackBytes = 32
 
@@ -37,14 +41,14 @@
 type Core struct {
 	cfg *config.Config
 	now Micros
-	out []Effect
+	out []msg.Effect
 	// The time of day less now, for the age of jobs that this node has not seen
 	// coming. It decides about ranks alone.
 	wallAhead Micros
 
 	nextID  uint64
-	commits map[uint64]func(CommitDone)
-	reads   map[uint64]func(ReadDone)
+	commits map[uint64]func(msg.CommitDone)
+	reads   map[uint64]func(msg.ReadDone)
 
 	loaded         bool            // a first Snapshot has come
 	book           *records.Book   // what is committed about jobs
@@ -138,8 +142,8 @@
 func New(cfg *config.Config, seed uint64) *Core {
 	c := &Core{
 		cfg:     cfg,
-		commits: map[uint64]func(CommitDone){},
-		reads:   map[uint64]func(ReadDone){},
+		commits: map[uint64]func(msg.CommitDone){},
+		reads:   map[uint64]func(msg.ReadDone){},
 		jobs:    map[string]*Job{},
 		teams:   map[string]*config.Team{},
 		dirty:   map[string]bool{},
@@ -165,61 +169,61 @@
 }
 
 // Step handles one input.
-func (c *Core) Step(now Micros, in Input) []Effect {
+func (c *Core) Step(now Micros, in msg.Input) []msg.Effect {
 	c.now = now
 	c.out = nil
 	switch x := in.(type) {
-	case Tick:
+	case msg.Tick:
 		c.wallAhead = x.Wall - now
 		c.tick()
-	case Snapshot:
+	case msg.Snapshot:
 		c.snapshot(x)
-	case Changed:
+	case msg.Changed:
 		for i := range x.Events {
 			c.apply(&x.Events[i])
 		}
 		c.currentAt = max(c.currentAt, now-x.Age)
-	case ForwardDone:
+	case msg.ForwardDone:
 		c.forwardDone(x)
-	case BeatIn:
+	case msg.BeatIn:
 		c.beatIn(x)
-	case BeatDone:
+	case msg.BeatDone:
 		c.beatDone(x)
-	case PeerHeard:
+	case msg.PeerHeard:
 		c.peerHeard(x)
-	case Hint:
+	case msg.Hint:
 		c.hint(&x.Event)
-	case CommitDone:
+	case msg.CommitDone:
 		if f := c.commits[x.ID]; f != nil {
 			delete(c.commits, x.ID)
 			f(x)
 		}
-	case ReadDone:
+	case msg.ReadDone:
 		if f := c.reads[x.ID]; f != nil {
 			delete(c.reads, x.ID)
 			f(x)
 		}
-	case LeaseDone:
+	case msg.LeaseDone:
 		c.leaseDone(x)
-	case ReportIn:
+	case msg.ReportIn:
 		c.report(x)
-	case CommandDone:
+	case msg.CommandDone:
 		c.commandDone(x)
-	case CatalogDone:
+	case msg.CatalogDone:
 		c.catalogDone(x)
-	case ListDone:
+	case msg.ListDone:
 		c.listDone(x)
-	case RentDone:
+	case msg.RentDone:
 		c.rentDone(x)
-	case ReleaseDone:
+	case msg.ReleaseDone:
 		c.releaseDone(x)
-	case SubmitIn:
+	case msg.SubmitIn:
 		c.submit(x)
-	case PollIn:
+	case msg.PollIn:
 		c.poll(x)
-	case CancelIn:
+	case msg.CancelIn:
 		c.cancel(x)
-	case AdminIn:
+	case msg.AdminIn:
 		c.admin(x)
 	}
 	if c.ready {
@@ -236,35 +240,35 @@
 	return c.out
 }
 
-func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+func (c *Core) emit(e msg.Effect) { c.out = append(c.out, e) }
 
-func (c *Core) log(text string, args ...any) { c.emit(Log{Text: text, Args: args}) }
+func (c *Core) log(text string, args ...any) { c.emit(msg.Log{Text: text, Args: args}) }
 
-func (c *Core) debug(text string, args ...any) { c.emit(Log{Debug: true, Text: text, Args: args}) }
+func (c *Core) debug(text string, args ...any) { c.emit(msg.Log{Debug: true, Text: text, Args: args}) }
 
 // commit asks for a transaction that should not wait: somebody is to be answered
 // or a claim hangs on it.
-func (c *Core) commit(t wire.Commit, then func(CommitDone)) { c.transact(t, false, then) }
+func (c *Core) commit(t wire.Commit, then func(msg.CommitDone)) { c.transact(t, false, then) }
 
 // commitLater asks for a transaction that gives way to those of commit when the
 // state service is short of changes.
-func (c *Core) commitLater(t wire.Commit, then func(CommitDone)) { c.transact(t, true, then) }
+func (c *Core) commitLater(t wire.Commit, then func(msg.CommitDone)) { c.transact(t, true, then) }
 
-func (c *Core) transact(t wire.Commit, later bool, then func(CommitDone)) {
+func (c *Core) transact(t wire.Commit, later bool, then func(msg.CommitDone)) {
 	c.nextID++
-	c.commits[c.nextID] = func(d CommitDone) {
-		if d.Outcome == Invalid {
+	c.commits[c.nextID] = func(d msg.CommitDone) {
+		if d.Outcome == msg.Invalid {
 			c.tighten(&t)
 		}
 		then(d)
 	}
-	c.emit(Commit{c.nextID, t, later})
+	c.emit(msg.Commit{ID: c.nextID, Txn: t, Later: later})
 }
 
-func (c *Core) read(key string, then func(ReadDone)) {
+func (c *Core) read(key string, then func(msg.ReadDone)) {
 	c.nextID++
 	c.reads[c.nextID] = then
-	c.emit(Read{c.nextID, key})
+	c.emit(msg.Read{ID: c.nextID, Key: key})
 }
 
 // tick does what is due by time alone.
@@ -279,7 +283,7 @@
 	// them asks at once.
 	if c.catalog == nil && c.loaded && (c.catalogAsked == 0 || c.now-c.catalogAsked > config.Second) || c.ready && c.now-c.catalogAsked > 30*config.Second {
 		c.catalogAsked = c.now
-		c.emit(FetchCatalog{})
+		c.emit(msg.FetchCatalog{})
 	}
 	if c.ready {
 		c.raiseFormat()
@@ -290,7 +294,7 @@
 
 // snapshot replaces what this node knows by a listing. Keys that changed
 // after the listing began come again through the watch.
-func (c *Core) snapshot(s Snapshot) {
+func (c *Core) snapshot(s msg.Snapshot) {
 	listed := make(map[string]bool, len(s.Items))
 	for i := range s.Items {
 		it := &s.Items[i]
@@ -436,8 +440,8 @@
 
 // catalogDone takes the machine types. The leader keeps them in the state
 // service, so that nodes that start during an outage of the cloud know them.
-func (c *Core) catalogDone(x CatalogDone) {
-	if x.Outcome != OK || len(x.Catalog.Types) == 0 {
+func (c *Core) catalogDone(x msg.CatalogDone) {
+	if x.Outcome != msg.OK || len(x.Catalog.Types) == 0 {
 		return
 	}
 	same := len(c.catalog) == len(x.Catalog.Types)
@@ -451,8 +455,8 @@
 		if err != nil || !c.fits(value) {
 			return
 		}
-		c.commit(wire.Commit{Changes: []wire.Change{{Put: catalogKey, Value: value}}}, func(d CommitDone) {
-			if d.Outcome == OK && d.Revision > c.catalogVersion {
+		c.commit(wire.Commit{Changes: []wire.Change{{Put: catalogKey, Value: value}}}, func(d msg.CommitDone) {
+			if d.Outcome == msg.OK && d.Revision > c.catalogVersion {
 				c.catalogVersion = d.Revision
 			}
 		})
--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -9,6 +9,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/wire"
 )
 
@@ -34,7 +35,7 @@
 	currentAt Micros
 
 	taken  map[string]taken // by machine
-	beats  []Heard          // workers answered for the leader since the last beat
+	beats  []msg.Heard      // workers answered for the leader since the last beat
 	beatAt Micros
 
 	mailbox map[string]mailLine // for the leader, by way of the state service
@@ -96,7 +97,7 @@
 // stay is how long a worker that can't reach its home is served elsewhere.
 const stay = 20 * config.Second
 
-func (c *Core) peerHeard(x PeerHeard) { c.heard[x.Node] = c.now }
+func (c *Core) peerHeard(x msg.PeerHeard) { c.heard[x.Node] = c.now }
 
 // alive tells whether a node has been heard lately.
 func (c *Core) alive(node string) bool {
@@ -126,7 +127,7 @@
 
 // sendHome redirects a worker to its home, unless it is there or has just come
 // back from a home that it can't reach.
-func (c *Core) sendHome(x ReportIn) bool {
+func (c *Core) sendHome(x msg.ReportIn) bool {
 	home := c.home(&x.Report)
 	if home == "" || home == c.cfg.Node {
 		return false
@@ -161,18 +162,18 @@
 }
 
 // relay serves a worker whose leader is elsewhere.
-func (c *Core) relay(x ReportIn) {
+func (c *Core) relay(x msg.ReportIn) {
 	r := &x.Report
 	switch {
 	case c.sendHome(x):
 	case !c.alive(c.leader.node) && r.Token <= c.leader.version:
 		c.standIn(x)
 	case c.quiet(r):
-		c.beats = append(c.beats, Heard{r.Machine, r.Session, r.Seq})
+		c.beats = append(c.beats, msg.Heard{Machine: r.Machine, Session: r.Session, Seq: r.Seq})
 		c.answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.leader.version, Orders: []wire.Order{}})
 	default:
 		delete(c.taken, r.Machine)
-		c.emit(Forward{x.Req, c.leader.node, *r})
+		c.emit(msg.Forward{Req: x.Req, Node: c.leader.node, Report: *r})
 	}
 }
 
@@ -214,14 +215,14 @@
 	}
 	c.beatAt = c.now + beatEvery
 	if !c.ready && c.leader.node != "" && c.leader.node != c.cfg.Node {
-		c.emit(Beat{c.leader.node, c.beats})
+		c.emit(msg.Beat{Node: c.leader.node, Heard: c.beats})
 	}
 	c.beats = nil
 }
 
 // beatIn hears, as the leader, of workers that their homes have answered. It
 // answers with those whose next report it wants to see.
-func (c *Core) beatIn(x BeatIn) {
+func (c *Core) beatIn(x msg.BeatIn) {
 	if !c.ready {
 		c.later(x.Req, "not the leader")
 		return
@@ -240,14 +241,14 @@
 	c.answer(x.Req, http.StatusOK, wanted)
 }
 
-func (c *Core) beatDone(x BeatDone) {
+func (c *Core) beatDone(x msg.BeatDone) {
 	for _, name := range x.Wanted {
 		delete(c.taken, name)
 	}
 }
 
 // forwardDone passes on the leader's answer, or stands in for it.
-func (c *Core) forwardDone(x ForwardDone) {
+func (c *Core) forwardDone(x msg.ForwardDone) {
 	r := &x.Report
 	if x.Answer != nil {
 		if len(x.Answer.Orders) == 0 && x.Answer.Token == c.leader.version {
@@ -260,12 +261,12 @@
 		c.later(x.Req, "no leader")
 		return
 	}
-	c.standIn(ReportIn{Req: x.Req, Report: x.Report})
+	c.standIn(msg.ReportIn{Req: x.Req, Report: x.Report})
 }
 
 // standIn answers a report in the place of a leader that can't be reached, if
 // this node's copy of the records is fresh.
-func (c *Core) standIn(x ReportIn) {
+func (c *Core) standIn(x msg.ReportIn) {
 	r := &x.Report
 	if !c.fresh() {
 		c.later(x.Req, "not the leader")
@@ -339,9 +340,9 @@
 	c.commit(wire.Commit{
 		Guards:  []wire.Guard{{Key: leaderKey, Version: c.leader.version}},
 		Changes: []wire.Change{{Put: mailPrefix + c.cfg.Node, Value: value}},
-	}, func(d CommitDone) {
+	}, func(d msg.CommitDone) {
 		c.mailOut = false
-		if d.Outcome != OK {
+		if d.Outcome != msg.OK {
 			return
 		}
 		for _, l := range lines {
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -5,6 +5,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/records"
 	"coralhub/wire"
 )
@@ -104,7 +105,7 @@
 
 func (c *Core) sendEnded(t *wire.Commit) {
 	c.ended.out = true
-	c.commitLater(*t, func(d CommitDone) {
+	c.commitLater(*t, func(d msg.CommitDone) {
 		e := &c.ended
 		if !c.leading || e.txn != t {
 			return
@@ -112,26 +113,26 @@
 		e.out = false
 		key := t.Changes[0].Put
 		switch d.Outcome {
-		case Unknown:
+		case msg.Unknown:
 			e.writeAt = c.now + commitPause
 			return
-		case OK:
+		case msg.OK:
 			c.apply(&wire.Change{Put: key, Value: t.Changes[0].Value, Version: d.Revision})
-		case Conflict:
+		case msg.Conflict:
 			if slices.Contains(d.Failed, leaderKey) && t.Guards[0].Version == c.token && !c.raising {
 				c.stepDown("claim lost")
 				return
 			}
 			if slices.Contains(d.Failed, key) { // an earlier sending has been applied after all
 				e.writeAt = c.now + commitPause
-				c.read(key, func(d ReadDone) {
-					if d.Outcome == OK && d.Item.Version != 0 {
+				c.read(key, func(d msg.ReadDone) {
+					if d.Outcome == msg.OK && d.Item.Version != 0 {
 						c.apply(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
 						c.logged()
 					}
 				})
 			}
-		case Invalid:
+		case msg.Invalid:
 			// An earlier sending may have been applied: the watch tells. What isn't in
 			// the log by then goes into a new page.
 			e.current = 0
@@ -197,9 +198,9 @@
 		c.commitLater(wire.Commit{
 			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: p.Version}},
 			Changes: []wire.Change{{Delete: key}},
-		}, func(d CommitDone) {
+		}, func(d msg.CommitDone) {
 			delete(leaving, n)
-			if d.Outcome == OK && c.book.Page(n) == p {
+			if d.Outcome == msg.OK && c.book.Page(n) == p {
 				c.book.Forget(n)
 			}
 		})
--- a/internal/core/front.go
+++ b/internal/core/front.go
@@ -9,6 +9,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/queue"
 	"coralhub/wire"
 )
@@ -51,11 +52,11 @@
 }
 
 func (c *Core) answer(req uint64, status int, body any) {
-	c.emit(Answer{Req: req, Status: status, Body: body})
+	c.emit(msg.Answer{Req: req, Status: status, Body: body})
 }
 
 func (c *Core) later(req uint64, why string) {
-	c.emit(Answer{Req: req, Status: http.StatusServiceUnavailable, Body: wire.Error{Error: why}, RetryAfter: retryAfter})
+	c.emit(msg.Answer{Req: req, Status: http.StatusServiceUnavailable, Body: wire.Error{Error: why}, RetryAfter: retryAfter})
 }
 
 // laterVersion is why a node whose version is too old for the records doesn't serve.
@@ -94,7 +95,7 @@
 
 // submit handles POST /v1/jobs. A job is accepted once the creation of its
 // record, guarded against one that exists, has been confirmed.
-func (c *Core) submit(x SubmitIn) {
+func (c *Core) submit(x msg.SubmitIn) {
 	spec, err := wire.ParseJob(x.Body)
 	if spec.ID == "" {
 		c.answer(x.Req, http.StatusBadRequest, wire.Error{Error: err.Error()})
@@ -130,9 +131,9 @@
 		c.create(x, &spec)
 		return
 	}
-	c.needed(spec.Needs, func(missing string, o Outcome) {
+	c.needed(spec.Needs, func(missing string, o msg.Outcome) {
 		switch {
-		case o != OK:
+		case o != msg.OK:
 			c.later(x.Req, "state service not available")
 		case missing != "":
 			c.refuse(x, spec.ID, http.StatusUnprocessableEntity, "needs "+missing+", which was never accepted")
@@ -153,7 +154,7 @@
 
 // refuse answers a submission that can't be taken. Existence comes before
 // validity: a job that is known is answered with 200 whatever its retry holds.
-func (c *Core) refuse(x SubmitIn, id string, refusal int, why string) {
+func (c *Core) refuse(x msg.SubmitIn, id string, refusal int, why string) {
 	c.current(x.Req, id, func(j *Job) {
 		switch {
 		case j != nil:
@@ -169,7 +170,7 @@
 // firstRecord is the record of a job as it is accepted, and its value. What it
 // needs is kept as far as it isn't done. If any of that is cancelled, so is the job
 // from the start.
-func (c *Core) firstRecord(x SubmitIn, spec *wire.Job) (*job.Record, []byte, error) {
+func (c *Core) firstRecord(x msg.SubmitIn, spec *wire.Job) (*job.Record, []byte, error) {
 	var left []string
 	for _, id := range spec.Needs {
 		n := c.jobs[id] // nil: it exists, and its record is on its way here
@@ -242,7 +243,7 @@
 	return int(c.cfg.Cluster.State.ValueKB*1024) - job.PartTasks*(c.placementSize()-6) - recordRest
 }
 
-func (c *Core) create(x SubmitIn, spec *wire.Job) {
+func (c *Core) create(x msg.SubmitIn, spec *wire.Job) {
 	rec, value, err := c.firstRecord(x, spec)
 	if err != nil {
 		c.answer(x.Req, http.StatusBadRequest, wire.Error{Error: err.Error()})
@@ -256,16 +257,16 @@
 	c.commit(wire.Commit{
 		Guards:  []wire.Guard{{Key: key, Version: 0}},
 		Changes: []wire.Change{{Put: key, Value: value}},
-	}, func(d CommitDone) {
+	}, func(d msg.CommitDone) {
 		switch d.Outcome {
-		case OK:
+		case msg.OK:
 			ev := wire.Change{Put: key, Value: value, Version: d.Revision}
 			c.apply(&ev)
 			c.tell(ev)
 			c.answer(x.Req, http.StatusCreated, wire.JobStatus{ID: spec.ID, Status: status})
-		case Conflict:
+		case msg.Conflict:
 			c.refuse(x, spec.ID, 0, "try again")
-		case Invalid:
+		case msg.Invalid:
 			c.later(x.Req, "try again")
 		default:
 			c.later(x.Req, "state service not available")
@@ -276,7 +277,7 @@
 // tell gives the leader a copy of what was just written, ahead of its watch.
 func (c *Core) tell(ev wire.Change) {
 	if c.leader.node != "" && c.leader.node != c.cfg.Node {
-		c.emit(Tell{Node: c.leader.node, Event: ev})
+		c.emit(msg.Tell{Node: c.leader.node, Event: ev})
 	}
 }
 
@@ -339,8 +340,8 @@
 // current reads a job's record and hands the job over, nil if there is none;
 // when that can't be known it answers 503 itself.
 func (c *Core) current(req uint64, id string, then func(*Job)) {
-	c.read(job.RecordKey(id), func(d ReadDone) {
-		if d.Outcome != OK {
+	c.read(job.RecordKey(id), func(d msg.ReadDone) {
+		if d.Outcome != msg.OK {
 			c.later(req, "state service not available")
 			return
 		}
@@ -354,7 +355,7 @@
 }
 
 // poll handles GET /v1/jobs/{id}.
-func (c *Core) poll(x PollIn) {
+func (c *Core) poll(x msg.PollIn) {
 	switch {
 	case !wire.ValidJobID(x.ID):
 		c.answer(x.Req, http.StatusNotFound, wire.Error{Error: "no such job"})
@@ -392,13 +393,13 @@
 	}
 	sort.Slice(guards, func(i, j int) bool { return guards[i].Key < guards[j].Key })
 	c.checking, c.checkAt = true, c.now+checkEvery
-	c.commit(wire.Commit{Guards: guards}, func(d CommitDone) {
+	c.commit(wire.Commit{Guards: guards}, func(d msg.CommitDone) {
 		c.checking = false
 		c.checked(batch, d)
 	})
 }
 
-func (c *Core) checked(batch []poll, d CommitDone) {
+func (c *Core) checked(batch []poll, d msg.CommitDone) {
 	failed := map[string]bool{}
 	for _, k := range d.Failed {
 		failed[k] = true
@@ -406,13 +407,13 @@
 	for _, p := range batch {
 		j := c.jobs[p.id]
 		switch {
-		case d.Outcome != OK && d.Outcome != Conflict:
+		case d.Outcome != msg.OK && d.Outcome != msg.Conflict:
 			c.later(p.req, "state service not available")
 		case j != nil && j.Rec.Final():
 			c.answer(p.req, http.StatusOK, c.status(j))
 		case failed[job.RecordKey(p.id)]:
 			c.current(p.req, p.id, func(j *Job) { c.answerPoll(p, j) })
-		case d.Outcome == Conflict && len(failed) == 0:
+		case d.Outcome == msg.Conflict && len(failed) == 0:
 			c.later(p.req, "try again")
 		default:
 			c.answerPoll(p, j)
@@ -447,7 +448,7 @@
 // cancel handles POST /v1/jobs/{id}/withdraw. The mark is committed first and
 // stops all starting; the user hears "cancelled" once the leader has made sure
 // that every worker concerned will be stopped.
-func (c *Core) cancel(x CancelIn) {
+func (c *Core) cancel(x msg.CancelIn) {
 	if !wire.ValidJobID(x.ID) {
 		c.answer(x.Req, http.StatusNotFound, wire.Error{Error: "no such job"})
 		return
@@ -506,14 +507,14 @@
 	c.commit(wire.Commit{
 		Guards:  []wire.Guard{{Key: key, Version: j.Version}},
 		Changes: []wire.Change{{Put: key, Value: value}},
-	}, func(d CommitDone) {
+	}, func(d msg.CommitDone) {
 		switch d.Outcome {
-		case OK:
+		case msg.OK:
 			ev := wire.Change{Put: key, Value: value, Version: d.Revision}
 			c.apply(&ev)
 			c.tell(ev)
 			c.wait(req, j)
-		case Conflict:
+		case msg.Conflict:
 			c.current(req, j.ID, func(j *Job) {
 				if j != nil && (j.Rec.Cancel || j.Rec.Final()) {
 					c.wait(req, j)
@@ -521,7 +522,7 @@
 				}
 				c.later(req, "try again")
 			})
-		case Invalid:
+		case msg.Invalid:
 			c.later(req, "try again")
 		default:
 			c.later(req, "state service not available")
@@ -582,10 +583,10 @@
 // needed hands over which of the ids were never accepted, as the state service
 // confirms it now: this node's copy may lag, and users submit a job as soon as
 // those that it needs are accepted, perhaps by another node.
-func (c *Core) needed(ids []string, then func(missing string, o Outcome)) {
+func (c *Core) needed(ids []string, then func(missing string, o msg.Outcome)) {
 	batch := c.book.Unknown(ids)
 	if len(batch) == 0 {
-		then("", OK)
+		then("", msg.OK)
 		return
 	}
 	batch = batch[:min(len(batch), wire.GuardFactor*c.ops())]
@@ -593,15 +594,15 @@
 	for _, id := range batch {
 		t.Guards = append(t.Guards, wire.Guard{Key: job.RecordKey(id)})
 	}
-	c.commit(t, func(d CommitDone) {
-		if d.Outcome != OK && (d.Outcome != Conflict || len(d.Failed) == 0) {
-			then("", Unknown)
+	c.commit(t, func(d msg.CommitDone) {
+		if d.Outcome != msg.OK && (d.Outcome != msg.Conflict || len(d.Failed) == 0) {
+			then("", msg.Unknown)
 			return
 		}
 		left := slices.Clone(ids)
 		for _, id := range batch {
-			if d.Outcome == OK || !slices.Contains(d.Failed, job.RecordKey(id)) {
-				then(id, OK)
+			if d.Outcome == msg.OK || !slices.Contains(d.Failed, job.RecordKey(id)) {
+				then(id, msg.OK)
 				return
 			}
 			left = slices.DeleteFunc(left, func(o string) bool { return o == id })
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -8,6 +8,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/wire"
 )
 
@@ -83,7 +84,7 @@
 	c.commitLater(wire.Commit{
 		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}},
 		Changes: []wire.Change{{Put: hintPrefix + strconv.Itoa(n), Value: value}},
-	}, func(d CommitDone) { p.changed = p.changed || d.Outcome != OK })
+	}, func(d msg.CommitDone) { p.changed = p.changed || d.Outcome != msg.OK })
 }
 
 // writePause is the time between changes that may take a share of all changes.
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -4,6 +4,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
@@ -55,7 +56,7 @@
 	c.letGo()
 	if c.lease != 0 && !c.renewing && c.now-c.renewSent > c.leaseTTL()/4 {
 		c.renewing, c.renewSent = true, c.now
-		c.emit(RenewLease{c.lease})
+		c.emit(msg.RenewLease{Lease: c.lease})
 	}
 	if c.leader.version != 0 || c.leading || c.claiming || c.now-c.absent < c.jitter {
 		return
@@ -63,7 +64,7 @@
 	if c.lease == 0 {
 		if !c.leasing {
 			c.leasing = true
-			c.emit(GrantLease{c.leaseTTL()})
+			c.emit(msg.GrantLease{TTL: c.leaseTTL()})
 		}
 		return
 	}
@@ -107,19 +108,19 @@
 
 func (c *Core) makeClaim() {
 	c.claiming = true
-	c.commit(c.claimOver(0), func(d CommitDone) {
+	c.commit(c.claimOver(0), func(d msg.CommitDone) {
 		c.claiming = false
 		switch d.Outcome {
-		case OK:
+		case msg.OK:
 			c.lead(d.Revision)
-		case Gone:
+		case msg.Gone:
 			c.lease = 0
-		case Unknown, Conflict:
+		case msg.Unknown, msg.Conflict:
 			if c.leader.version != 0 && c.ours(c.leader.node, c.leader.nonce) {
 				c.lead(c.leader.version) // the watch was faster than the answer
 				return
 			}
-			c.emit(Relist{}) // the listing tells whether a claim went through
+			c.emit(msg.Relist{}) // the listing tells whether a claim went through
 		}
 	})
 }
@@ -135,7 +136,7 @@
 	c.leader.node, c.leader.version, c.leader.nonce = c.cfg.Node, token, c.nonce
 	c.takeovers++
 	c.log("leading", "token", token)
-	c.emit(Relist{})
+	c.emit(msg.Relist{})
 }
 
 // afterSnapshot completes a takeover.
@@ -185,7 +186,7 @@
 	c.log("no longer leading", "why", why, "token", c.token)
 	c.lease = 0 // never renewed again: a claim that is left behind ends with it
 	c.resetLeader()
-	c.emit(Relist{})
+	c.emit(msg.Relist{})
 }
 
 func (c *Core) resetLeader() {
@@ -220,20 +221,20 @@
 	c.learning = learning{stored: c.learning.stored}
 }
 
-func (c *Core) leaseDone(x LeaseDone) {
+func (c *Core) leaseDone(x msg.LeaseDone) {
 	if x.Renewal {
 		c.renewing = false
-		if x.Outcome == OK && x.Lease == c.lease {
+		if x.Outcome == msg.OK && x.Lease == c.lease {
 			c.confirmed = c.renewSent
 		}
-		if x.Outcome == Gone && x.Lease == c.lease {
+		if x.Outcome == msg.Gone && x.Lease == c.lease {
 			c.lease = 0
 			c.stepDown("lease ended")
 		}
 		return
 	}
 	c.leasing = false
-	if x.Outcome == OK {
+	if x.Outcome == msg.OK {
 		c.lease, c.nonceFrom = x.Lease, c.nonce+1
 		c.renewSent, c.confirmed = c.now, c.now
 		if c.leader.version == 0 && !c.leading && !c.claiming {
@@ -291,17 +292,17 @@
 func (c *Core) raise() {
 	c.raising, c.wantRaise, c.raised = true, false, c.now
 	old := c.token
-	c.commit(c.claimOver(old), func(d CommitDone) {
+	c.commit(c.claimOver(old), func(d msg.CommitDone) {
 		if !c.leading || c.token != old {
 			return
 		}
 		c.raising = false
 		switch d.Outcome {
-		case OK:
+		case msg.OK:
 			c.token = d.Revision
 			c.leader.version, c.leader.nonce = d.Revision, c.nonce
 			c.log("token raised", "from", old, "to", c.token)
-		case Refused, Invalid:
+		case msg.Refused, msg.Invalid:
 			c.wantRaise = true
 		default:
 			c.stepDown("claim lost")
--- a/internal/core/learning.go
+++ b/internal/core/learning.go
@@ -9,6 +9,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/estimate"
 	"coralhub/internal/history"
 	"coralhub/wire"
@@ -138,9 +139,9 @@
 		c.commitLater(wire.Commit{
 			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: v.version}},
 			Changes: []wire.Change{{Put: key, Value: value}},
-		}, func(d CommitDone) {
+		}, func(d msg.CommitDone) {
 			v.out = false
-			if d.Outcome == OK && d.Revision > v.version {
+			if d.Outcome == msg.OK && d.Revision > v.version {
 				v.version, v.raw, v.at = d.Revision, value, observed
 			}
 		})
--- a/internal/core/io.go
+++ b/internal/core/msg/msg.go
@@ -1,11 +1,12 @@
-package core
+// Package msg is what goes into a node's core and what comes out of it.
+package msg
 
 import (
 	"coralhub/internal/config"
 	"coralhub/wire"
 )
 
-// Micros is a time or a duration in whole microseconds. Times given to Step
+// Micros is a time or a duration in whole microseconds. Times given to a core
 // come from a steady clock; Wall is the time of day.
 type Micros = config.Micros
 
@@ -23,10 +24,10 @@
 	Unknown
 )
 
-// Input is what Step takes: one of the types below.
+// Input is what a core takes: one of the types below.
 type Input interface{ input() }
 
-// Effect is what Step asks for: one of the types below.
+// Effect is what it asks for: one of the types below.
 type Effect interface{ effect() }
 
 // Inputs.
@@ -243,3 +244,27 @@
 func (Log) effect()          {}
 func (Forward) effect()      {}
 func (Beat) effect()         {}
+
+// AdminIn is a question of an operator. What is learnt is the leader's: another node
+// says who that is.
+type AdminIn struct {
+	Req  uint64
+	What AdminQuery
+	ID   string
+	From uint64
+	Most int
+}
+
+func (AdminIn) input() {}
+
+// AdminQuery names what an operator asks for.
+type AdminQuery int
+
+// The queries.
+const (
+	AskEstimates AdminQuery = iota
+	AskJob
+	AskRuns
+	// AskGauges is answered by every node.
+	AskGauges
+)
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -9,6 +9,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
@@ -470,6 +471,6 @@
 	rent := c.fleet.Plan(c.now, s.needs, booting, count, types)
 	c.fleet.Ask(c.token, rent)
 	for _, r := range c.fleet.Due(c.now) {
-		c.emit(Rent{r})
+		c.emit(msg.Rent{Request: r})
 	}
 }
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -10,6 +10,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/wire"
 )
 
@@ -87,7 +88,7 @@
 	for i := range machines {
 		f.step(1, f.report(i, nil))
 	}
-	f.step(config.Second, core.Tick{Wall: f.now})
+	f.step(config.Second, msg.Tick{Wall: f.now})
 	return f
 }
 
@@ -96,27 +97,27 @@
 // takeOver has a new node read all records, claim and read them again.
 func (f *fleet) takeOver(tb testing.TB) {
 	f.core = core.New(fleetConfig(f.machines), 0)
-	f.step(1, core.Snapshot{Items: f.records, Revision: f.version})
-	f.step(config.Second, core.Tick{Wall: f.now})
-	for _, e := range f.step(1, core.LeaseDone{Outcome: core.OK, Lease: 9}) {
-		if claim, ok := e.(core.Commit); ok {
+	f.step(1, msg.Snapshot{Items: f.records, Revision: f.version})
+	f.step(config.Second, msg.Tick{Wall: f.now})
+	for _, e := range f.step(1, msg.LeaseDone{Outcome: msg.OK, Lease: 9}) {
+		if claim, ok := e.(msg.Commit); ok {
 			f.version++
 			f.token = f.version
-			f.step(1, core.CommitDone{ID: claim.ID, Outcome: core.OK, Revision: f.version})
-			f.step(1, core.Snapshot{Items: f.records, Revision: f.version})
+			f.step(1, msg.CommitDone{ID: claim.ID, Outcome: msg.OK, Revision: f.version})
+			f.step(1, msg.Snapshot{Items: f.records, Revision: f.version})
 			return
 		}
 	}
 	tb.Fatal("no claim was made")
 }
 
-func (f *fleet) step(after core.Micros, in core.Input) []core.Effect {
+func (f *fleet) step(after core.Micros, in msg.Input) []msg.Effect {
 	f.now += after
 	return f.core.Step(f.now, in)
 }
 
 // report is what a machine's worker says.
-func (f *fleet) report(i int, notice *float64) core.Input {
+func (f *fleet) report(i int, notice *float64) msg.Input {
 	f.seq++
 	r := wire.Report{Machine: machineName(i), Addr: "10.0.0.1:9000", Type: "t4", Zone: machineZone(i), Session: 1, Seq: f.seq,
 		Token: f.token, NoticeS: notice}
@@ -126,7 +127,7 @@
 	for k := range tasksOn {
 		r.Tasks = append(r.Tasks, wire.TaskReport{Task: wire.TaskName(jobName(i-i%2), (i%2)*tasksOn+k), Attempt: 1, State: wire.Running})
 	}
-	return core.ReportIn{Req: 1, Report: r, Forwarded: true}
+	return msg.ReportIn{Req: 1, Report: r, Forwarded: true}
 }
 
 // change has a hundredth of the machines change what they offer, all over the fleet.
@@ -151,10 +152,10 @@
 }
 
 // pass asks for a pass with a change of a waiting job.
-func (f *fleet) pass() []core.Effect {
+func (f *fleet) pass() []msg.Effect {
 	it := f.records[f.machines/2+1] // of a job that waits
 	f.version++
-	return f.step(150*1000, core.Hint{Event: wire.Change{Put: it.Key, Value: it.Value, Version: f.version + 1<<40}})
+	return f.step(150*1000, msg.Hint{Event: wire.Change{Put: it.Key, Value: it.Value, Version: f.version + 1<<40}})
 }
 
 // A pass looks at what has changed, not at the fleet: the count of machines and jobs
@@ -191,7 +192,7 @@
 		f := newFleet(t, machines)
 		f.hear()
 		f.pass()
-		allocs[i] = testing.AllocsPerRun(5, func() { f.step(1000, core.Tick{Wall: f.now}) })
+		allocs[i] = testing.AllocsPerRun(5, func() { f.step(1000, msg.Tick{Wall: f.now}) })
 	}
 	if allocs[1] > allocs[0]+2 {
 		t.Errorf("a tick takes %v allocations with 500 machines and %v with 2,000", allocs[0], allocs[1])
@@ -217,7 +218,7 @@
 			f := newFleet(b, n)
 			f.hear()
 			for b.Loop() {
-				f.step(1, core.Tick{Wall: f.now})
+				f.step(1, msg.Tick{Wall: f.now})
 			}
 		})
 	}
@@ -227,7 +228,7 @@
 			for b.Loop() {
 				f.version++
 				it := f.records[0]
-				f.step(1, core.Changed{Events: []wire.Change{{Put: it.Key, Value: it.Value, Version: f.version + 1<<40}}})
+				f.step(1, msg.Changed{Events: []wire.Change{{Put: it.Key, Value: it.Value, Version: f.version + 1<<40}}})
 			}
 		})
 	}
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -3,6 +3,7 @@
 import (
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/wire"
 )
 
@@ -43,7 +44,7 @@
 	if m.Format > job.Newest && !c.foreign {
 		c.foreign = true
 		c.log("not serving: the records have a later format", "format", int(m.Format), "newest_known", int(job.Newest))
-		c.emit(Retire{})
+		c.emit(msg.Retire{})
 		c.stepDown("records of a later version")
 	}
 }
@@ -56,14 +57,14 @@
 }
 
 // putFormat writes a format under a key of the upgrade.
-func (c *Core) putFormat(key string, f job.Format, guards []wire.Guard, then func(CommitDone)) {
+func (c *Core) putFormat(key string, f job.Format, guards []wire.Guard, then func(msg.CommitDone)) {
 	value, err := job.Encode(formatMark{f})
 	if err != nil {
 		panic(err) // a struct of a number always encodes
 	}
 	c.formatAt = c.now + formatPause
-	c.commit(wire.Commit{Guards: guards, Changes: []wire.Change{{Put: key, Value: value}}}, func(d CommitDone) {
-		if d.Outcome == OK {
+	c.commit(wire.Commit{Guards: guards, Changes: []wire.Change{{Put: key, Value: value}}}, func(d msg.CommitDone) {
+		if d.Outcome == msg.OK {
 			c.apply(&wire.Change{Put: key, Value: value, Version: d.Revision})
 			then(d)
 		}
@@ -75,7 +76,7 @@
 	if !c.loaded || c.foreign || c.cfg.Settings.HoldFormat || c.announced[c.cfg.Node] >= job.Newest || c.now < c.formatAt {
 		return
 	}
-	c.putFormat(announcePrefix+c.cfg.Node, job.Newest, nil, func(CommitDone) {
+	c.putFormat(announcePrefix+c.cfg.Node, job.Newest, nil, func(msg.CommitDone) {
 		c.log("announced", "reads_format", int(job.Newest))
 	})
 }
@@ -93,7 +94,7 @@
 		return
 	}
 	guards := []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: formatKey, Version: c.formatVersion}}
-	c.putFormat(formatKey, least, guards, func(CommitDone) {
+	c.putFormat(formatKey, least, guards, func(msg.CommitDone) {
 		c.log("format raised: no way back to older versions", "format", int(least))
 	})
 }
--- a/internal/core/upgrade_test.go
+++ b/internal/core/upgrade_test.go
@@ -11,6 +11,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/records"
 	"coralhub/wire"
 )
@@ -144,30 +145,30 @@
 		t.Fatal(err)
 	}
 	retired, told := false, false
-	for _, e := range c.Step(1, Snapshot{Items: []wire.Item{{Key: formatKey, Value: value, Version: 3}}, Revision: 3}) {
+	for _, e := range c.Step(1, msg.Snapshot{Items: []wire.Item{{Key: formatKey, Value: value, Version: 3}}, Revision: 3}) {
 		switch x := e.(type) {
-		case Retire:
+		case msg.Retire:
 			retired = true
-		case Log:
+		case msg.Log:
 			told = told || strings.Contains(x.Text, "later format")
 		}
 	}
 	if !retired || !told {
 		t.Fatalf("retired %v, told %v", retired, told)
 	}
-	for _, in := range []Input{PollIn{Req: 1, ID: "j-1"}, CancelIn{Req: 1, ID: "j-1"}, ReportIn{Req: 1, Report: wire.Report{Machine: "m", Session: 1}}} {
+	for _, in := range []msg.Input{msg.PollIn{Req: 1, ID: "j-1"}, msg.CancelIn{Req: 1, ID: "j-1"}, msg.ReportIn{Req: 1, Report: wire.Report{Machine: "m", Session: 1}}} {
 		out := c.Step(2, in)
 		if len(out) != 1 {
 			t.Fatalf("%+v", out)
 		}
-		if a, ok := out[0].(Answer); !ok || a.Status != 503 || a.RetryAfter == 0 {
+		if a, ok := out[0].(msg.Answer); !ok || a.Status != 503 || a.RetryAfter == 0 {
 			t.Errorf("%T: %+v", in, out[0])
 		}
 	}
 	for range 100 {
-		for _, e := range c.Step(10_000_000, Tick{}) {
+		for _, e := range c.Step(10_000_000, msg.Tick{}) {
 			switch e.(type) {
-			case Commit, GrantLease:
+			case msg.Commit, msg.GrantLease:
 				t.Fatalf("it still does %+v", e)
 			}
 		}
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -9,6 +9,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
 )
@@ -32,7 +33,7 @@
 
 // report answers a worker. Only an owner whose records are read may do so; a
 // 200 from anybody else would hold the worker there while its lease runs out.
-func (c *Core) report(x ReportIn) {
+func (c *Core) report(x msg.ReportIn) {
 	r := &x.Report
 	if c.foreign {
 		c.later(x.Req, laterVersion)
@@ -365,16 +366,16 @@
 	}
 	c.nextID++
 	m.SentDirect(c.now, c.nextID, c.token, start)
-	c.emit(Command{c.nextID, m.Name, m.Addr, wire.Commands{Token: c.token, Session: max(m.Session, 1), Orders: orders}})
+	c.emit(msg.Command{ID: c.nextID, Machine: m.Name, Addr: m.Addr, Commands: wire.Commands{Token: c.token, Session: max(m.Session, 1), Orders: orders}})
 }
 
-func (c *Core) commandDone(x CommandDone) {
+func (c *Core) commandDone(x msg.CommandDone) {
 	m := c.machines.Get(x.Machine)
 	if !c.ready || m == nil {
 		return
 	}
-	m.DirectOver(x.ID, x.Outcome == Unknown)
-	if x.Outcome != OK {
+	m.DirectOver(x.ID, x.Outcome == msg.Unknown)
+	if x.Outcome != msg.OK {
 		m.DirectAt = c.now + directPause
 		m.Wanted = true // the orders have to go by the answer to a report
 	}
@@ -383,7 +384,7 @@
 			c.stepDown("a worker has seen a higher token")
 			return
 		}
-		if c.ingest(m, r, false) && x.Outcome == OK {
+		if c.ingest(m, r, false) && x.Outcome == msg.OK {
 			return
 		}
 	}
--- a/internal/node/cloud/cloud.go
+++ b/internal/node/cloud/cloud.go
@@ -13,7 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"coralhub/internal/config"
-	"coralhub/internal/core"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/node/call"
 	"coralhub/wire"
 )
@@ -26,13 +26,13 @@
 // Cloud is a client of the cloud's interface.
 type Cloud struct {
 	base  string
-	post  func(core.Input)
+	post  func(msg.Input)
 	http  *http.Client
 	calls *rate.Limiter
 }
 
 // New returns a client that posts its results.
-func New(cfg *config.Config, post func(core.Input)) *Cloud {
+func New(cfg *config.Config, post func(msg.Input)) *Cloud {
 	r := cfg.Cluster.Cloud.RPS
 	return &Cloud{
 		base: "http://" + cfg.External.Cloud, post: post,
@@ -42,15 +42,15 @@
 }
 
 // Do carries out an effect; it returns false for effects of other adapters.
-func (c *Cloud) Do(e core.Effect) bool {
+func (c *Cloud) Do(e msg.Effect) bool {
 	switch x := e.(type) {
-	case core.FetchCatalog:
+	case msg.FetchCatalog:
 		go c.catalog()
-	case core.ListMachines:
+	case msg.ListMachines:
 		go c.list()
-	case core.Rent:
+	case msg.Rent:
 		go c.rent(x.Request)
-	case core.Release:
+	case msg.Release:
 		go c.release(x.Machines)
 	default:
 		return false
@@ -60,26 +60,26 @@
 
 // call makes a request; the outcome tells OK, Conflict for a lack of capacity,
 // Refused or Unknown.
-func (c *Cloud) call(method, path string, in, out any) core.Outcome {
+func (c *Cloud) call(method, path string, in, out any) msg.Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if c.calls.Wait(ctx) != nil {
-		return core.Refused
+		return msg.Refused
 	}
 	status, err := c.send(ctx, method, path, in, out)
 	var refusal *refusal
 	switch {
 	case errors.As(err, &refusal):
 		if refusal.why == "no capacity" {
-			return core.Conflict
+			return msg.Conflict
 		}
-		return core.Refused
+		return msg.Refused
 	case err != nil:
-		return core.Unknown
+		return msg.Unknown
 	case status == http.StatusOK:
-		return core.OK
+		return msg.OK
 	}
-	return core.Refused
+	return msg.Refused
 }
 
 type refusal struct{ why string }
@@ -109,13 +109,13 @@
 }
 
 func (c *Cloud) catalog() {
-	var done core.CatalogDone
+	var done msg.CatalogDone
 	done.Outcome = c.call(http.MethodGet, wire.PathCatalog, nil, &done.Catalog)
 	c.post(done)
 }
 
 func (c *Cloud) list() {
-	var done core.ListDone
+	var done msg.ListDone
 	from := ""
 	for {
 		q := url.Values{"most": {strconv.Itoa(wire.MaxList)}}
@@ -125,7 +125,7 @@
 		var page wire.MachineList
 		done.Outcome = c.call(http.MethodGet, wire.PathHosts+"?"+q.Encode(), nil, &page)
 		done.Machines = append(done.Machines, page.Machines...)
-		if done.Outcome != core.OK || !page.More || len(page.Machines) == 0 {
+		if done.Outcome != msg.OK || !page.More || len(page.Machines) == 0 {
 			break
 		}
 		from = page.Machines[len(page.Machines)-1].Name
@@ -135,14 +135,14 @@
 
 func (c *Cloud) rent(r wire.Rent) {
 	var names wire.MachineNames
-	done := core.RentDone{Name: r.Name}
+	done := msg.RentDone{Name: r.Name}
 	done.Outcome = c.call(http.MethodPost, wire.PathHosts, r, &names)
 	done.Machines = names.Machines
 	c.post(done)
 }
 
 func (c *Cloud) release(machines []string) {
-	done := core.ReleaseDone{Machines: machines}
+	done := msg.ReleaseDone{Machines: machines}
 	done.Outcome = c.call(http.MethodPost, wire.PathRelease, wire.MachineNames{Machines: machines}, nil)
 	c.post(done)
 }
--- a/internal/node/httpapi/httpapi.go
+++ b/internal/node/httpapi/httpapi.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"coralhub/internal/core"
+	"coralhub/internal/core/msg"
 	"coralhub/wire"
 )
 
@@ -21,18 +22,18 @@
 // API hands requests to the core and waits for its answers.
 type API struct {
 	echo  *echo.Echo
-	post  func(core.Input) bool
+	post  func(msg.Input) bool
 	ready func() bool
 
 	mu   sync.Mutex
 	next uint64
-	wait map[uint64]chan core.Answer
+	wait map[uint64]chan msg.Answer
 }
 
 // New returns the interface; post returns false when the node has no time for
 // another request. Operators' questions are answered only if admin is set.
-func New(post func(core.Input) bool, ready func() bool, admin bool) *API {
-	a := &API{echo: echo.New(), post: post, ready: ready, wait: map[uint64]chan core.Answer{}}
+func New(post func(msg.Input) bool, ready func() bool, admin bool) *API {
+	a := &API{echo: echo.New(), post: post, ready: ready, wait: map[uint64]chan msg.Answer{}}
 	e := a.echo
 	e.HideBanner, e.HidePort = true, true
 	e.POST(wire.PathJobs, a.submit)
@@ -41,9 +42,9 @@
 	e.POST(wire.PathReport, a.report)
 	e.GET(wire.PathReady, a.health)
 	if admin {
-		e.GET(PathEstimates, a.admin(core.AskEstimates))
-		e.GET(PathJob+"/:id", a.admin(core.AskJob))
-		e.GET(PathRuns, a.admin(core.AskRuns))
+		e.GET(PathEstimates, a.admin(msg.AskEstimates))
+		e.GET(PathJob+"/:id", a.admin(msg.AskJob))
+		e.GET(PathRuns, a.admin(msg.AskRuns))
 	}
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		status := http.StatusInternalServerError
@@ -52,7 +53,7 @@
 			status = he.Code
 		}
 		if !c.Response().Committed {
-			_ = reply(c, core.Answer{Status: status, Body: wire.Error{Error: http.StatusText(status)}})
+			_ = reply(c, msg.Answer{Status: status, Body: wire.Error{Error: http.StatusText(status)}})
 		}
 	}
 	return a
@@ -66,9 +67,9 @@
 )
 
 // admin answers an operator's question. The query may have from and most.
-func (a *API) admin(what core.AdminQuery) echo.HandlerFunc {
+func (a *API) admin(what msg.AdminQuery) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		q := core.AdminIn{What: what, ID: c.Param("id")}
+		q := msg.AdminIn{What: what, ID: c.Param("id")}
 		var err error
 		if s := c.QueryParam("from"); s != "" {
 			if q.From, err = strconv.ParseUint(s, 10, 64); err != nil {
@@ -80,7 +81,7 @@
 				return c.JSON(http.StatusBadRequest, core.AdminError{Error: "most: no number above 0"})
 			}
 		}
-		x := a.ask(c.Request().Context().Done(), func(req uint64) core.Input {
+		x := a.ask(c.Request().Context().Done(), func(req uint64) msg.Input {
 			q.Req = req
 			return q
 		})
@@ -99,7 +100,7 @@
 
 // Gauges asks the core to count; false if it has no time.
 func (a *API) Gauges() (core.Gauges, bool) {
-	g, ok := a.ask(nil, func(req uint64) core.Input { return core.AdminIn{Req: req, What: core.AskGauges} }).Body.(core.Gauges)
+	g, ok := a.ask(nil, func(req uint64) msg.Input { return msg.AdminIn{Req: req, What: msg.AskGauges} }).Body.(core.Gauges)
 	return g, ok
 }
 
@@ -107,8 +108,8 @@
 func (a *API) Handler() http.Handler { return a.echo }
 
 // Do carries out an effect; it returns false for effects of other adapters.
-func (a *API) Do(e core.Effect) bool {
-	x, ok := e.(core.Answer)
+func (a *API) Do(e msg.Effect) bool {
+	x, ok := e.(msg.Answer)
 	if !ok {
 		return false
 	}
@@ -122,11 +123,11 @@
 	return true
 }
 
-var overloaded = core.Answer{Status: http.StatusServiceUnavailable, Body: wire.Error{Error: "overloaded"}, RetryAfter: 1}
+var overloaded = msg.Answer{Status: http.StatusServiceUnavailable, Body: wire.Error{Error: "overloaded"}, RetryAfter: 1}
 
 // ask posts an input made for a request number and waits for the answer.
-func (a *API) ask(gone <-chan struct{}, input func(req uint64) core.Input) core.Answer {
-	ch := make(chan core.Answer, 1)
+func (a *API) ask(gone <-chan struct{}, input func(req uint64) msg.Input) msg.Answer {
+	ch := make(chan msg.Answer, 1)
 	a.mu.Lock()
 	a.next++
 	req := a.next
@@ -148,18 +149,18 @@
 	return overloaded
 }
 
-func (a *API) serve(c echo.Context, input func(req uint64) core.Input) error {
+func (a *API) serve(c echo.Context, input func(req uint64) msg.Input) error {
 	return reply(c, a.ask(c.Request().Context().Done(), input))
 }
 
 // Report answers a worker's report that its home has handed on.
-func (a *API) Report(r wire.Report) core.Answer {
-	return a.ask(nil, func(req uint64) core.Input { return core.ReportIn{Req: req, Report: r, Forwarded: true} })
+func (a *API) Report(r wire.Report) msg.Answer {
+	return a.ask(nil, func(req uint64) msg.Input { return msg.ReportIn{Req: req, Report: r, Forwarded: true} })
 }
 
 // Beat answers a home that has answered workers for this node.
-func (a *API) Beat(heard []core.Heard) core.Answer {
-	return a.ask(nil, func(req uint64) core.Input { return core.BeatIn{Req: req, Heard: heard} })
+func (a *API) Beat(heard []msg.Heard) msg.Answer {
+	return a.ask(nil, func(req uint64) msg.Input { return msg.BeatIn{Req: req, Heard: heard} })
 }
 
 func (a *API) forget(req uint64) {
@@ -168,7 +169,7 @@
 	a.mu.Unlock()
 }
 
-func reply(c echo.Context, x core.Answer) error {
+func reply(c echo.Context, x msg.Answer) error {
 	if x.RetryAfter > 0 {
 		c.Response().Header().Set("Retry-After", strconv.Itoa(x.RetryAfter))
 	}
@@ -190,7 +191,7 @@
 }
 
 func bad(c echo.Context, err error) error {
-	return reply(c, core.Answer{Status: http.StatusBadRequest, Body: wire.Error{Error: err.Error()}})
+	return reply(c, msg.Answer{Status: http.StatusBadRequest, Body: wire.Error{Error: err.Error()}})
 }
 
 func (a *API) submit(c echo.Context) error {
@@ -199,17 +200,17 @@
 		return bad(c, err)
 	}
 	wall := time.Now().UnixMicro()
-	return a.serve(c, func(req uint64) core.Input { return core.SubmitIn{Req: req, Wall: wall, Body: raw} })
+	return a.serve(c, func(req uint64) msg.Input { return msg.SubmitIn{Req: req, Wall: wall, Body: raw} })
 }
 
 func (a *API) poll(c echo.Context) error {
 	id := c.Param("id")
-	return a.serve(c, func(req uint64) core.Input { return core.PollIn{Req: req, ID: id} })
+	return a.serve(c, func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
 }
 
 func (a *API) cancel(c echo.Context) error {
 	id := c.Param("id")
-	return a.serve(c, func(req uint64) core.Input { return core.CancelIn{Req: req, ID: id} })
+	return a.serve(c, func(req uint64) msg.Input { return msg.CancelIn{Req: req, ID: id} })
 }
 
 func (a *API) report(c echo.Context) error {
@@ -221,12 +222,12 @@
 	if err := wire.Unmarshal(raw, &r); err != nil {
 		return bad(c, errors.New("unreadable report"))
 	}
-	return a.serve(c, func(req uint64) core.Input { return core.ReportIn{Req: req, Report: r} })
+	return a.serve(c, func(req uint64) msg.Input { return msg.ReportIn{Req: req, Report: r} })
 }
 
 func (a *API) health(c echo.Context) error {
 	if !a.ready() {
-		return reply(c, core.Answer{Status: http.StatusServiceUnavailable, Body: wire.Error{Error: "not ready"}, RetryAfter: 1})
+		return reply(c, msg.Answer{Status: http.StatusServiceUnavailable, Body: wire.Error{Error: "not ready"}, RetryAfter: 1})
 	}
 	return c.NoContent(http.StatusOK)
 }
--- a/internal/node/metrics/metrics.go
+++ b/internal/node/metrics/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"coralhub/internal/core"
+	"coralhub/internal/core/msg"
 )
 
 // Path is where the metrics are.
@@ -39,7 +40,7 @@
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
 
 // Stepped takes how long the core took for an input.
-func (m *Metrics) Stepped(in core.Input, took time.Duration) {
+func (m *Metrics) Stepped(in msg.Input, took time.Duration) {
 	if m != nil {
 		m.steps.WithLabelValues(strings.ToLower(reflect.TypeOf(in).Name())).Observe(took.Seconds())
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/node/cloud"
 	"coralhub/internal/node/httpapi"
 	"coralhub/internal/node/metrics"
@@ -38,12 +39,12 @@
 
 // adapter carries out the effects that are its own.
 type adapter interface {
-	Do(core.Effect) bool
+	Do(msg.Effect) bool
 }
 
 // queued is an input that waits for the loop.
 type queued struct {
-	core.Input
+	msg.Input
 	at time.Time
 }
 
@@ -66,7 +67,7 @@
 // New returns a node that is not running yet.
 func New(cfg *config.Config) *Node {
 	n := &Node{cfg: cfg, inputs: make(chan queued, queueLength), core: core.New(cfg, rand.Uint64()), start: time.Now()}
-	post := func(in core.Input) { n.inputs <- queued{in, time.Now()} }
+	post := func(in msg.Input) { n.inputs <- queued{in, time.Now()} }
 	n.store = store.New(cfg, post)
 	n.peers = peer.New(cfg, post)
 	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() && !n.retired.Load() }, cfg.Settings.Admin)
@@ -80,7 +81,7 @@
 
 // offer posts an input unless the queue is so long that its answer would come
 // too late anyway.
-func (n *Node) offer(in core.Input) bool {
+func (n *Node) offer(in msg.Input) bool {
 	if len(n.inputs) > queueLength/2 {
 		return false
 	}
@@ -120,7 +121,7 @@
 	defer server.Close()
 	go func() { failed <- server.Serve(users) }()
 	go func() {
-		failed <- peer.Serve(peers, func(in core.Input) { n.offer(in) }, n.api, func() bool { return n.store.FailingFor() == 0 })
+		failed <- peer.Serve(peers, func(in msg.Input) { n.offer(in) }, n.api, func() bool { return n.store.FailingFor() == 0 })
 	}()
 	go n.store.Follow(ctx)
 	go n.watchPeers(ctx)
@@ -141,17 +142,17 @@
 	defer tick.Stop()
 	counted := n.start
 	for {
-		var in core.Input
+		var in msg.Input
 		select {
 		case q := <-n.inputs:
 			in = q.Input
-			if c, ok := in.(core.Changed); ok { // homes go by how old their copy is
+			if c, ok := in.(msg.Changed); ok { // homes go by how old their copy is
 				c.Age += time.Since(q.at).Microseconds()
 				in = c
 			}
 		case <-tick.C:
 			now := time.Now()
-			in = core.Tick{Wall: now.UnixMicro()}
+			in = msg.Tick{Wall: now.UnixMicro()}
 			if now.Sub(counted) >= countEvery && slog.Default().Enabled(ctx, slog.LevelDebug) {
 				counted = now
 				slog.Debug("changes", n.store.Counters()...)
@@ -166,15 +167,15 @@
 		began := time.Now()
 		n.step(in)
 		n.metrics.Stepped(in, time.Since(began))
-		if _, ok := in.(core.Snapshot); ok {
+		if _, ok := in.(msg.Snapshot); ok {
 			n.loaded.Store(true)
 		}
 	}
 }
 
-func (n *Node) step(in core.Input) {
+func (n *Node) step(in msg.Input) {
 	for _, e := range n.core.Step(time.Since(n.start).Microseconds()+1, in) {
-		if l, ok := e.(core.Log); ok {
+		if l, ok := e.(msg.Log); ok {
 			level := slog.LevelInfo
 			if l.Debug {
 				level = slog.LevelDebug
@@ -182,7 +183,7 @@
 			slog.Log(context.Background(), level, l.Text, l.Args...)
 			continue
 		}
-		if _, ok := e.(core.Retire); ok {
+		if _, ok := e.(msg.Retire); ok {
 			n.retired.Store(true)
 			continue
 		}
@@ -209,7 +210,7 @@
 		anyOK := false
 		for node, st := range n.peers.Ask() {
 			anyOK = anyOK || st.StateOK
-			n.offer(core.PeerHeard{Node: node})
+			n.offer(msg.PeerHeard{Node: node})
 		}
 		alone := anyOK && n.store.FailingFor() > 1500*time.Millisecond
 		if alone != n.isolated.Swap(alone) {
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"coralhub/internal/config"
-	"coralhub/internal/core"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/node/count"
 	"coralhub/wire"
 )
@@ -34,7 +34,7 @@
 type ReportAnswer struct{ Body []byte }
 
 // Beat tells of workers that the caller has answered for the leader.
-type Beat struct{ Heard []core.Heard }
+type Beat struct{ Heard []msg.Heard }
 
 // BeatAnswer lists the workers whose next report the leader wants.
 type BeatAnswer struct{ Wanted []string }
@@ -44,15 +44,15 @@
 
 // Service is what a node offers its peers.
 type Service struct {
-	post    func(core.Input)
+	post    func(msg.Input)
 	answer  Answerer
 	stateOK func() bool
 }
 
 // Answerer has the core answer what peers ask.
 type Answerer interface {
-	Report(wire.Report) core.Answer
-	Beat([]core.Heard) core.Answer
+	Report(wire.Report) msg.Answer
+	Beat([]msg.Heard) msg.Answer
 }
 
 // Report has the node answer a worker's report as the leader.
@@ -78,7 +78,7 @@
 
 // Tell takes a copy of a key that the caller has written.
 func (s *Service) Tell(e *Event, _ *struct{}) error {
-	s.post(core.Hint{Event: wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}})
+	s.post(msg.Hint{Event: wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}})
 	return nil
 }
 
@@ -90,7 +90,7 @@
 
 // Peers holds the connections to the other nodes.
 type Peers struct {
-	post  func(core.Input)
+	post  func(msg.Input)
 	mu    sync.Mutex
 	addrs map[string]string
 	conns map[string]*rpc.Client
@@ -112,7 +112,7 @@
 }
 
 // New returns the peers of a node.
-func New(cfg *config.Config, post func(core.Input)) *Peers {
+func New(cfg *config.Config, post func(msg.Input)) *Peers {
 	p := &Peers{post: post, addrs: map[string]string{}, conns: map[string]*rpc.Client{}, sem: make(chan struct{}, maxCalls)}
 	for _, n := range cfg.Peers {
 		p.addrs[n.Node] = n.Address
@@ -121,7 +121,7 @@
 }
 
 // Serve answers peers on l.
-func Serve(l net.Listener, post func(core.Input), answer Answerer, stateOK func() bool) error {
+func Serve(l net.Listener, post func(msg.Input), answer Answerer, stateOK func() bool) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName("Peer", &Service{post, answer, stateOK}); err != nil {
 		return err
@@ -136,15 +136,15 @@
 }
 
 // Do carries out an effect; it returns false for effects of other adapters.
-func (p *Peers) Do(e core.Effect) bool {
+func (p *Peers) Do(e msg.Effect) bool {
 	switch x := e.(type) {
-	case core.Tell:
+	case msg.Tell:
 		p.limited(func() {
 			ev := Event{x.Event.Put, x.Event.Value, x.Event.Version}
 			_ = p.call(x.Node, "Peer.Tell", &ev, &struct{}{}) // the leader's watch tells it too
 		}, func() {})
-	case core.Forward:
-		done := core.ForwardDone{Req: x.Req, Report: x.Report}
+	case msg.Forward:
+		done := msg.ForwardDone{Req: x.Req, Report: x.Report}
 		p.limited(func() {
 			if done.Answer = p.forward(x); done.Answer != nil {
 				p.handed.Add()
@@ -153,11 +153,11 @@
 			}
 			p.post(done)
 		}, func() { go p.post(done) })
-	case core.Beat:
+	case msg.Beat:
 		p.limited(func() {
 			var out BeatAnswer
 			if p.call(x.Node, "Peer.Beat", &Beat{x.Heard}, &out) == nil && len(out.Wanted) > 0 {
-				p.post(core.BeatDone{Wanted: out.Wanted})
+				p.post(msg.BeatDone{Wanted: out.Wanted})
 			}
 		}, func() {})
 	default:
@@ -180,7 +180,7 @@
 	}
 }
 
-func (p *Peers) forward(x core.Forward) *wire.ReportAnswer {
+func (p *Peers) forward(x msg.Forward) *wire.ReportAnswer {
 	body, err := wire.Marshal(&x.Report)
 	if err != nil {
 		return nil
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -17,8 +17,8 @@
 	"golang.org/x/time/rate"
 
 	"coralhub/internal/config"
-	"coralhub/internal/core"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/node/call"
 	"coralhub/internal/node/count"
 	"coralhub/wire"
@@ -36,7 +36,7 @@
 // Store is a client of the state service.
 type Store struct {
 	base   string
-	post   func(core.Input)
+	post   func(msg.Input)
 	http   *http.Client
 	calls  *rate.Limiter
 	writes *rate.Limiter
@@ -90,7 +90,7 @@
 }
 
 // New returns a client that posts its results.
-func New(cfg *config.Config, post func(core.Input)) *Store {
+func New(cfg *config.Config, post func(msg.Input)) *Store {
 	s := &cfg.Cluster.State
 	// The quotas are shared by all nodes. Renewals bypass the limiters, and the
 	// rest leaves them some room.
@@ -116,17 +116,17 @@
 }
 
 // Do carries out an effect; it returns false for effects of other adapters.
-func (s *Store) Do(e core.Effect) bool {
+func (s *Store) Do(e msg.Effect) bool {
 	switch x := e.(type) {
-	case core.Commit:
+	case msg.Commit:
 		go s.commit(x)
-	case core.Read:
+	case msg.Read:
 		go s.read(x)
-	case core.GrantLease:
+	case msg.GrantLease:
 		go s.grant(x)
-	case core.RenewLease:
+	case msg.RenewLease:
 		go s.renew(x)
-	case core.Relist:
+	case msg.Relist:
 		select {
 		case s.relist <- struct{}{}:
 		default:
@@ -173,24 +173,24 @@
 func (s *Store) failed() { s.badAt.CompareAndSwap(0, max(1, int64(time.Since(s.start)))) }
 
 // outcome maps a status; statuses that mean something else are up to the caller.
-func outcome(status int, err error) core.Outcome {
+func outcome(status int, err error) msg.Outcome {
 	switch {
 	case errors.Is(err, errRefused):
-		return core.Refused
+		return msg.Refused
 	case err != nil:
-		return core.Unknown
+		return msg.Unknown
 	case status == http.StatusOK:
-		return core.OK
+		return msg.OK
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusBadRequest:
-		return core.Refused
+		return msg.Refused
 	}
-	return core.Unknown
+	return msg.Unknown
 }
 
-func (s *Store) commit(x core.Commit) {
+func (s *Store) commit(x msg.Commit) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	done := core.CommitDone{ID: x.ID, Outcome: core.Refused}
+	done := msg.CommitDone{ID: x.ID, Outcome: msg.Refused}
 	if s.calls.Wait(ctx) != nil || s.turn(ctx, &x) != nil {
 		s.tally.unsent[s.tally.of(x.Later)].Add()
 	} else {
@@ -216,11 +216,11 @@
 		switch {
 		case err != nil:
 		case status == http.StatusConflict:
-			done.Outcome = core.Conflict
+			done.Outcome = msg.Conflict
 		case status == http.StatusBadRequest && a.Error == wire.NoSuchLease:
-			done.Outcome = core.Gone
+			done.Outcome = msg.Gone
 		case status == http.StatusBadRequest:
-			done.Outcome = core.Invalid
+			done.Outcome = msg.Invalid
 		}
 	}
 	s.post(done)
@@ -229,7 +229,7 @@
 // turn waits until a transaction may be sent. All nodes share the quota of
 // changes, and those of a leader are the bulk: when the service refuses one that
 // can wait, the others go first until it takes them again.
-func (s *Store) turn(ctx context.Context, x *core.Commit) error {
+func (s *Store) turn(ctx context.Context, x *msg.Commit) error {
 	n := len(x.Txn.Changes)
 	switch {
 	case n == 0:
@@ -303,36 +303,36 @@
 	}
 }
 
-func (s *Store) read(x core.Read) {
+func (s *Store) read(x msg.Read) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	done := core.ReadDone{ID: x.ID, Outcome: core.Refused, Key: x.Key}
+	done := msg.ReadDone{ID: x.ID, Outcome: msg.Refused, Key: x.Key}
 	if s.calls.Wait(ctx) == nil {
 		status, err := s.call(ctx, http.MethodGet, wire.PathStore+"/"+x.Key, nil, &done.Item)
 		done.Outcome = outcome(status, err)
 		if err == nil && status == http.StatusNotFound {
-			done.Outcome, done.Item = core.OK, wire.Item{}
+			done.Outcome, done.Item = msg.OK, wire.Item{}
 		}
 	}
 	s.post(done)
 }
 
-func (s *Store) grant(x core.GrantLease) {
+func (s *Store) grant(x msg.GrantLease) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
 	var a wire.LeaseAnswer
 	status, err := s.call(ctx, http.MethodPost, wire.PathLeases, wire.LeaseRequest{TTLms: x.TTL / 1000}, &a)
-	s.post(core.LeaseDone{Outcome: outcome(status, err), Lease: a.Lease})
+	s.post(msg.LeaseDone{Outcome: outcome(status, err), Lease: a.Lease})
 }
 
-func (s *Store) renew(x core.RenewLease) {
+func (s *Store) renew(x msg.RenewLease) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
 	path := wire.PathLeases + "/" + strconv.FormatUint(x.Lease, 10) + "/" + wire.ExtendVerb
 	status, err := s.call(ctx, http.MethodPost, path, struct{}{}, nil)
-	done := core.LeaseDone{Outcome: outcome(status, err), Lease: x.Lease, Renewal: true}
+	done := msg.LeaseDone{Outcome: outcome(status, err), Lease: x.Lease, Renewal: true}
 	if err == nil && status == http.StatusNotFound {
-		done.Outcome = core.Gone
+		done.Outcome = msg.Gone
 	}
 	s.post(done)
 }
@@ -350,7 +350,7 @@
 }
 
 func (s *Store) list(ctx context.Context) (uint64, error) {
-	var all core.Snapshot
+	var all msg.Snapshot
 	from := ""
 	for page := 0; ; page++ {
 		if err := s.calls.Wait(ctx); err != nil {
@@ -408,7 +408,7 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil && status == http.StatusOK:
-			s.post(core.Changed{Events: a.Events, Age: time.Since(began).Microseconds()})
+			s.post(msg.Changed{Events: a.Events, Age: time.Since(began).Microseconds()})
 			from = max(from, a.Revision)
 			sleep(ctx, s.pace-time.Since(began))
 		case err == nil && status == http.StatusGone:
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"coralhub/internal/core"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/node/call"
 	"coralhub/wire"
 )
@@ -15,60 +15,60 @@
 
 // Workers is a client of the workers.
 type Workers struct {
-	post func(core.Input)
+	post func(msg.Input)
 	http *http.Client
 }
 
 // New returns a client that posts its results.
-func New(post func(core.Input)) *Workers {
+func New(post func(msg.Input)) *Workers {
 	return &Workers{post: post, http: call.Client(2*time.Second, 1, 0)}
 }
 
 // Do carries out an effect; it returns false for effects of other adapters.
-func (w *Workers) Do(e core.Effect) bool {
-	x, ok := e.(core.Command)
+func (w *Workers) Do(e msg.Effect) bool {
+	x, ok := e.(msg.Command)
 	if ok {
 		go w.command(x)
 	}
 	return ok
 }
 
-func (w *Workers) command(x core.Command) {
+func (w *Workers) command(x msg.Command) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	done := core.CommandDone{ID: x.ID, Machine: x.Machine}
+	done := msg.CommandDone{ID: x.ID, Machine: x.Machine}
 	done.Outcome, done.Report = w.send(ctx, x)
 	w.post(done)
 }
 
 // send tells apart calls that were certainly not executed (no connection, or a
 // refusal) from those that may still be.
-func (w *Workers) send(ctx context.Context, x core.Command) (core.Outcome, *wire.Report) {
+func (w *Workers) send(ctx context.Context, x msg.Command) (msg.Outcome, *wire.Report) {
 	req, err := call.Request(ctx, http.MethodPost, "http://"+x.Addr+wire.PathCommands, x.Commands)
 	if err != nil {
-		return core.Refused, nil
+		return msg.Refused, nil
 	}
 	// A kept connection that turns out to be dead makes the client repeat the
 	// request by itself; commands must go out once per call.
 	req.GetBody = nil
 	status, raw, err := call.Do(w.http, req, wire.MaxBody)
 	if call.NotSent(err) {
-		return core.Refused, nil
+		return msg.Refused, nil
 	}
 	if err != nil {
-		return core.Unknown, nil
+		return msg.Unknown, nil
 	}
 	var r wire.Report
 	if wire.Unmarshal(raw, &r) != nil {
-		return core.Unknown, nil
+		return msg.Unknown, nil
 	}
 	switch status {
 	case http.StatusOK:
-		return core.OK, &r
+		return msg.OK, &r
 	case http.StatusConflict:
-		return core.Refused, &r
+		return msg.Refused, &r
 	case http.StatusBadRequest:
-		return core.Refused, nil
+		return msg.Refused, nil
 	}
-	return core.Unknown, nil
+	return msg.Unknown, nil
 }
--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -8,7 +8,7 @@
 	"slices"
 	"testing"
 
-	"coralhub/internal/core"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/standin"
 	"coralhub/wire"
 )
@@ -107,7 +107,7 @@
 			}
 		case 5, 6:
 			id := fmt.Sprintf("j-%d", rnd.IntN(i+1))
-			s.judge(id, s.Ask(n, func(req uint64) core.Input { return core.PollIn{Req: req, ID: id} }))
+			s.judge(id, s.Ask(n, func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} }))
 		case 7:
 			n.alive = false
 		case 8:
@@ -157,7 +157,7 @@
 	s.Run(120 * standin.Second)
 	for _, id := range slices.Sorted(maps.Keys(accepted)) {
 		told := accepted[id]
-		a := s.Ask(s.nodes[1], func(req uint64) core.Input { return core.PollIn{Req: req, ID: id} })
+		a := s.Ask(s.nodes[1], func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
 		s.judge(id, a)
 		st, _ := a.Body.(wire.JobStatus)
 		if told && st.Status != wire.Done && st.Status != wire.Cancelled {
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -14,6 +14,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/standin"
 	"coralhub/wire"
 )
@@ -49,14 +50,14 @@
 	held    bool              // to the first format, as during an upgrade
 	cut     map[string]string // link -> "drop" or "hold"
 	rev     uint64
-	answers map[uint64]core.Answer
+	answers map[uint64]msg.Answer
 	relist  bool
 }
 
 type delivery struct {
 	n    *node
 	core *core.Core // an input for a process that has ended is lost
-	in   core.Input
+	in   msg.Input
 }
 
 // The limits that the state service of an announced change has from SetLimits on.
@@ -137,7 +138,7 @@
 func (s *Sim) start(n *node) {
 	s.seeds++
 	n.core = core.New(s.config(n.name), s.seeds*7919)
-	n.alive, n.born, n.relist, n.answers = true, s.now, true, map[uint64]core.Answer{}
+	n.alive, n.born, n.relist, n.answers = true, s.now, true, map[uint64]msg.Answer{}
 }
 
 func (s *Sim) node(name string) *node {
@@ -149,12 +150,12 @@
 	return s.nodes[0]
 }
 
-func (s *Sim) post(n *node, in core.Input) {
+func (s *Sim) post(n *node, in msg.Input) {
 	s.inbox = append(s.inbox, delivery{n, n.core, in})
 }
 
 // step hands an input to a node.
-func (s *Sim) step(n *node, in core.Input) []core.Effect {
+func (s *Sim) step(n *node, in msg.Input) []msg.Effect {
 	out := n.core.Step(s.now-n.born+1, in)
 	if s.effects != nil {
 		for _, e := range out {
@@ -162,7 +163,8 @@
 			if err != nil {
 				raw = []byte(err.Error())
 			}
-			fmt.Fprintf(s.effects, "%d %s %T %s\n", s.now, n.name, e, raw)
+			_, kind, _ := strings.Cut(fmt.Sprintf("%T", e), ".")
+			fmt.Fprintf(s.effects, "%d %s %s %s\n", s.now, n.name, kind, raw)
 		}
 	}
 	return out
@@ -194,7 +196,7 @@
 			if n.alive {
 				s.follow(n)
 				s.hear(n)
-				s.post(n, core.Tick{Wall: s.now})
+				s.post(n, msg.Tick{Wall: s.now})
 				s.settle()
 			}
 		}
@@ -217,7 +219,7 @@
 func (s *Sim) hear(n *node) {
 	for _, p := range s.nodes {
 		if p != n && p.alive && p.cut["peers"] == "" && n.cut["peers"] == "" {
-			s.post(n, core.PeerHeard{Node: p.name})
+			s.post(n, msg.PeerHeard{Node: p.name})
 		}
 	}
 }
@@ -230,65 +232,65 @@
 	if n.relist {
 		n.relist = false
 		n.rev = s.state.Revision()
-		s.post(n, core.Snapshot{Items: s.state.List(job.Root), Revision: n.rev})
+		s.post(n, msg.Snapshot{Items: s.state.List(job.Root), Revision: n.rev})
 	} else {
 		evs := s.state.Since(job.Root, n.rev)
 		n.rev = s.state.Revision()
-		s.post(n, core.Changed{Events: evs})
+		s.post(n, msg.Changed{Events: evs})
 	}
 	s.settle()
 }
 
-func outcome(status int, text string) core.Outcome {
+func outcome(status int, text string) msg.Outcome {
 	switch {
 	case status == 200:
-		return core.OK
+		return msg.OK
 	case status == 404, text == wire.NoSuchLease:
-		return core.Gone
+		return msg.Gone
 	case status == 400:
-		return core.Invalid
+		return msg.Invalid
 	case status == 409:
-		return core.Conflict
+		return msg.Conflict
 	}
-	return core.Refused
+	return msg.Refused
 }
 
 // carry carries out an effect.
-func (s *Sim) carry(n *node, e core.Effect) {
+func (s *Sim) carry(n *node, e msg.Effect) {
 	switch x := e.(type) {
-	case core.Commit:
+	case msg.Commit:
 		s.commit(n, x)
-	case core.Read:
-		d := core.ReadDone{ID: x.ID, Key: x.Key, Outcome: core.Refused}
+	case msg.Read:
+		d := msg.ReadDone{ID: x.ID, Key: x.Key, Outcome: msg.Refused}
 		if !s.state.Down && n.cut["state"] == "" {
-			d.Outcome, d.Item = core.OK, s.state.Get(x.Key)
+			d.Outcome, d.Item = msg.OK, s.state.Get(x.Key)
 		}
 		s.post(n, d)
-	case core.GrantLease:
-		d := core.LeaseDone{Outcome: core.Refused}
+	case msg.GrantLease:
+		d := msg.LeaseDone{Outcome: msg.Refused}
 		if n.cut["state"] == "" {
 			status, id := s.state.Grant(s.now, x.TTL)
 			d.Outcome, d.Lease = outcome(status, ""), id
 		}
 		s.post(n, d)
-	case core.RenewLease:
-		d := core.LeaseDone{Outcome: core.Refused, Lease: x.Lease, Renewal: true}
+	case msg.RenewLease:
+		d := msg.LeaseDone{Outcome: msg.Refused, Lease: x.Lease, Renewal: true}
 		if n.cut["state"] == "" {
 			d.Outcome = outcome(s.state.Extend(s.now, x.Lease), "")
 		}
 		s.post(n, d)
-	case core.Relist:
+	case msg.Relist:
 		n.relist = true
-	case core.Answer:
+	case msg.Answer:
 		n.answers[x.Req] = x
-	case core.Command:
+	case msg.Command:
 		s.command(n, x)
-	case core.Forward:
-		d := core.ForwardDone{Req: x.Req, Report: x.Report}
+	case msg.Forward:
+		d := msg.ForwardDone{Req: x.Req, Report: x.Report}
 		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
 			s.req++
 			req := s.req
-			for _, e := range s.step(to, core.ReportIn{Req: req, Report: x.Report, Forwarded: true}) {
+			for _, e := range s.step(to, msg.ReportIn{Req: req, Report: x.Report, Forwarded: true}) {
 				s.carry(to, e)
 			}
 			if a, ok := to.answers[req].Body.(wire.ReportAnswer); ok {
@@ -297,19 +299,19 @@
 			delete(to.answers, req)
 		}
 		s.post(n, d)
-	case core.Beat:
+	case msg.Beat:
 		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
 			s.req++
-			for _, e := range s.step(to, core.BeatIn{Req: s.req, Heard: x.Heard}) {
+			for _, e := range s.step(to, msg.BeatIn{Req: s.req, Heard: x.Heard}) {
 				s.carry(to, e)
 			}
 			wanted, _ := to.answers[s.req].Body.([]string)
 			delete(to.answers, s.req)
-			s.post(n, core.BeatDone{Wanted: wanted})
+			s.post(n, msg.BeatDone{Wanted: wanted})
 		}
-	case core.Tell:
+	case msg.Tell:
 		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
-			s.post(to, core.Hint{Event: x.Event})
+			s.post(to, msg.Hint{Event: x.Event})
 		}
 	default:
 		s.cloud(n, e)
@@ -352,8 +354,8 @@
 }
 
 // commit carries out a transaction; over a held link it is carried out late.
-func (s *Sim) commit(n *node, x core.Commit) {
-	d := core.CommitDone{ID: x.ID, Outcome: core.Refused}
+func (s *Sim) commit(n *node, x msg.Commit) {
+	d := msg.CommitDone{ID: x.ID, Outcome: msg.Refused}
 	places := s.guarded(&x.Txn)
 	if changes := float64(len(x.Txn.Changes)); s.quota > 0 && changes > 0 {
 		if s.tokens < changes {
@@ -367,19 +369,19 @@
 		status, a := s.state.Commit(x.Txn)
 		d.Outcome, d.Revision, d.Failed = outcome(status, a.Error), a.Revision, a.Failed
 		if n.cut["answer"] != "" && places { // one answer is lost
-			d = core.CommitDone{ID: x.ID, Outcome: core.Unknown}
+			d = msg.CommitDone{ID: x.ID, Outcome: msg.Unknown}
 			delete(n.cut, "answer")
 		}
 	case "hold":
-		d.Outcome = core.Unknown
+		d.Outcome = msg.Unknown
 		s.held = append(s.held, func() { s.state.Commit(x.Txn) })
 	}
 	s.post(n, d)
 }
 
-func (s *Sim) command(n *node, x core.Command) {
+func (s *Sim) command(n *node, x msg.Command) {
 	m := s.world.Machines[x.Addr]
-	d := core.CommandDone{ID: x.ID, Machine: x.Machine, Outcome: core.Refused}
+	d := msg.CommandDone{ID: x.ID, Machine: x.Machine, Outcome: msg.Refused}
 	run := func() (int, wire.Report) {
 		if m = s.world.Machines[x.Addr]; m == nil || s.now < m.Up {
 			return 0, wire.Report{}
@@ -388,55 +390,55 @@
 	}
 	switch {
 	case n.cut["workers"] == "hold" || m != nil && m.Hang:
-		d.Outcome = core.Unknown
+		d.Outcome = msg.Unknown
 		s.held = append(s.held, func() { run() })
 	case n.cut["workers"] == "" && m != nil && s.now >= m.Up:
 		status, r := run()
 		d.Report = &r
 		if status == 200 {
-			d.Outcome = core.OK
+			d.Outcome = msg.OK
 		}
 	}
 	s.post(n, d)
 }
 
-func (s *Sim) cloud(n *node, e core.Effect) {
+func (s *Sim) cloud(n *node, e msg.Effect) {
 	off := s.world.CloudOff || n.cut["cloud"] != ""
-	if r, ok := e.(core.Release); ok && n.cut["cloud"] == "hold" {
+	if r, ok := e.(msg.Release); ok && n.cut["cloud"] == "hold" {
 		s.held = append(s.held, func() { s.world.Release(s.now, r.Machines) })
-		s.post(n, core.ReleaseDone{Machines: r.Machines, Outcome: core.Unknown})
+		s.post(n, msg.ReleaseDone{Machines: r.Machines, Outcome: msg.Unknown})
 		return
 	}
-	result := core.OK
+	result := msg.OK
 	if off {
-		result = core.Refused
+		result = msg.Refused
 	}
 	switch x := e.(type) {
-	case core.FetchCatalog:
-		d := core.CatalogDone{Outcome: result}
+	case msg.FetchCatalog:
+		d := msg.CatalogDone{Outcome: result}
 		if !off {
 			d.Catalog.Types = append([]wire.MachineType(nil), s.world.Types...)
 		}
 		s.post(n, d)
-	case core.ListMachines:
-		d := core.ListDone{Outcome: result}
+	case msg.ListMachines:
+		d := msg.ListDone{Outcome: result}
 		if !off {
 			d.Machines = s.world.List(s.now)
 		}
 		s.post(n, d)
-	case core.Rent:
-		d := core.RentDone{Name: x.Request.Name, Outcome: result}
+	case msg.Rent:
+		d := msg.RentDone{Name: x.Request.Name, Outcome: result}
 		if !off {
 			if d.Machines = s.world.Rent(s.now, x.Request); len(d.Machines) == 0 {
-				d.Outcome = core.Conflict
+				d.Outcome = msg.Conflict
 			}
 		}
 		s.post(n, d)
-	case core.Release:
+	case msg.Release:
 		if !off {
 			s.world.Release(s.now, x.Machines)
 		}
-		s.post(n, core.ReleaseDone{Machines: x.Machines, Outcome: result})
+		s.post(n, msg.ReleaseDone{Machines: x.Machines, Outcome: result})
 	}
 }
 
@@ -450,11 +452,11 @@
 		n := s.nodes[m.Node%len(s.nodes)]
 		r := m.Status()
 		m.Reported(s.now, 0)
-		var a core.Answer
+		var a msg.Answer
 		if n.alive && n.cut["workers"] == "" {
 			s.req++
 			req := s.req
-			s.post(n, core.ReportIn{Req: req, Report: r})
+			s.post(n, msg.ReportIn{Req: req, Report: r})
 			s.settle()
 			a = n.answers[req]
 			delete(n.answers, req)
@@ -484,9 +486,9 @@
 
 // Ask has a user make a request to a node and returns the answer, waiting for
 // it as users do.
-func (s *Sim) Ask(n *node, input func(req uint64) core.Input) core.Answer {
+func (s *Sim) Ask(n *node, input func(req uint64) msg.Input) msg.Answer {
 	if !n.alive {
-		return core.Answer{}
+		return msg.Answer{}
 	}
 	s.req++
 	req := s.req
@@ -499,35 +501,35 @@
 		}
 		s.Run(tick)
 	}
-	return core.Answer{}
+	return msg.Answer{}
 }
 
 // Submit submits a job.
-func (s *Sim) Submit(n *node, j *standin.JobIn) core.Answer {
+func (s *Sim) Submit(n *node, j *standin.JobIn) msg.Answer {
 	raw, err := wire.Marshal(&j.Job)
 	if err != nil {
-		return core.Answer{}
+		return msg.Answer{}
 	}
 	if s.world.Jobs[j.ID] == nil {
 		s.world.Jobs[j.ID] = j
 	}
-	a := s.Ask(n, func(req uint64) core.Input { return core.SubmitIn{Req: req, Wall: s.now, Body: raw} })
+	a := s.Ask(n, func(req uint64) msg.Input { return msg.SubmitIn{Req: req, Wall: s.now, Body: raw} })
 	s.judge(j.ID, a)
 	return a
 }
 
 // Cancel has a user cancel a job.
-func (s *Sim) Cancel(n *node, id string) core.Answer {
+func (s *Sim) Cancel(n *node, id string) msg.Answer {
 	if j := s.world.Jobs[id]; j != nil {
 		j.Asked = true
 	}
-	a := s.Ask(n, func(req uint64) core.Input { return core.CancelIn{Req: req, ID: id} })
+	a := s.Ask(n, func(req uint64) msg.Input { return msg.CancelIn{Req: req, ID: id} })
 	s.judge(id, a)
 	return a
 }
 
 // judge watches what users are told.
-func (s *Sim) judge(id string, a core.Answer) {
+func (s *Sim) judge(id string, a msg.Answer) {
 	st, ok := a.Body.(wire.JobStatus)
 	if !ok {
 		if a.Status == 404 && s.told[id] != "" {
--- a/internal/scenario/scale_test.go
+++ b/internal/scenario/scale_test.go
@@ -6,6 +6,7 @@
 
 	"coralhub/internal/core"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/standin"
 	"coralhub/wire"
 )
@@ -46,18 +47,18 @@
 }
 
 // stepper hands inputs to a node at ever later times.
-func (s *Sim) stepper(n *node) func(standin.Micros, core.Input) []core.Effect {
+func (s *Sim) stepper(n *node) func(standin.Micros, msg.Input) []msg.Effect {
 	at := s.now - n.born + 1
-	return func(after standin.Micros, in core.Input) []core.Effect {
+	return func(after standin.Micros, in msg.Input) []msg.Effect {
 		at += after
 		return n.core.Step(at, in)
 	}
 }
 
 // reporter returns a report of a machine that repeats what it said before.
-func (s *Sim) reporter() func() core.Input {
+func (s *Sim) reporter() func() msg.Input {
 	m := s.world.Machines[s.world.Names()[0]]
-	return func() core.Input { return core.ReportIn{Req: 1, Report: m.Status(), Forwarded: true} }
+	return func() msg.Input { return msg.ReportIn{Req: 1, Report: m.Status(), Forwarded: true} }
 }
 
 // news returns a new version of the record of a job that waits.
@@ -97,14 +98,14 @@
 func BenchmarkPass(b *testing.B) {
 	atBothSizes(b, func(s *Sim, leader, _ *node) func() {
 		step, news := s.stepper(leader), s.news(b)
-		return func() { step(100*1000, core.Hint{Event: news()}) }
+		return func() { step(100*1000, msg.Hint{Event: news()}) }
 	})
 }
 
 func BenchmarkChange(b *testing.B) {
 	atBothSizes(b, func(s *Sim, _, other *node) func() {
 		step, news := s.stepper(other), s.news(b)
-		return func() { step(1, core.Changed{Events: []wire.Change{news()}}) }
+		return func() { step(1, msg.Changed{Events: []wire.Change{news()}}) }
 	})
 }
 
@@ -120,13 +121,13 @@
 		rev := s.state.Revision()
 		return func() {
 			c := core.New(s.config(other.name), 0)
-			c.Step(1, core.Snapshot{Items: kept, Revision: rev})
-			c.Step(standin.Second, core.Tick{Wall: s.now})
+			c.Step(1, msg.Snapshot{Items: kept, Revision: rev})
+			c.Step(standin.Second, msg.Tick{Wall: s.now})
 			ready := false
-			for _, e := range c.Step(standin.Second+1, core.LeaseDone{Outcome: core.OK, Lease: 99}) {
-				if claim, ok := e.(core.Commit); ok {
-					c.Step(standin.Second+2, core.CommitDone{ID: claim.ID, Outcome: core.OK, Revision: rev + 1})
-					c.Step(standin.Second+3, core.Snapshot{Items: kept, Revision: rev + 1})
+			for _, e := range c.Step(standin.Second+1, msg.LeaseDone{Outcome: msg.OK, Lease: 99}) {
+				if claim, ok := e.(msg.Commit); ok {
+					c.Step(standin.Second+2, msg.CommitDone{ID: claim.ID, Outcome: msg.OK, Revision: rev + 1})
+					c.Step(standin.Second+3, msg.Snapshot{Items: kept, Revision: rev + 1})
 					ready = true
 				}
 			}
@@ -145,7 +146,7 @@
 		s, leader, _ := busy(t, size.scale)
 		step, next := s.stepper(leader), s.reporter()
 		report[i] = testing.AllocsPerRun(200, func() { step(1, next()) })
-		quiet[i] = testing.AllocsPerRun(5, func() { step(1, core.PeerHeard{Node: "n9"}) })
+		quiet[i] = testing.AllocsPerRun(5, func() { step(1, msg.PeerHeard{Node: "n9"}) })
 	}
 	if report[1] > report[0]*1.1+2 {
 		t.Errorf("a report takes %v allocations at the earlier size and %v at the grown one", report[0], report[1])
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"coralhub/internal/core"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/standin"
 	"coralhub/wire"
 )
@@ -90,7 +91,7 @@
 	return x.Microseconds()
 }
 
-func describe(a core.Answer) string {
+func describe(a msg.Answer) string {
 	out := strconv.Itoa(a.Status)
 	if a.Status == 0 {
 		return "no answer\n"
@@ -117,7 +118,7 @@
 		}
 		return out
 	case "poll":
-		a := s.Ask(pick(t, s, d), func(req uint64) core.Input { return core.PollIn{Req: req, ID: id} })
+		a := s.Ask(pick(t, s, d), func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
 		s.judge(id, a)
 		return describe(a)
 	case "cancel":
@@ -210,7 +211,7 @@
 	if rented >= 0 {
 		return len(s.world.Machines) == rented
 	}
-	a := s.Ask(pick(t, s, d), func(req uint64) core.Input { return core.PollIn{Req: req, ID: id} })
+	a := s.Ask(pick(t, s, d), func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
 	s.judge(id, a)
 	st, ok := a.Body.(wire.JobStatus)
 	return ok && st.Status == want
@@ -223,12 +224,12 @@
 		s.late = m.Status()
 		return m.Name + "\n"
 	}
-	return describe(s.Ask(s.node(s.Leader()), func(req uint64) core.Input { return core.ReportIn{Req: req, Report: s.late, Forwarded: true} }))
+	return describe(s.Ask(s.node(s.Leader()), func(req uint64) msg.Input { return msg.ReportIn{Req: req, Report: s.late, Forwarded: true} }))
 }
 
 // estimates lists what a node knows of run times.
 func estimates(s *Sim, n *node) string {
-	a := s.Ask(n, func(req uint64) core.Input { return core.AdminIn{Req: req, What: core.AskEstimates} })
+	a := s.Ask(n, func(req uint64) msg.Input { return msg.AdminIn{Req: req, What: msg.AskEstimates} })
 	if e, ok := a.Body.(core.AdminError); ok {
 		return fmt.Sprintln(a.Status, e.Error, e.Leader)
 	}
@@ -243,7 +244,7 @@
 
 // outlook tells what a node knows of a job's deadline.
 func outlook(s *Sim, n *node, id string) string {
-	a := s.Ask(n, func(req uint64) core.Input { return core.AdminIn{Req: req, What: core.AskJob, ID: id} })
+	a := s.Ask(n, func(req uint64) msg.Input { return msg.AdminIn{Req: req, What: msg.AskJob, ID: id} })
 	o, ok := a.Body.(core.JobOutlook)
 	if !ok {
 		return fmt.Sprintln(a.Status)
