--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/http"
 
+	"coralhub/internal/core/front"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/estimate"
@@ -120,15 +121,15 @@
 
 func (c *Core) admin(x msg.AdminIn) {
 	if x.What == msg.AskGauges {
-		c.answer(x.Req, http.StatusOK, c.gauges())
+		c.box.Answer(x.Req, http.StatusOK, c.gauges())
 		return
 	}
 	if !c.ready {
-		c.emit(msg.Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", c.leader.node}, RetryAfter: retryAfter})
+		c.box.Emit(msg.Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", c.leader.node}, RetryAfter: 1})
 		return
 	}
 	if c.learning.model == nil {
-		c.answer(x.Req, http.StatusNotFound, AdminError{Error: "run times are not learnt: see the setting estimates"})
+		c.box.Answer(x.Req, http.StatusNotFound, AdminError{Error: "run times are not learnt: see the setting estimates"})
 		return
 	}
 	most := maxListed
@@ -137,16 +138,16 @@
 	}
 	switch x.What {
 	case msg.AskEstimates:
-		c.answer(x.Req, http.StatusOK, c.listEstimates(most))
+		c.box.Answer(x.Req, http.StatusOK, c.listEstimates(most))
 	case msg.AskRuns:
-		c.answer(x.Req, http.StatusOK, c.listRuns(x.From, most))
+		c.box.Answer(x.Req, http.StatusOK, c.listRuns(x.From, most))
 	case msg.AskJob:
 		j := c.jobs[x.ID]
 		if j == nil || j.Version == 0 {
-			c.answer(x.Req, http.StatusNotFound, AdminError{Error: "no such job"})
+			c.box.Answer(x.Req, http.StatusNotFound, AdminError{Error: "no such job"})
 			return
 		}
-		c.answer(x.Req, http.StatusOK, c.jobOutlook(j))
+		c.box.Answer(x.Req, http.StatusOK, c.jobOutlook(j))
 	}
 }
 
@@ -205,7 +206,7 @@
 }
 
 func (c *Core) jobOutlook(j *Job) JobOutlook {
-	st := c.status(j)
+	st := front.Status(j.Job)
 	out := JobOutlook{Job: JobState{ID: st.ID, Status: st.Status, Done: *st.Done, Running: *st.Running}}
 	spec := j.Rec.Spec
 	if spec == nil {
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -26,11 +26,11 @@
 	}
 	if !c.listing && c.now-c.lastList > c.listPeriod() {
 		c.listing, c.lastList = true, c.now
-		c.emit(msg.ListMachines{})
+		c.box.Emit(msg.ListMachines{})
 	}
 	if !c.inDoubt() {
 		for _, r := range c.fleet.Due(c.now) {
-			c.emit(msg.Rent{Request: r})
+			c.box.Emit(msg.Rent{Request: r})
 		}
 		c.returnMachines()
 	}
@@ -83,7 +83,7 @@
 		if !ok {
 			return
 		}
-		c.log("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(x.Machines))
+		c.box.Log("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(x.Machines))
 		for _, name := range x.Machines {
 			m := c.machine(name)
 			m.Describe("", r.Type, r.Zone, r.Spot)
@@ -152,7 +152,7 @@
 			continue
 		}
 		if m.ReleasedAt == 0 {
-			c.log("releasing", "machine", name, "why", why, "placements", len(c.expected[name]))
+			c.box.Log("releasing", "machine", name, "why", why, "placements", len(c.expected[name]))
 		}
 		m.Releasing, m.ReleasedAt = true, c.now
 		c.touch(m)
@@ -160,7 +160,7 @@
 	}
 	for len(names) > 0 {
 		n := min(len(names), wire.MaxRelease)
-		c.emit(msg.Release{Machines: names[:n:n]})
+		c.box.Emit(msg.Release{Machines: names[:n:n]})
 		names = names[n:]
 	}
 }
@@ -205,7 +205,7 @@
 		return config.FromSeconds(s)
 	}
 	keep := 20.0
-	if t := c.catalog[m.Type]; t != nil {
+	if t := c.catalog.Types[m.Type]; t != nil {
 		keep += 1.4 * t.BootS
 	}
 	return config.FromSeconds(keep)
@@ -213,7 +213,7 @@
 
 func (c *Core) bootLimit(m *zone.Machine) Micros {
 	boot := 60.0
-	if t := c.catalog[m.Type]; t != nil {
+	if t := c.catalog.Types[m.Type]; t != nil {
 		boot = t.BootS
 	}
 	return config.FromSeconds(boot*c.cfg.Settings.BootGiveUpTimes) + 5*config.Second
--- a/internal/core/commits.go
+++ b/internal/core/commits.go
@@ -97,10 +97,10 @@
 		}
 		if !j.tooLarge {
 			j.tooLarge = true
-			c.log("record too large to be written whole", "job", j.ID, "limit", c.room())
+			c.box.Log("record too large to be written whole", "job", j.ID, "limit", c.form.Room())
 		}
 		switch {
-		case j.Rec.Spec != nil && c.slim(&j.Rec):
+		case j.Rec.Spec != nil && c.book.Shorten(j.Job, c.catalog.Slim(j.Rec.Spec)):
 		case c.canPart(j):
 			j.parting = true
 		case len(j.plan) > 1 && j.Rec.Spec.Shape != wire.Gang:
@@ -119,28 +119,10 @@
 	}
 }
 
-// slim takes out of a description what no longer decides anything: machine types
-// that there are none of. It returns false if that is nothing.
-func (c *Core) slim(rec *job.Record) bool {
-	var known []string
-	for _, name := range rec.Spec.Types {
-		if c.catalog[name] != nil {
-			known = append(known, name)
-		}
-	}
-	if len(known) == len(rec.Spec.Types) || len(known) == 0 {
-		return false
-	}
-	spec := *rec.Spec
-	spec.Types = known
-	rec.Spec = &spec
-	return true
-}
-
 // canPart tells whether the tasks can be moved out of a job's record in one
 // transaction: if they are all in it.
 func (c *Core) canPart(j *Job) bool {
-	if j.parting || j.Rec.Apart || c.format < job.Grouped {
+	if j.parting || j.Rec.Apart || c.form.Format < job.Grouped {
 		return false
 	}
 	return !slices.ContainsFunc(j.Parts, func(p records.Part) bool { return p.Version != 0 })
@@ -149,7 +131,7 @@
 // putable tells whether every value of a transaction may be put.
 func (c *Core) putable(t *wire.Commit) bool {
 	for i := range t.Changes {
-		if t.Changes[i].Put != "" && !c.fits(t.Changes[i].Value) {
+		if t.Changes[i].Put != "" && !c.form.Fits(t.Changes[i].Value) {
 			return false
 		}
 	}
@@ -166,7 +148,7 @@
 	}
 	rec := j.Rec.Clone()
 	t := &txn{token: c.token, parts: map[int]job.Part{}}
-	room := c.ops() - 1
+	room := c.form.Ops() - 1
 	more, changed := false, false
 	if j.parting && !rec.Apart {
 		rec.Apart, t.whole, changed = true, true, true
@@ -278,7 +260,7 @@
 	}
 	rec.Count = max(rec.Count, done)
 	if err := c.fill(j, t, &rec); err != nil {
-		c.log("record not written", "job", j.ID, "error", err.Error())
+		c.box.Log("record not written", "job", j.ID, "error", err.Error())
 		return nil, false
 	}
 	return t, more
@@ -289,7 +271,7 @@
 // in how many parts. The parts are void from then on and deleted at leisure. With
 // the first format, whose readers take a part at its word, they go before.
 func (c *Core) finish(j *Job) *txn {
-	if c.format < job.Grouped {
+	if c.form.Format < job.Grouped {
 		return nil
 	}
 	done, open := j.Done, j.Open
@@ -317,7 +299,7 @@
 	}
 	t := &txn{token: c.token, closes: slices.Clone(j.closes), whole: true}
 	if err := c.fill(j, t, rec); err != nil {
-		c.log("record not written", "job", j.ID, "error", err.Error())
+		c.box.Log("record not written", "job", j.ID, "error", err.Error())
 		return nil
 	}
 	return t
@@ -326,7 +308,7 @@
 // leftover returns the deletion of what parts are left of a job that is over.
 func (c *Core) leftover(j *Job) (*txn, bool) {
 	t := &txn{token: c.token}
-	if !j.Over() || c.dropParts(j, t, c.ops()) == 0 {
+	if !j.Over() || c.dropParts(j, t, c.form.Ops()) == 0 {
 		return nil, false
 	}
 	t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: leaderKey, Version: c.token})
@@ -359,8 +341,8 @@
 	t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: leaderKey, Version: c.token}, wire.Guard{Key: key, Version: j.Version})
 	// A record that says nothing new is guarded and not written. In the first
 	// format it always is.
-	if t.whole || c.format < job.Grouped {
-		value, err := job.EncodeRecord(rec, c.format)
+	if t.whole || c.form.Format < job.Grouped {
+		value, err := job.EncodeRecord(rec, c.form.Format)
 		if err != nil {
 			return err
 		}
@@ -370,7 +352,7 @@
 	nums := slices.Sorted(maps.Keys(t.parts))
 	for _, n := range nums {
 		p := t.parts[n]
-		value, err := job.EncodePart(&p, c.format)
+		value, err := job.EncodePart(&p, c.form.Format)
 		if err != nil {
 			return err
 		}
@@ -385,7 +367,7 @@
 // the state service takes in about half a second. More would wait in a line that
 // knows no ranks.
 func (c *Core) mostWriting() int {
-	return max(c.ops(), int(c.cfg.Cluster.State.LeastWriteRPS()/2))
+	return max(c.form.Ops(), int(c.cfg.Cluster.State.LeastWriteRPS()/2))
 }
 
 func (c *Core) send(j *Job, t *txn) {
@@ -394,7 +376,7 @@
 	// An end that others wait for doesn't give way, nor does a cancellation that
 	// a job before this one has brought.
 	first := t.rec != nil && t.rec.Final() && (j.AwaitedBy() > 0 || j.Doomed())
-	c.transact(t.commit, !first, func(d msg.CommitDone) {
+	c.box.Transact(t.commit, !first, func(d msg.CommitDone) {
 		if reign == c.reign {
 			c.writing -= len(t.commit.Changes)
 		}
@@ -483,7 +465,7 @@
 			continue
 		}
 		j.retryAt = c.now + config.Second // unless the answer comes sooner
-		c.read(key, func(d msg.ReadDone) {
+		c.box.Read(key, func(d msg.ReadDone) {
 			if d.Outcome != msg.OK || !c.leading {
 				return
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,14 +11,15 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
+	"coralhub/internal/core/front"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
+	"coralhub/internal/core/outbox"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/records"
 	"coralhub/internal/core/zone"
@@ -34,33 +35,28 @@
 // Micros is a time or a duration in whole microseconds.
 type Micros = config.Micros
 
-// slackBytes is what values stay below the state service's limit.
-const slackBytes = 32
-
 // Core is one node's state.
 type Core struct {
 	cfg *config.Config
 	now Micros
-	out []msg.Effect
 	// The time of day less now, for the age of jobs that this node has not seen
 	// coming. It decides about ranks alone.
 	wallAhead Micros
 
-	nextID  uint64
-	commits map[uint64]func(msg.CommitDone)
-	reads   map[uint64]func(msg.ReadDone)
+	box     *outbox.Box
+	form    *records.Form
+	catalog *zone.Catalog
+	front   *front.Front
 
 	loaded         bool            // a first Snapshot has come
 	book           *records.Book   // what is committed about jobs
 	jobs           map[string]*Job // the same jobs, with what this node adds to them
 	active         []*Job          // jobs that have anything left, oldest first: passes must not cost more with every finished job
-	catalog        map[string]*wire.MachineType
 	catalogVersion uint64
 	catalogAsked   Micros
 
 	teams map[string]*config.Team
 
-	front
 	leadership
 	upgrade
 	ended endedLog
@@ -87,7 +83,6 @@
 	delayed   map[string]bool // those that can't be committed before the next tick
 	urgent    []*zone.Machine // those with commands that should not wait
 	writing   int             // changes to jobs on their way
-	tight     int             // values stay below this, see tighten
 	reign     uint64          // counts the times that this node began anew
 	counters  counters
 }
@@ -142,26 +137,26 @@
 func New(cfg *config.Config, seed uint64) *Core {
 	c := &Core{
 		cfg:     cfg,
-		commits: map[uint64]func(msg.CommitDone){},
-		reads:   map[uint64]func(msg.ReadDone){},
+		form:    records.NewForm(&cfg.Cluster.State),
+		catalog: &zone.Catalog{},
 		jobs:    map[string]*Job{},
 		teams:   map[string]*config.Team{},
 		dirty:   map[string]bool{},
-		tight:   math.MaxInt32,
 	}
+	c.box = outbox.New(c.malformed)
 	c.book = records.New(listener{c})
+	c.front = front.New(cfg, c.box, c.book, c.form, c.catalog, house{c})
 	for i := range cfg.Cluster.Teams {
 		t := &cfg.Cluster.Teams[i]
 		c.teams[t.Name] = t
 	}
-	c.waiting = map[string][]waiter{}
 	c.heard, c.visits, c.taken = map[string]Micros{}, map[string]visit{}, map[string]taken{}
 	c.mailbox, c.mailed = map[string]mailLine{}, map[string]mailLine{}
 	c.location = map[string]string{cfg.Node: cfg.Location}
 	for _, p := range cfg.Peers {
 		c.location[p.Node] = p.Location
 	}
-	c.upgrade = upgrade{format: job.Placements, announced: map[string]job.Format{}}
+	c.upgrade = upgrade{announced: map[string]job.Format{}}
 	c.jitter = Micros(seed % 200_000)
 	c.nonce = seed
 	c.resetLeader()
@@ -171,7 +166,7 @@
 // Step handles one input.
 func (c *Core) Step(now Micros, in msg.Input) []msg.Effect {
 	c.now = now
-	c.out = nil
+	c.box.Begin(now)
 	switch x := in.(type) {
 	case msg.Tick:
 		c.wallAhead = x.Wall - now
@@ -194,15 +189,9 @@
 	case msg.Hint:
 		c.hint(&x.Event)
 	case msg.CommitDone:
-		if f := c.commits[x.ID]; f != nil {
-			delete(c.commits, x.ID)
-			f(x)
-		}
+		c.box.CommitDone(x)
 	case msg.ReadDone:
-		if f := c.reads[x.ID]; f != nil {
-			delete(c.reads, x.ID)
-			f(x)
-		}
+		c.box.ReadDone(x)
 	case msg.LeaseDone:
 		c.leaseDone(x)
 	case msg.ReportIn:
@@ -218,11 +207,11 @@
 	case msg.ReleaseDone:
 		c.releaseDone(x)
 	case msg.SubmitIn:
-		c.submit(x)
+		c.front.Submit(x)
 	case msg.PollIn:
-		c.poll(x)
+		c.front.Poll(x)
 	case msg.CancelIn:
-		c.cancel(x)
+		c.front.Cancel(x)
 	case msg.AdminIn:
 		c.admin(x)
 	}
@@ -236,44 +225,13 @@
 		c.refreshMachines()
 		c.sendUrgent()
 	}
-	c.flushChecks()
-	return c.out
-}
-
-func (c *Core) emit(e msg.Effect) { c.out = append(c.out, e) }
-
-func (c *Core) log(text string, args ...any) { c.emit(msg.Log{Text: text, Args: args}) }
-
-func (c *Core) debug(text string, args ...any) { c.emit(msg.Log{Debug: true, Text: text, Args: args}) }
-
-// commit asks for a transaction that should not wait: somebody is to be answered
-// or a claim hangs on it.
-func (c *Core) commit(t wire.Commit, then func(msg.CommitDone)) { c.transact(t, false, then) }
-
-// commitLater asks for a transaction that gives way to those of commit when the
-// state service is short of changes.
-func (c *Core) commitLater(t wire.Commit, then func(msg.CommitDone)) { c.transact(t, true, then) }
-
-func (c *Core) transact(t wire.Commit, later bool, then func(msg.CommitDone)) {
-	c.nextID++
-	c.commits[c.nextID] = func(d msg.CommitDone) {
-		if d.Outcome == msg.Invalid {
-			c.tighten(&t)
-		}
-		then(d)
-	}
-	c.emit(msg.Commit{ID: c.nextID, Txn: t, Later: later})
-}
-
-func (c *Core) read(key string, then func(msg.ReadDone)) {
-	c.nextID++
-	c.reads[c.nextID] = then
-	c.emit(msg.Read{ID: c.nextID, Key: key})
+	c.front.Flush()
+	return c.box.End()
 }
 
 // tick does what is due by time alone.
 func (c *Core) tick() {
-	c.tickFront()
+	c.front.Tick()
 	c.forgetWorkers()
 	c.sendBeat()
 	c.sendMail()
@@ -281,9 +239,9 @@
 	c.tickLeadership()
 	// Without the machine types no job can be accepted: a node whose records don't have
 	// them asks at once.
-	if c.catalog == nil && c.loaded && (c.catalogAsked == 0 || c.now-c.catalogAsked > config.Second) || c.ready && c.now-c.catalogAsked > 30*config.Second {
+	if !c.catalog.Known() && c.loaded && (c.catalogAsked == 0 || c.now-c.catalogAsked > config.Second) || c.ready && c.now-c.catalogAsked > 30*config.Second {
 		c.catalogAsked = c.now
-		c.emit(msg.FetchCatalog{})
+		c.box.Emit(msg.FetchCatalog{})
 	}
 	if c.ready {
 		c.raiseFormat()
@@ -351,7 +309,7 @@
 		return
 	}
 	if _, err := c.book.Apply(ev); err != nil {
-		c.log("unreadable", "error", err.Error())
+		c.box.Log("unreadable", "error", err.Error())
 	}
 }
 
@@ -427,14 +385,11 @@
 }
 
 func (c *Core) setCatalog(cat *wire.Catalog) {
-	c.catalog = map[string]*wire.MachineType{}
+	c.catalog.Set(cat)
 	c.survey.whole = true
 	for _, j := range c.active {
 		j.types = typeSet{}
 	}
-	for i := range cat.Types {
-		c.catalog[cat.Types[i].Name] = &cat.Types[i]
-	}
 	c.passDue = true
 }
 
@@ -444,18 +399,18 @@
 	if x.Outcome != msg.OK || len(x.Catalog.Types) == 0 {
 		return
 	}
-	same := len(c.catalog) == len(x.Catalog.Types)
+	same := len(c.catalog.Types) == len(x.Catalog.Types)
 	for _, t := range x.Catalog.Types {
-		o := c.catalog[t.Name]
+		o := c.catalog.Types[t.Name]
 		same = same && o != nil && o.CPUs == t.CPUs && o.GPUs == t.GPUs && o.MemoryGB == t.MemoryGB
 	}
 	c.setCatalog(&x.Catalog)
 	if c.ready && (!same || c.catalogVersion == 0) {
 		value, err := job.Encode(&x.Catalog)
-		if err != nil || !c.fits(value) {
+		if err != nil || !c.form.Fits(value) {
 			return
 		}
-		c.commit(wire.Commit{Changes: []wire.Change{{Put: catalogKey, Value: value}}}, func(d msg.CommitDone) {
+		c.box.Commit(wire.Commit{Changes: []wire.Change{{Put: catalogKey, Value: value}}}, func(d msg.CommitDone) {
 			if d.Outcome == msg.OK && d.Revision > c.catalogVersion {
 				c.catalogVersion = d.Revision
 			}
@@ -463,29 +418,19 @@
 	}
 }
 
-// room is how large a value may be: within the limits that the state service has
-// and those that it will have, since nobody tells when they change.
-func (c *Core) room() int { return min(c.cfg.Cluster.State.ValueBytes(), c.tight) - slackBytes }
-
-// fits tells whether an encoded value may be put.
-func (c *Core) fits(value []byte) bool { return wire.JSONSize(value) <= c.room() }
-
-// ops is how many changes a transaction may have.
-func (c *Core) ops() int { return c.cfg.Cluster.State.Ops() }
-
-// tighten is told of a transaction that the state service has refused as
+// malformed is told of a transaction that the state service has refused as
 // malformed: a defect, or limits below those that this node was told of. The
 // same bytes must not be sent for ever; so values become smaller, down to a bound.
-func (c *Core) tighten(t *wire.Commit) {
+func (c *Core) malformed(t *wire.Commit) {
 	var puts []string
 	for i := range t.Changes {
 		if t.Changes[i].Put != "" {
 			puts = append(puts, t.Changes[i].Put)
 		}
 	}
-	c.log("refused as malformed by the state service", "puts", strings.Join(puts, " "), "value_bytes", c.room())
+	c.box.Log("refused as malformed by the state service", "puts", strings.Join(puts, " "), "value_bytes", c.form.Room())
 	if len(puts) == 0 {
 		return // no value is at fault
 	}
-	c.tight = max(1024, min(c.tight, c.cfg.Cluster.State.ValueBytes())*3/4)
+	c.form.Tighten()
 }
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -59,7 +59,7 @@
 		closing += len(j.closes)
 	}
 	n := &c.counters
-	c.debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held,
+	c.box.Debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held,
 		"writing", c.writing, "waiting", len(c.dirty)+len(c.delayed), "closing", closing, "log", len(c.ended.fresh),
 		usable, states[usable], quiet, states[quiet], mailed, states[mailed], sick, states[sick], booting, states[booting], leaving, states[leaving])
 	c.counters = counters{at: c.now}
--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -141,7 +141,7 @@
 		return false
 	}
 	c.visits[x.Report.Machine] = visit{sent: c.now}
-	c.answer(x.Req, http.StatusMisdirectedRequest, wire.Redirect{Node: home})
+	c.box.Answer(x.Req, http.StatusMisdirectedRequest, wire.Redirect{Node: home})
 	return true
 }
 
@@ -170,10 +170,10 @@
 		c.standIn(x)
 	case c.quiet(r):
 		c.beats = append(c.beats, msg.Heard{Machine: r.Machine, Session: r.Session, Seq: r.Seq})
-		c.answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.leader.version, Orders: []wire.Order{}})
+		c.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.leader.version, Orders: []wire.Order{}})
 	default:
 		delete(c.taken, r.Machine)
-		c.emit(msg.Forward{Req: x.Req, Node: c.leader.node, Report: *r})
+		c.box.Emit(msg.Forward{Req: x.Req, Node: c.leader.node, Report: *r})
 	}
 }
 
@@ -215,7 +215,7 @@
 	}
 	c.beatAt = c.now + beatEvery
 	if !c.ready && c.leader.node != "" && c.leader.node != c.cfg.Node {
-		c.emit(msg.Beat{Node: c.leader.node, Heard: c.beats})
+		c.box.Emit(msg.Beat{Node: c.leader.node, Heard: c.beats})
 	}
 	c.beats = nil
 }
@@ -224,7 +224,7 @@
 // answers with those whose next report it wants to see.
 func (c *Core) beatIn(x msg.BeatIn) {
 	if !c.ready {
-		c.later(x.Req, "not the leader")
+		c.box.Later(x.Req, "not the leader")
 		return
 	}
 	var wanted []string
@@ -238,7 +238,7 @@
 			c.reconsider(m)
 		}
 	}
-	c.answer(x.Req, http.StatusOK, wanted)
+	c.box.Answer(x.Req, http.StatusOK, wanted)
 }
 
 func (c *Core) beatDone(x msg.BeatDone) {
@@ -254,11 +254,11 @@
 		if len(x.Answer.Orders) == 0 && x.Answer.Token == c.leader.version {
 			c.taken[r.Machine] = taken{c.leader.version, r.Session, c.now, r.Tasks}
 		}
-		c.answer(x.Req, http.StatusOK, *x.Answer)
+		c.box.Answer(x.Req, http.StatusOK, *x.Answer)
 		return
 	}
 	if c.leading || c.leader.node == "" || c.leader.node == c.cfg.Node || r.Token > c.leader.version {
-		c.later(x.Req, "no leader")
+		c.box.Later(x.Req, "no leader")
 		return
 	}
 	c.standIn(msg.ReportIn{Req: x.Req, Report: x.Report})
@@ -269,7 +269,7 @@
 func (c *Core) standIn(x msg.ReportIn) {
 	r := &x.Report
 	if !c.fresh() {
-		c.later(x.Req, "not the leader")
+		c.box.Later(x.Req, "not the leader")
 		return
 	}
 	orders := []wire.Order{}
@@ -280,7 +280,7 @@
 		}
 		j := c.jobs[id]
 		if j == nil {
-			c.later(x.Req, "not the leader")
+			c.box.Later(x.Req, "not the leader")
 			return
 		}
 		if j.Rec.Cancel || j.Rec.Phase == job.Cancelled {
@@ -290,7 +290,7 @@
 	}
 	delete(c.taken, r.Machine)
 	c.mail(r)
-	c.answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.leader.version, Orders: orders})
+	c.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.leader.version, Orders: orders})
 }
 
 // mail puts a report into the leader's mail, unless it was sent a moment ago.
@@ -325,7 +325,7 @@
 		return lines[i].news(c.mailed[lines[i].Machine]) && !lines[j].news(c.mailed[lines[j].Machine])
 	})
 	value, err := job.Encode(lines)
-	for err == nil && !c.fits(value) {
+	for err == nil && !c.form.Fits(value) {
 		if len(lines) == 1 {
 			delete(c.mailbox, lines[0].Machine) // never fits: the leader has to hear of it otherwise
 			return
@@ -337,7 +337,7 @@
 		return
 	}
 	c.mailOut, c.mailAt = true, c.now+c.writePause(mailShare)
-	c.commit(wire.Commit{
+	c.box.Commit(wire.Commit{
 		Guards:  []wire.Guard{{Key: leaderKey, Version: c.leader.version}},
 		Changes: []wire.Change{{Put: mailPrefix + c.cfg.Node, Value: value}},
 	}, func(d msg.CommitDone) {
@@ -370,7 +370,7 @@
 			continue
 		}
 		if !m.Mailed {
-			c.debug("hearing of a worker by way of the state service", "machine", m.Name)
+			c.box.Debug("hearing of a worker by way of the state service", "machine", m.Name)
 		}
 		r := wire.Report{Machine: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 			Session: l.Session, Seq: l.Seq, Token: l.Token, NoticeS: l.NoticeS}
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -96,7 +96,7 @@
 func (c *Core) fitEnded(lines []records.Ended) []byte {
 	for n := len(c.ended.fresh); n > 0; n /= 2 {
 		value, err := job.Encode(append(lines[:len(lines):len(lines)], c.ended.fresh[:n]...))
-		if err == nil && c.fits(value) {
+		if err == nil && c.form.Fits(value) {
 			return value
 		}
 	}
@@ -105,7 +105,7 @@
 
 func (c *Core) sendEnded(t *wire.Commit) {
 	c.ended.out = true
-	c.commitLater(*t, func(d msg.CommitDone) {
+	c.box.CommitLater(*t, func(d msg.CommitDone) {
 		e := &c.ended
 		if !c.leading || e.txn != t {
 			return
@@ -125,7 +125,7 @@
 			}
 			if slices.Contains(d.Failed, key) { // an earlier sending has been applied after all
 				e.writeAt = c.now + commitPause
-				c.read(key, func(d msg.ReadDone) {
+				c.box.Read(key, func(d msg.ReadDone) {
 					if d.Outcome == msg.OK && d.Item.Version != 0 {
 						c.apply(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
 						c.logged()
@@ -184,7 +184,7 @@
 				continue
 			}
 			needed = true
-			if i == 0 && len(pages)*c.room() > maxLogBytes && !j.mergeNow {
+			if i == 0 && len(pages)*c.form.Room() > maxLogBytes && !j.mergeNow {
 				j.mergeNow = true
 				c.dirty[j.ID] = true
 			}
@@ -195,7 +195,7 @@
 		leaving := c.ended.leaving
 		leaving[n] = true
 		key := records.PageKey(n)
-		c.commitLater(wire.Commit{
+		c.box.CommitLater(wire.Commit{
 			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: p.Version}},
 			Changes: []wire.Change{{Delete: key}},
 		}, func(d msg.CommitDone) {
--- /dev/null
+++ b/internal/core/front/front.go
@@ -0,0 +1,600 @@
+// Package front answers users, at any node. Final phases are answered from memory; anything
+// else only after the state service has confirmed, after the question arrived, that
+// this node's copy is current.
+package front
+
+import (
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+	"sort"
+
+	"coralhub/internal/config"
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
+	"coralhub/internal/core/outbox"
+	"coralhub/internal/core/queue"
+	"coralhub/internal/core/records"
+	"coralhub/internal/core/zone"
+	"coralhub/wire"
+)
+
+// Deadlines of the users' requests, below what users wait.
+const (
+	pollDeadline   = 1500 * 1000
+	cancelDeadline = 400 * 1000
+)
+
+// checkEvery is the least time between two checks, so that polls share them: the
+// state service's requests are for all nodes and purposes.
+const checkEvery = 150 * 1000
+
+// maxChecks bounds the polls that wait for a check; more are refused at once.
+const maxChecks = 2000
+
+// Micros is a time or a duration in whole microseconds.
+type Micros = config.Micros
+
+// Node is what the front asks of the rest of its node.
+type Node interface {
+	// Refusal tells why the node doesn't serve; "": it does.
+	Refusal() string
+	// CurrentAt is when its copy of the records was last known to be current.
+	CurrentAt() Micros
+	// Heard takes a change that was read.
+	Heard(wire.Change)
+	// Wrote takes a change that this node has committed, and sees to it that the leader
+	// hears of it soon.
+	Wrote(wire.Change)
+}
+
+// Front is the users' side of a node. Polls that arrive together share one check.
+type Front struct {
+	cfg     *config.Config
+	teams   map[string]*config.Team
+	box     *outbox.Box
+	book    *records.Book
+	form    *records.Form
+	catalog *zone.Catalog
+	node    Node
+
+	checks   []poll
+	checking bool
+	checkAt  Micros              // when the next check may go out
+	waiting  map[string][]waiter // cancellations that wait for the leader
+}
+
+// New returns the front of a node.
+func New(cfg *config.Config, box *outbox.Box, book *records.Book, form *records.Form, catalog *zone.Catalog, node Node) *Front {
+	f := &Front{cfg: cfg, teams: map[string]*config.Team{}, box: box, book: book, form: form, catalog: catalog, node: node,
+		waiting: map[string][]waiter{}}
+	for i := range cfg.Cluster.Teams {
+		t := &cfg.Cluster.Teams[i]
+		f.teams[t.Name] = t
+	}
+	return f
+}
+
+type poll struct {
+	req   uint64
+	id    string
+	since Micros
+}
+
+type waiter struct {
+	req   uint64
+	until Micros
+}
+
+// Status tells a user about a job.
+func Status(j *records.Job) wire.JobStatus {
+	s := wire.JobStatus{ID: j.ID}
+	done, running := j.Rec.Count, 0
+	switch {
+	case j.Rec.Phase == job.Done:
+		s.Status = wire.Done
+		if j.Rec.Spec != nil {
+			done = j.Rec.Spec.Tasks
+		}
+	case j.Rec.Phase == job.Cancelled:
+		s.Status = wire.Cancelled
+	default:
+		done, running = j.Done, j.Open
+		s.Status = wire.Queued
+		if running > 0 {
+			s.Status = wire.Running
+		}
+	}
+	s.Done, s.Running = &done, &running
+	return s
+}
+
+// Submit handles POST /v1/jobs. A job is accepted once the creation of its
+// record, guarded against one that exists, has been confirmed.
+func (f *Front) Submit(x msg.SubmitIn) {
+	spec, err := wire.ParseJob(x.Body)
+	if spec.ID == "" {
+		f.box.Answer(x.Req, http.StatusBadRequest, wire.Error{Error: err.Error()})
+		return
+	}
+	if why := f.node.Refusal(); why != "" {
+		f.box.Later(x.Req, why)
+		return
+	}
+	if j := f.book.Job(spec.ID); j != nil && j.Rec.Final() {
+		f.box.Answer(x.Req, http.StatusOK, Status(j))
+		return
+	}
+	refusal, why := 0, ""
+	switch {
+	case err != nil:
+		refusal, why = http.StatusBadRequest, err.Error()
+	case !f.catalog.Known():
+		refusal, why = http.StatusServiceUnavailable, "machine types not known yet"
+	case f.needsService(&spec):
+		refusal, why = http.StatusUnprocessableEntity, "needs a service, which is never done"
+	case len(spec.Needs) > 0 && f.form.Upgrading():
+		// An older node would lose what the job needs.
+		refusal, why = http.StatusServiceUnavailable, "needed jobs are not taken before every node has been upgraded"
+	default:
+		refusal, why = f.impossible(&spec)
+	}
+	if j := f.book.Job(spec.ID); refusal != 0 || j != nil && j.Version != 0 {
+		f.refuse(x, spec.ID, refusal, why)
+		return
+	}
+	if len(spec.Needs) == 0 {
+		f.create(x, &spec)
+		return
+	}
+	f.needed(spec.Needs, func(missing string, o msg.Outcome) {
+		switch {
+		case o != msg.OK:
+			f.box.Later(x.Req, "state service not available")
+		case missing != "":
+			f.refuse(x, spec.ID, http.StatusUnprocessableEntity, "needs "+missing+", which was never accepted")
+		default:
+			f.create(x, &spec)
+		}
+	})
+}
+
+// needsService tells whether a submission names a service, as far as this node
+// knows. One that slips through waits, and is cancelled with the service.
+func (f *Front) needsService(spec *wire.Job) bool {
+	return slices.ContainsFunc(spec.Needs, func(id string) bool {
+		n := f.book.Job(id)
+		return n != nil && n.Rec.Spec != nil && n.Rec.Spec.Shape == wire.Service
+	})
+}
+
+// refuse answers a submission that can't be taken. Existence comes before
+// validity: a job that is known is answered with 200 whatever its retry holds.
+func (f *Front) refuse(x msg.SubmitIn, id string, refusal int, why string) {
+	f.current(x.Req, id, func(j *records.Job) {
+		switch {
+		case j != nil:
+			f.tellStatus(x.Req, j)
+		case refusal == 0 || refusal == http.StatusServiceUnavailable:
+			f.box.Later(x.Req, why)
+		default:
+			f.box.Answer(x.Req, refusal, wire.Error{Error: why})
+		}
+	})
+}
+
+// firstRecord is the record of a job as it is accepted, and its value. What it
+// needs is kept as far as it isn't done. If any of that is cancelled, so is the job
+// from the start.
+func (f *Front) firstRecord(x msg.SubmitIn, spec *wire.Job) (*job.Record, []byte, error) {
+	var left []string
+	for _, id := range spec.Needs {
+		n := f.book.Job(id) // nil: it exists, and its record is on its way here
+		if n != nil && (n.Rec.Phase == job.Cancelled || n.Doomed()) {
+			rec := &job.Record{Phase: job.Cancelled}
+			value, err := job.EncodeRecord(rec, f.form.Format)
+			return rec, value, err
+		}
+		if n == nil || n.Rec.Phase != job.Done {
+			left = append(left, id)
+		}
+	}
+	spec.Needs = left
+	rec := &job.Record{Spec: spec, Created: x.Wall}
+	value, err := job.EncodeRecord(rec, f.form.Format)
+	if err != nil {
+		return nil, nil, err
+	}
+	size := wire.JSONSize(value)
+	if size+recordRest > f.form.Room() && f.slim(rec) {
+		if value, err = job.EncodeRecord(rec, f.form.Format); err != nil {
+			return nil, nil, err
+		}
+		size = wire.JSONSize(value)
+	}
+	if f.form.Format < job.Grouped {
+		if size > f.roomBefore() {
+			return nil, nil, errTooLarge
+		}
+		return rec, value, nil
+	}
+	if size+recordRest > f.form.Room() {
+		return nil, nil, errTooLarge
+	}
+	tasks := min(spec.Tasks, job.PartTasks)
+	if spec.Shape != wire.Gang {
+		tasks = min(tasks, leastTasks) // the rest waits if need be
+	}
+	if rec.Apart = size+tasks*f.placementSize() > f.form.Room(); rec.Apart {
+		value, err = job.EncodeRecord(rec, f.form.Format)
+	}
+	return rec, value, err
+}
+
+// slim takes out of a record what no longer decides anything.
+func (f *Front) slim(rec *job.Record) bool {
+	spec := f.catalog.Slim(rec.Spec)
+	if spec != nil {
+		rec.Spec = spec
+	}
+	return spec != nil
+}
+
+var errTooLarge = errors.New("description too large")
+
+const (
+	// recordRest is what a record holds beside its description and placements.
+	recordRest = 120
+	// leastTasks is how many tasks of an array or a service a record has to have
+	// room for, or else they are kept apart.
+	leastTasks = 16
+	// placementBytes is what a placement takes at most, but for its zone, with a
+	// machine's name of usual length.
+	placementBytes = 46
+)
+
+func (f *Front) placementSize() int {
+	longest := 0
+	for _, z := range f.cfg.Cluster.Zones {
+		longest = max(longest, len(z))
+	}
+	return placementBytes + longest
+}
+
+// roomBefore is how large a description may be in the first format, whose parts
+// are never apart. Its limits are those that the state service has now: lower
+// ones come after the upgrade, when a record can be packed.
+func (f *Front) roomBefore() int {
+	return int(f.cfg.Cluster.State.ValueKB*1024) - job.PartTasks*(f.placementSize()-6) - recordRest
+}
+
+func (f *Front) create(x msg.SubmitIn, spec *wire.Job) {
+	rec, value, err := f.firstRecord(x, spec)
+	if err != nil {
+		f.box.Answer(x.Req, http.StatusBadRequest, wire.Error{Error: err.Error()})
+		return
+	}
+	status := wire.Queued
+	if rec.Final() {
+		status = wire.Cancelled
+	}
+	key := job.RecordKey(spec.ID)
+	f.box.Commit(wire.Commit{
+		Guards:  []wire.Guard{{Key: key, Version: 0}},
+		Changes: []wire.Change{{Put: key, Value: value}},
+	}, func(d msg.CommitDone) {
+		switch d.Outcome {
+		case msg.OK:
+			f.node.Wrote(wire.Change{Put: key, Value: value, Version: d.Revision})
+			f.box.Answer(x.Req, http.StatusCreated, wire.JobStatus{ID: spec.ID, Status: status})
+		case msg.Conflict:
+			f.refuse(x, spec.ID, 0, "try again")
+		case msg.Invalid:
+			f.box.Later(x.Req, "try again")
+		default:
+			f.box.Later(x.Req, "state service not available")
+		}
+	})
+}
+
+// impossible tells whether a job can never run: 422 and why, or 0.
+func (f *Front) impossible(s *wire.Job) (int, string) {
+	team := f.teams[s.Team]
+	if team == nil {
+		return http.StatusUnprocessableEntity, "unknown team"
+	}
+	need := 1.0
+	if s.Shape != wire.Array {
+		need = float64(s.Tasks)
+	}
+	if !queue.UnderLimit(team, queue.Amount{}.Plus(queue.Amount{CPUs: s.CPUs, GPUs: s.GPUs}, need)) {
+		return http.StatusUnprocessableEntity, "needs more than the team's limit"
+	}
+	if s.Zone != "" {
+		known := false
+		for _, z := range f.cfg.Cluster.Zones {
+			known = known || z == s.Zone
+		}
+		if !known {
+			return http.StatusUnprocessableEntity, "unknown zone"
+		}
+	}
+	if f.catalog.Runs(s) {
+		return 0, ""
+	}
+	return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
+}
+
+// current reads a job's record and hands the job over, nil if there is none;
+// when that can't be known it answers 503 itself.
+func (f *Front) current(req uint64, id string, then func(*records.Job)) {
+	f.box.Read(job.RecordKey(id), func(d msg.ReadDone) {
+		if d.Outcome != msg.OK {
+			f.box.Later(req, "state service not available")
+			return
+		}
+		if d.Item.Version == 0 {
+			then(nil)
+			return
+		}
+		f.node.Heard(wire.Change{Put: d.Item.Key, Value: d.Item.Value, Version: d.Item.Version})
+		then(f.book.Job(id))
+	})
+}
+
+// Poll handles GET /v1/jobs/{id}.
+func (f *Front) Poll(x msg.PollIn) {
+	switch {
+	case !wire.ValidJobID(x.ID):
+		f.box.Answer(x.Req, http.StatusNotFound, wire.Error{Error: "no such job"})
+	case f.node.Refusal() != "":
+		f.box.Later(x.Req, f.node.Refusal())
+	case f.book.Job(x.ID) != nil && f.book.Job(x.ID).Rec.Final():
+		f.box.Answer(x.Req, http.StatusOK, Status(f.book.Job(x.ID)))
+	case len(f.checks) >= maxChecks:
+		f.box.Later(x.Req, "too many requests")
+	default:
+		f.checks = append(f.checks, poll{x.Req, x.ID, f.box.Now()})
+	}
+}
+
+// Flush sends one check for the polls that wait, unless one is out.
+func (f *Front) Flush() {
+	if f.checking || len(f.checks) == 0 || f.box.Now() < f.checkAt {
+		return
+	}
+	most := wire.GuardFactor * f.form.Ops()
+	ids := map[string]uint64{}
+	n := 0
+	for ; n < len(f.checks) && len(ids) < most; n++ {
+		id := f.checks[n].id
+		ids[id] = 0
+		if j := f.book.Job(id); j != nil {
+			ids[id] = j.Version
+		}
+	}
+	batch := f.checks[:n:n]
+	f.checks = append([]poll(nil), f.checks[n:]...)
+	guards := make([]wire.Guard, 0, len(ids))
+	for id, v := range ids {
+		guards = append(guards, wire.Guard{Key: job.RecordKey(id), Version: v})
+	}
+	sort.Slice(guards, func(i, j int) bool { return guards[i].Key < guards[j].Key })
+	f.checking, f.checkAt = true, f.box.Now()+checkEvery
+	f.box.Commit(wire.Commit{Guards: guards}, func(d msg.CommitDone) {
+		f.checking = false
+		f.checked(batch, d)
+	})
+}
+
+func (f *Front) checked(batch []poll, d msg.CommitDone) {
+	failed := map[string]bool{}
+	for _, k := range d.Failed {
+		failed[k] = true
+	}
+	for _, p := range batch {
+		j := f.book.Job(p.id)
+		switch {
+		case d.Outcome != msg.OK && d.Outcome != msg.Conflict:
+			f.box.Later(p.req, "state service not available")
+		case j != nil && j.Rec.Final():
+			f.box.Answer(p.req, http.StatusOK, Status(j))
+		case failed[job.RecordKey(p.id)]:
+			f.current(p.req, p.id, func(j *records.Job) { f.answerPoll(p, j) })
+		case d.Outcome == msg.Conflict && len(failed) == 0:
+			f.box.Later(p.req, "try again")
+		default:
+			f.answerPoll(p, j)
+		}
+	}
+}
+
+func (f *Front) answerPoll(p poll, j *records.Job) {
+	if j == nil || j.Version == 0 { // nothing is known of it but that others need it
+		f.box.Answer(p.req, http.StatusNotFound, wire.Error{Error: "no such job"})
+		return
+	}
+	f.tellStatus(p.req, j)
+}
+
+// tellStatus answers with a job's state, which is known to be current. A job
+// before which one is cancelled is cancelled in its own record first: then every
+// node says the same from then on, whatever it knows of the others.
+func (f *Front) tellStatus(req uint64, j *records.Job) {
+	switch {
+	case j.Rec.Final():
+		f.box.Answer(req, http.StatusOK, Status(j))
+	case j.Doomed():
+		f.mark(req, j)
+	case f.stale(j):
+		f.box.Later(req, "not sure about the jobs that it needs")
+	default:
+		f.box.Answer(req, http.StatusOK, Status(j))
+	}
+}
+
+// Cancel handles POST /v1/jobs/{id}/withdraw. The mark is committed first and
+// stops all starting; the user hears "cancelled" once the leader has made sure
+// that every worker concerned will be stopped.
+func (f *Front) Cancel(x msg.CancelIn) {
+	if !wire.ValidJobID(x.ID) {
+		f.box.Answer(x.Req, http.StatusNotFound, wire.Error{Error: "no such job"})
+		return
+	}
+	if why := f.node.Refusal(); why != "" {
+		f.box.Later(x.Req, why)
+		return
+	}
+	if j := f.book.Job(x.ID); j != nil && j.Version != 0 {
+		switch {
+		case j.Rec.Final():
+			f.box.Answer(x.Req, http.StatusOK, wire.JobStatus{ID: j.ID, Status: Status(j).Status})
+			return
+		case !j.Rec.Cancel:
+			f.mark(x.Req, j)
+			return
+		}
+	}
+	f.current(x.Req, x.ID, func(j *records.Job) {
+		switch {
+		case j == nil:
+			f.box.Answer(x.Req, http.StatusNotFound, wire.Error{Error: "no such job"})
+		case j.Rec.Final():
+			f.box.Answer(x.Req, http.StatusOK, wire.JobStatus{ID: j.ID, Status: Status(j).Status})
+		case j.Rec.Cancel:
+			f.wait(x.Req, j)
+		default:
+			f.mark(x.Req, j)
+		}
+	})
+}
+
+func (f *Front) mark(req uint64, j *records.Job) {
+	rec := j.Rec.Clone()
+	rec.Cancel = true
+	if rec.Attempt == 0 || len(rec.Open) == 0 && rec.Spec.Tasks <= job.PartTasks && !rec.Apart {
+		// Nothing of it is on any machine, and the guard on the record's
+		// version keeps it so: no leader is needed.
+		rec.Phase, rec.Count = job.Cancelled, rec.Part.Count()
+		rec.Shrink()
+	}
+	value, err := job.EncodeRecord(&rec, f.form.Format)
+	if err == nil && !f.form.Fits(value) && rec.Spec != nil {
+		// Nothing of it starts again: what is only for placing may go.
+		spec := *rec.Spec
+		spec.Types, spec.Class, spec.Image, spec.Needs = nil, "", "", nil
+		rec.Spec = &spec
+		value, err = job.EncodeRecord(&rec, f.form.Format)
+	}
+	if err != nil || !f.form.Fits(value) {
+		f.box.Log("record too large to be marked", "job", j.ID, "limit", f.form.Room())
+		f.box.Later(req, "try again")
+		return
+	}
+	key := job.RecordKey(j.ID)
+	f.box.Commit(wire.Commit{
+		Guards:  []wire.Guard{{Key: key, Version: j.Version}},
+		Changes: []wire.Change{{Put: key, Value: value}},
+	}, func(d msg.CommitDone) {
+		switch d.Outcome {
+		case msg.OK:
+			f.node.Wrote(wire.Change{Put: key, Value: value, Version: d.Revision})
+			f.wait(req, j)
+		case msg.Conflict:
+			f.current(req, j.ID, func(j *records.Job) {
+				if j != nil && (j.Rec.Cancel || j.Rec.Final()) {
+					f.wait(req, j)
+					return
+				}
+				f.box.Later(req, "try again")
+			})
+		case msg.Invalid:
+			f.box.Later(req, "try again")
+		default:
+			f.box.Later(req, "state service not available")
+		}
+	})
+}
+
+// wait answers a cancellation once the job's phase is final, or with 503 when
+// that takes more than a moment.
+func (f *Front) wait(req uint64, j *records.Job) {
+	if j.Rec.Final() {
+		f.box.Answer(req, http.StatusOK, wire.JobStatus{ID: j.ID, Status: Status(j).Status})
+		return
+	}
+	f.waiting[j.ID] = append(f.waiting[j.ID], waiter{req, f.box.Now() + cancelDeadline})
+}
+
+// Ended answers who waits for a job to be over: its phase is final now.
+func (f *Front) Ended(j *records.Job) {
+	for _, w := range f.waiting[j.ID] {
+		f.box.Answer(w.req, http.StatusOK, wire.JobStatus{ID: j.ID, Status: Status(j).Status})
+	}
+	delete(f.waiting, j.ID)
+}
+
+// Tick gives up on requests that have waited too long.
+func (f *Front) Tick() {
+	keep := f.checks[:0]
+	for _, p := range f.checks {
+		if f.box.Now()-p.since > pollDeadline {
+			f.box.Later(p.req, "state service not available")
+			continue
+		}
+		keep = append(keep, p)
+	}
+	f.checks = keep
+	ids := slices.Sorted(maps.Keys(f.waiting))
+	for _, id := range ids {
+		left := f.waiting[id][:0]
+		for _, w := range f.waiting[id] {
+			if f.box.Now() >= w.until {
+				f.box.Later(w.req, "tasks are being stopped")
+				continue
+			}
+			left = append(left, w)
+		}
+		if f.waiting[id] = left; len(left) == 0 {
+			delete(f.waiting, id)
+		}
+	}
+}
+
+// stale tells whether this node can't know well enough whether a job that waits
+// for others is still to be called queued.
+func (f *Front) stale(j *records.Job) bool {
+	return j.Waits() && f.box.Now()-f.node.CurrentAt() > config.FromSeconds(f.cfg.Cluster.Workers.CancelS)/4
+}
+
+// needed hands over which of the ids were never accepted, as the state service
+// confirms it now: this node's copy may lag, and users submit a job as soon as
+// those that it needs are accepted, perhaps by another node.
+func (f *Front) needed(ids []string, then func(missing string, o msg.Outcome)) {
+	batch := f.book.Unknown(ids)
+	if len(batch) == 0 {
+		then("", msg.OK)
+		return
+	}
+	batch = batch[:min(len(batch), wire.GuardFactor*f.form.Ops())]
+	t := wire.Commit{}
+	for _, id := range batch {
+		t.Guards = append(t.Guards, wire.Guard{Key: job.RecordKey(id)})
+	}
+	f.box.Commit(t, func(d msg.CommitDone) {
+		if d.Outcome != msg.OK && (d.Outcome != msg.Conflict || len(d.Failed) == 0) {
+			then("", msg.Unknown)
+			return
+		}
+		left := slices.Clone(ids)
+		for _, id := range batch {
+			if d.Outcome == msg.OK || !slices.Contains(d.Failed, job.RecordKey(id)) {
+				then(id, msg.OK)
+				return
+			}
+			left = slices.DeleteFunc(left, func(o string) bool { return o == id })
+		}
+		f.needed(left, then)
+	})
+}
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -81,7 +81,7 @@
 	if value == nil {
 		return
 	}
-	c.commitLater(wire.Commit{
+	c.box.CommitLater(wire.Commit{
 		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}},
 		Changes: []wire.Change{{Put: hintPrefix + strconv.Itoa(n), Value: value}},
 	}, func(d msg.CommitDone) { p.changed = p.changed || d.Outcome != msg.OK })
@@ -103,7 +103,7 @@
 		switch {
 		case err != nil:
 			return nil
-		case c.fits(value):
+		case c.form.Fits(value):
 			return value
 		case most == 0:
 			hints = hints[:len(hints)*7/8]
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -56,7 +56,7 @@
 	c.letGo()
 	if c.lease != 0 && !c.renewing && c.now-c.renewSent > c.leaseTTL()/4 {
 		c.renewing, c.renewSent = true, c.now
-		c.emit(msg.RenewLease{Lease: c.lease})
+		c.box.Emit(msg.RenewLease{Lease: c.lease})
 	}
 	if c.leader.version != 0 || c.leading || c.claiming || c.now-c.absent < c.jitter {
 		return
@@ -64,7 +64,7 @@
 	if c.lease == 0 {
 		if !c.leasing {
 			c.leasing = true
-			c.emit(msg.GrantLease{TTL: c.leaseTTL()})
+			c.box.Emit(msg.GrantLease{TTL: c.leaseTTL()})
 		}
 		return
 	}
@@ -108,7 +108,7 @@
 
 func (c *Core) makeClaim() {
 	c.claiming = true
-	c.commit(c.claimOver(0), func(d msg.CommitDone) {
+	c.box.Commit(c.claimOver(0), func(d msg.CommitDone) {
 		c.claiming = false
 		switch d.Outcome {
 		case msg.OK:
@@ -120,7 +120,7 @@
 				c.lead(c.leader.version) // the watch was faster than the answer
 				return
 			}
-			c.emit(msg.Relist{}) // the listing tells whether a claim went through
+			c.box.Emit(msg.Relist{}) // the listing tells whether a claim went through
 		}
 	})
 }
@@ -135,8 +135,8 @@
 	c.leading, c.token, c.baseToken, c.since = true, token, token, c.now
 	c.leader.node, c.leader.version, c.leader.nonce = c.cfg.Node, token, c.nonce
 	c.takeovers++
-	c.log("leading", "token", token)
-	c.emit(msg.Relist{})
+	c.box.Log("leading", "token", token)
+	c.box.Emit(msg.Relist{})
 }
 
 // afterSnapshot completes a takeover.
@@ -174,7 +174,7 @@
 	c.startLearning()
 	c.passDue = true
 	c.lastList = 0
-	c.log("records read", "open_placements", open, "machines", c.machines.Len(), "after_ms", (c.now-c.since)/1000)
+	c.box.Log("records read", "open_placements", open, "machines", c.machines.Len(), "after_ms", (c.now-c.since)/1000)
 }
 
 // stepDown ends a reign. The core forgets what only the leader needs; a later
@@ -183,10 +183,10 @@
 	if !c.leading {
 		return
 	}
-	c.log("no longer leading", "why", why, "token", c.token)
+	c.box.Log("no longer leading", "why", why, "token", c.token)
 	c.lease = 0 // never renewed again: a claim that is left behind ends with it
 	c.resetLeader()
-	c.emit(msg.Relist{})
+	c.box.Emit(msg.Relist{})
 }
 
 func (c *Core) resetLeader() {
@@ -292,7 +292,7 @@
 func (c *Core) raise() {
 	c.raising, c.wantRaise, c.raised = true, false, c.now
 	old := c.token
-	c.commit(c.claimOver(old), func(d msg.CommitDone) {
+	c.box.Commit(c.claimOver(old), func(d msg.CommitDone) {
 		if !c.leading || c.token != old {
 			return
 		}
@@ -301,7 +301,7 @@
 		case msg.OK:
 			c.token = d.Revision
 			c.leader.version, c.leader.nonce = d.Revision, c.nonce
-			c.log("token raised", "from", old, "to", c.token)
+			c.box.Log("token raised", "from", old, "to", c.token)
 		case msg.Refused, msg.Invalid:
 			c.wantRaise = true
 		default:
--- a/internal/core/learning.go
+++ b/internal/core/learning.go
@@ -97,7 +97,7 @@
 		chunk, err := estimate.Decode(v.raw)
 		if err != nil {
 			v.aside = errors.Is(err, estimate.ErrVersion)
-			c.log("learnt run times set aside", "key", learntPrefix+strconv.Itoa(n), "error", err.Error())
+			c.box.Log("learnt run times set aside", "key", learntPrefix+strconv.Itoa(n), "error", err.Error())
 			continue
 		}
 		chunks = append(chunks, chunk)
@@ -124,10 +124,10 @@
 			continue
 		}
 		l.next, l.writeAt = n+1, c.now+learntEvery
-		value, err := l.model.Encode(n, func(raw []byte) bool { return wire.JSONSize(raw) <= int(float64(c.room())*learntPart) })
+		value, err := l.model.Encode(n, func(raw []byte) bool { return wire.JSONSize(raw) <= int(float64(c.form.Room())*learntPart) })
 		observed := l.model.Observed()
 		if err != nil {
-			c.log("learnt run times not written", "error", err.Error())
+			c.box.Log("learnt run times not written", "error", err.Error())
 			return
 		}
 		if value == nil {
@@ -136,7 +136,7 @@
 		}
 		v.out = true
 		key := learntPrefix + strconv.Itoa(n)
-		c.commitLater(wire.Commit{
+		c.box.CommitLater(wire.Commit{
 			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: v.version}},
 			Changes: []wire.Change{{Put: key, Value: value}},
 		}, func(d msg.CommitDone) {
@@ -460,7 +460,7 @@
 			continue
 		}
 		if j.verdict != "" || v != verdictSafe {
-			c.debug("deadline", "job", j.ID, "class", j.Rec.Spec.Class, "is", v, "was", j.verdict, "chance", math.Round(chance*100)/100)
+			c.box.Debug("deadline", "job", j.ID, "class", j.Rec.Spec.Class, "is", v, "was", j.verdict, "chance", math.Round(chance*100)/100)
 		}
 		j.verdict, j.chance = v, chance
 	}
@@ -493,7 +493,7 @@
 		return
 	}
 	boot := 0.0
-	for _, t := range c.catalog {
+	for _, t := range c.catalog.Types {
 		if boot == 0 || t.BootS < boot {
 			boot = t.BootS
 		}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -48,7 +48,7 @@
 // place waits; the next is tried.
 func (c *Core) pass() {
 	c.passDue, c.lastPass, c.passAt = false, c.now, 0
-	if c.catalog == nil || c.raising {
+	if !c.catalog.Known() || c.raising {
 		return
 	}
 	s := c.surveyAll()
@@ -167,8 +167,8 @@
 	switch {
 	case j.Rec.Spec.Shape == wire.Gang:
 		most = j.Rec.Spec.Tasks
-	case c.format >= job.Grouped:
-		most = job.PartTasks * (c.ops() - 1)
+	case c.form.Format >= job.Grouped:
+		most = job.PartTasks * (c.form.Ops() - 1)
 	}
 	tasks := j.Rec.Spec.Tasks
 	var out []int
@@ -261,7 +261,7 @@
 				Session: r.Machine.Session, Zone: r.Machine.Zone})
 		}
 		if commit {
-			c.debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Rooms), "warm", bid.Warm, "zone", bid.Zone,
+			c.box.Debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Rooms), "warm", bid.Warm, "zone", bid.Zone,
 				"age_ms", (c.now-j.arrived)/1000, "level", e.Level)
 			c.dirty[j.ID] = true
 		}
@@ -311,8 +311,8 @@
 	spec := j.Rec.Spec
 	if j.types.set == nil {
 		j.types.set = map[string]bool{}
-		for name, t := range c.catalog {
-			if fits(spec, t) && allowed(spec, t) {
+		for name, t := range c.catalog.Types {
+			if zone.Allows(spec, t) {
 				j.types.set[name] = true
 			}
 		}
@@ -460,9 +460,9 @@
 	}
 	c.soonFree(s)
 	booting, count := c.kinds()
-	types := make([]*wire.MachineType, 0, len(c.catalog))
-	for _, name := range slices.Sorted(maps.Keys(c.catalog)) {
-		types = append(types, c.catalog[name])
+	types := make([]*wire.MachineType, 0, len(c.catalog.Types))
+	for _, name := range slices.Sorted(maps.Keys(c.catalog.Types)) {
+		types = append(types, c.catalog.Types[name])
 	}
 	for i := range s.needs { // more of the same arrives while the machines boot
 		n := &s.needs[i]
@@ -471,6 +471,6 @@
 	rent := c.fleet.Plan(c.now, s.needs, booting, count, types)
 	c.fleet.Ask(c.token, rent)
 	for _, r := range c.fleet.Due(c.now) {
-		c.emit(msg.Rent{Request: r})
+		c.box.Emit(msg.Rent{Request: r})
 	}
 }
--- a/internal/core/records/records.go
+++ b/internal/core/records/records.go
@@ -180,6 +180,18 @@
 	b.to.Stored(j)
 }
 
+// Shorten replaces a job's description by a shorter one that decides the same; nil: there
+// is none, and it returns false.
+func (b *Book) Shorten(j *Job, spec *wire.Job) bool {
+	if spec != nil {
+		j.Rec.Spec = spec
+	}
+	return spec != nil
+}
+
+// Job returns a job; nil: nothing is known of it.
+func (b *Book) Job(id string) *Job { return b.jobs[id] }
+
 // Over tells whether a job is over and nothing is left of it but its phase.
 func (j *Job) Over() bool { return j.Rec.Final() && j.Rec.Spec == nil }
 
--- a/internal/core/book.go
+++ b/internal/core/rooms.go
@@ -2,7 +2,9 @@
 
 import (
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
 	"coralhub/internal/core/records"
+	"coralhub/wire"
 )
 
 // listener passes what the records say on to the roles.
@@ -34,7 +36,7 @@
 		j.stops, j.started, j.failedOn, j.closes, j.reserved = nil, nil, nil, nil, nil
 		j.runs = runs{}
 	}
-	l.c.answerWaiters(j)
+	l.c.front.Ended(r)
 }
 
 func (l listener) Changed(r *records.Job) {
@@ -65,3 +67,35 @@
 		c.dirty[j.ID] = true
 	}
 }
+
+// house is what the front knows of the rest of its node.
+type house struct{ c *Core }
+
+func (h house) Refusal() string      { return h.c.refusal() }
+func (h house) CurrentAt() Micros    { return h.c.currentAt }
+func (h house) Heard(ev wire.Change) { h.c.apply(&ev) }
+
+func (h house) Wrote(ev wire.Change) {
+	h.c.apply(&ev)
+	if l := h.c.leader.node; l != "" && l != h.c.cfg.Node {
+		h.c.box.Emit(msg.Tell{Node: l, Event: ev})
+	}
+}
+
+// refusal tells why this node doesn't serve; "": it does.
+func (c *Core) refusal() string {
+	switch {
+	case c.foreign:
+		return "the records are of a later version"
+	case !c.loaded:
+		return "starting"
+	}
+	return ""
+}
+
+// hint takes what another node has just written, ahead of the watch.
+func (c *Core) hint(ev *wire.Change) {
+	if id, n, ok := job.ParseKey(ev.Put); ok && n == 0 && id != "" && c.loaded {
+		c.apply(ev)
+	}
+}
--- a/internal/core/survey.go
+++ b/internal/core/survey.go
@@ -140,7 +140,7 @@
 
 // offers tells whether a machine may be given work at all.
 func (c *Core) offers(m *zone.Machine) bool {
-	return c.survey.byName[m.Zone] != nil && c.catalog[m.Type] != nil && m.Session != 0 && m.Token >= c.baseToken && !m.Releasing &&
+	return c.survey.byName[m.Zone] != nil && c.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= c.baseToken && !m.Releasing &&
 		!m.Failed && m.NoticeAt == 0 && !c.sick(m) && c.now-m.Spoke <= c.suspectAfter()
 }
 
@@ -253,7 +253,7 @@
 		return
 	}
 	c.addUp(m, open, plans)
-	t := c.catalog[m.Type]
+	t := c.catalog.Types[m.Type]
 	m.Room = &zone.Room{Machine: m, Zone: m.Zone, Idle: len(open) == 0,
 		Free: zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}.Plus(m.Used, -1)}
 	s.byName[m.Zone].Put(m.Room)
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -27,7 +27,6 @@
 }
 
 type upgrade struct {
-	format        job.Format // in force, as far as this node knows
 	formatVersion uint64
 	announced     map[string]job.Format // by node
 	formatAt      Micros                // when to try again
@@ -39,12 +38,12 @@
 	if ev.Put == "" || ev.Version <= c.formatVersion || job.Decode(ev.Value, &m) != nil {
 		return
 	}
-	c.format, c.formatVersion = m.Format, ev.Version
+	c.form.Format, c.formatVersion = m.Format, ev.Version
 	c.passDue = true
 	if m.Format > job.Newest && !c.foreign {
 		c.foreign = true
-		c.log("not serving: the records have a later format", "format", int(m.Format), "newest_known", int(job.Newest))
-		c.emit(msg.Retire{})
+		c.box.Log("not serving: the records have a later format", "format", int(m.Format), "newest_known", int(job.Newest))
+		c.box.Emit(msg.Retire{})
 		c.stepDown("records of a later version")
 	}
 }
@@ -63,7 +62,7 @@
 		panic(err) // a struct of a number always encodes
 	}
 	c.formatAt = c.now + formatPause
-	c.commit(wire.Commit{Guards: guards, Changes: []wire.Change{{Put: key, Value: value}}}, func(d msg.CommitDone) {
+	c.box.Commit(wire.Commit{Guards: guards, Changes: []wire.Change{{Put: key, Value: value}}}, func(d msg.CommitDone) {
 		if d.Outcome == msg.OK {
 			c.apply(&wire.Change{Put: key, Value: value, Version: d.Revision})
 			then(d)
@@ -77,30 +76,27 @@
 		return
 	}
 	c.putFormat(announcePrefix+c.cfg.Node, job.Newest, nil, func(msg.CommitDone) {
-		c.log("announced", "reads_format", int(job.Newest))
+		c.box.Log("announced", "reads_format", int(job.Newest))
 	})
 }
 
 // raiseFormat raises the format if every node reads a later one.
 func (c *Core) raiseFormat() {
-	if c.format >= job.Newest || c.raising || c.now < c.formatAt {
+	if c.form.Format >= job.Newest || c.raising || c.now < c.formatAt {
 		return
 	}
 	least := c.announced[c.cfg.Node]
 	for _, p := range c.cfg.Peers {
 		least = min(least, c.announced[p.Node])
 	}
-	if least = min(least, job.Newest); least <= c.format {
+	if least = min(least, job.Newest); least <= c.form.Format {
 		return
 	}
 	guards := []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: formatKey, Version: c.formatVersion}}
 	c.putFormat(formatKey, least, guards, func(msg.CommitDone) {
-		c.log("format raised: no way back to older versions", "format", int(least))
+		c.box.Log("format raised: no way back to older versions", "format", int(least))
 	})
 }
 
-// upgrading tells whether the format is still to be raised.
-func (c *Core) upgrading() bool { return c.format < job.Newest }
-
 // serving tells whether this node may answer users and workers.
 func (c *Core) serving() bool { return c.loaded && !c.foreign }
--- a/internal/core/upgrade_test.go
+++ b/internal/core/upgrade_test.go
@@ -128,7 +128,7 @@
 	}
 	for _, f := range []job.Format{job.Placements, job.Grouped} {
 		value, err := job.EncodeRecord(&rec, f)
-		if err != nil || wire.JSONSize(value) > 2048-slackBytes {
+		if form := records.NewForm(&config.State{ValueKB: 2, TxnOps: 8}); err != nil || !form.Fits(value) {
 			t.Errorf("format %d: %v, %d bytes", f, err, wire.JSONSize(value))
 		}
 	}
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -36,7 +36,7 @@
 func (c *Core) report(x msg.ReportIn) {
 	r := &x.Report
 	if c.foreign {
-		c.later(x.Req, laterVersion)
+		c.box.Later(x.Req, c.refusal())
 		return
 	}
 	if !c.ready {
@@ -44,16 +44,16 @@
 			c.relay(x)
 			return
 		}
-		c.later(x.Req, "no leader")
+		c.box.Later(x.Req, "no leader")
 		return
 	}
 	if r.Token > c.token && !c.raising {
-		c.answer(x.Req, http.StatusMisdirectedRequest, wire.Redirect{})
+		c.box.Answer(x.Req, http.StatusMisdirectedRequest, wire.Redirect{})
 		c.stepDown("a worker has seen a higher token")
 		return
 	}
 	if r.Machine == "" || r.Session == 0 {
-		c.answer(x.Req, http.StatusBadRequest, wire.Error{Error: "no machine or session"})
+		c.box.Answer(x.Req, http.StatusBadRequest, wire.Error{Error: "no machine or session"})
 		return
 	}
 	if !x.Forwarded && c.sendHome(x) {
@@ -61,7 +61,7 @@
 	}
 	m := c.machine(r.Machine)
 	if !c.ingest(m, r, true) {
-		c.later(x.Req, "older than another report")
+		c.box.Later(x.Req, "older than another report")
 		return
 	}
 	orders := c.orders(m, true)
@@ -71,7 +71,7 @@
 			break
 		}
 	}
-	c.answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.token, Orders: orders})
+	c.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.token, Orders: orders})
 }
 
 // ingest takes what a worker has told this node itself.
@@ -94,7 +94,7 @@
 	}
 	if first {
 		c.touch(m)
-		c.log("worker joined", "machine", m.Name, "zone", m.Zone, "spot", m.Spot, "after_ms", (c.now-m.Rented)/1000)
+		c.box.Log("worker joined", "machine", m.Name, "zone", m.Zone, "spot", m.Spot, "after_ms", (c.now-m.Rented)/1000)
 		c.noteMachine(m.Name)
 		c.passDue = true
 	}
@@ -150,7 +150,7 @@
 	if _, ok := j.started[key.Task]; !ok {
 		j.started[key.Task] = c.now
 		if spec := j.Rec.Spec; spec != nil && len(j.started) == spec.Tasks {
-			c.debug("all tasks run", "job", j.ID, "class", spec.Class, "age_ms", (c.now-j.arrived)/1000)
+			c.box.Debug("all tasks run", "job", j.ID, "class", spec.Class, "age_ms", (c.now-j.arrived)/1000)
 		}
 	}
 	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang {
@@ -203,7 +203,7 @@
 	j.failedOn[m.Name] = c.now + 120*config.Second
 	if c.sick(m) {
 		if !wasSick {
-			c.log("machine fails its tasks", "machine", m.Name)
+			c.box.Log("machine fails its tasks", "machine", m.Name)
 		}
 		return
 	}
@@ -320,7 +320,7 @@
 			c.hurry(m)
 		}
 	})
-	c.debug("stopping", "job", j.ID, "why", why)
+	c.box.Debug("stopping", "job", j.ID, "why", why)
 }
 
 const directPause = config.Second
@@ -364,9 +364,9 @@
 	for _, o := range orders {
 		start = start || o.Verb == wire.Start
 	}
-	c.nextID++
-	m.SentDirect(c.now, c.nextID, c.token, start)
-	c.emit(msg.Command{ID: c.nextID, Machine: m.Name, Addr: m.Addr, Commands: wire.Commands{Token: c.token, Session: max(m.Session, 1), Orders: orders}})
+	id := c.box.NextID()
+	m.SentDirect(c.now, id, c.token, start)
+	c.box.Emit(msg.Command{ID: id, Machine: m.Name, Addr: m.Addr, Commands: wire.Commands{Token: c.token, Session: max(m.Session, 1), Orders: orders}})
 }
 
 func (c *Core) commandDone(x msg.CommandDone) {
