Core in rooms: claim, a key held by a lease

What the node does to lead is a machine of its own for any key, so that zones can be claimed by the same; the core hears that it was won, lost or passed on.

--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -125,7 +125,7 @@
 		return
 	}
 	if !c.ready {
-		c.box.Emit(msg.Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", c.leader.node}, RetryAfter: 1})
+		c.box.Emit(msg.Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", c.claim.Holder().Node}, RetryAfter: 1})
 		return
 	}
 	if c.learning.model == nil {
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -13,7 +13,7 @@
 // on the lists to be looked at again is left out. It is for tests: a change that
 // nobody has put on a list would show here.
 func (c *Core) Audit() error {
-	if !c.ready || c.survey.whole || c.raising {
+	if !c.ready || c.survey.whole || c.claim.Raising() {
 		return nil
 	}
 	used := map[string]queue.Amount{}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -21,14 +21,12 @@
 	c.keepLearnt()
 	c.announce()
 	c.probe()
-	if c.wantRaise && !c.raising && c.now-c.raised > 2*config.Second {
-		c.raise()
-	}
+	c.claim.RaiseIfWanted()
 	if !c.listing && c.now-c.lastList > c.listPeriod() {
 		c.listing, c.lastList = true, c.now
 		c.box.Emit(msg.ListMachines{})
 	}
-	if !c.inDoubt() {
+	if !c.claim.InDoubt() {
 		for _, r := range c.fleet.Due(c.now) {
 			c.box.Emit(msg.Rent{Request: r})
 		}
--- a/internal/core/commits.go
+++ b/internal/core/commits.go
@@ -65,7 +65,7 @@
 	if j.Version == 0 {
 		return true // its record has not come yet
 	}
-	if j.txn != nil || c.now < j.retryAt || c.raising {
+	if j.txn != nil || c.now < j.retryAt || c.claim.Raising() {
 		return false
 	}
 	c.assure(j)
@@ -147,7 +147,7 @@
 		return t, true
 	}
 	rec := j.Rec.Clone()
-	t := &txn{token: c.token, parts: map[int]job.Part{}}
+	t := &txn{token: c.claim.Token(), parts: map[int]job.Part{}}
 	room := c.form.Ops() - 1
 	more, changed := false, false
 	if j.parting && !rec.Apart {
@@ -297,7 +297,7 @@
 	default:
 		return nil
 	}
-	t := &txn{token: c.token, closes: slices.Clone(j.closes), whole: true}
+	t := &txn{token: c.claim.Token(), closes: slices.Clone(j.closes), whole: true}
 	if err := c.fill(j, t, rec); err != nil {
 		c.box.Log("record not written", "job", j.ID, "error", err.Error())
 		return nil
@@ -307,11 +307,11 @@
 
 // leftover returns the deletion of what parts are left of a job that is over.
 func (c *Core) leftover(j *Job) (*txn, bool) {
-	t := &txn{token: c.token}
+	t := &txn{token: c.claim.Token()}
 	if !j.Over() || c.dropParts(j, t, c.form.Ops()) == 0 {
 		return nil, false
 	}
-	t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: leaderKey, Version: c.token})
+	t.commit.Guards = append(t.commit.Guards, c.claim.Guard())
 	j.retryAt = c.now + dropPause
 	return t, true
 }
@@ -338,7 +338,7 @@
 // fill turns the new values into guards and changes.
 func (c *Core) fill(j *Job, t *txn, rec *job.Record) error {
 	key := job.RecordKey(j.ID)
-	t.commit.Guards = append(t.commit.Guards, wire.Guard{Key: leaderKey, Version: c.token}, wire.Guard{Key: key, Version: j.Version})
+	t.commit.Guards = append(t.commit.Guards, c.claim.Guard(), wire.Guard{Key: key, Version: j.Version})
 	// A record that says nothing new is guarded and not written. In the first
 	// format it always is.
 	if t.whole || c.form.Format < job.Grouped {
@@ -371,16 +371,16 @@
 }
 
 func (c *Core) send(j *Job, t *txn) {
-	reign := c.reign
+	reign := c.reigns
 	c.writing += len(t.commit.Changes)
 	// An end that others wait for doesn't give way, nor does a cancellation that
 	// a job before this one has brought.
 	first := t.rec != nil && t.rec.Final() && (j.AwaitedBy() > 0 || j.Doomed())
 	c.box.Transact(t.commit, !first, func(d msg.CommitDone) {
-		if reign == c.reign {
+		if reign == c.reigns {
 			c.writing -= len(t.commit.Changes)
 		}
-		if !c.leading || j.txn != t {
+		if !c.claim.Held() || j.txn != t {
 			return
 		}
 		c.dirty[j.ID] = true
@@ -458,15 +458,15 @@
 func (c *Core) conflict(j *Job, t *txn, failed []string) {
 	for _, key := range failed {
 		if key == leaderKey {
-			if t.token == c.token && !c.raising {
-				c.stepDown("claim lost")
+			if t.token == c.claim.Token() && !c.claim.Raising() {
+				c.claim.Resign("claim lost")
 				return
 			}
 			continue
 		}
 		j.retryAt = c.now + config.Second // unless the answer comes sooner
 		c.box.Read(key, func(d msg.ReadDone) {
-			if d.Outcome != msg.OK || !c.leading {
+			if d.Outcome != msg.OK || !c.claim.Held() {
 				return
 			}
 			j.retryAt = c.now
@@ -492,14 +492,14 @@
 	sure := true
 	j.EachOpen(func(p job.Placement) {
 		m := c.machines.Get(p.Machine)
-		if m == nil || m.Token < c.baseToken {
+		if m == nil || m.Token < c.claim.Base() {
 			sure = false
 			return
 		}
 		if _, seen := m.Tasks[p.Key(j.ID)]; !seen && (m.DirectStart || m.Token <= m.Ambiguous) {
 			sure = false
 			if !m.DirectStart {
-				c.wantRaise = true
+				c.claim.WantRaise()
 			}
 		}
 	})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"coralhub/internal/config"
+	"coralhub/internal/core/claim"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/front"
 	"coralhub/internal/core/job"
@@ -47,6 +48,7 @@
 	form    *records.Form
 	catalog *zone.Catalog
 	front   *front.Front
+	claim   *claim.Claim // to lead
 
 	loaded         bool            // a first Snapshot has come
 	book           *records.Book   // what is committed about jobs
@@ -57,34 +59,33 @@
 
 	teams map[string]*config.Team
 
-	leadership
+	reign
 	upgrade
 	ended endedLog
 	deputy
 	learning learning
 
 	// What follows is only of use to the leader.
-	machines  *zone.Roster
-	survey    survey
-	expected  map[string]map[job.Key]job.Placement // open placements by machine
-	deleted   map[string]Micros                    // machines proven gone, which the lagging list still names
-	usage     *queue.Usage
-	fleet     *fleet.Fleet
-	passDue   bool
-	passAt    Micros // when one is due though nothing happens; 0: never
-	lastPass  Micros
-	lastList  Micros
-	pages     [hintPages]hintPage
-	pageNext  int
-	pageAt    Micros
-	listing   bool
-	wantRaise bool
-	dirty     map[string]bool // jobs with facts to commit
-	delayed   map[string]bool // those that can't be committed before the next tick
-	urgent    []*zone.Machine // those with commands that should not wait
-	writing   int             // changes to jobs on their way
-	reign     uint64          // counts the times that this node began anew
-	counters  counters
+	machines *zone.Roster
+	survey   survey
+	expected map[string]map[job.Key]job.Placement // open placements by machine
+	deleted  map[string]Micros                    // machines proven gone, which the lagging list still names
+	usage    *queue.Usage
+	fleet    *fleet.Fleet
+	passDue  bool
+	passAt   Micros // when one is due though nothing happens; 0: never
+	lastPass Micros
+	lastList Micros
+	pages    [hintPages]hintPage
+	pageNext int
+	pageAt   Micros
+	listing  bool
+	dirty    map[string]bool // jobs with facts to commit
+	delayed  map[string]bool // those that can't be committed before the next tick
+	urgent   []*zone.Machine // those with commands that should not wait
+	writing  int             // changes to jobs on their way
+	reigns   uint64          // counts the times that this node began anew
+	counters counters
 }
 
 // Job is a job as this node knows it.
@@ -157,8 +158,7 @@
 		c.location[p.Node] = p.Location
 	}
 	c.upgrade = upgrade{announced: map[string]job.Format{}}
-	c.jitter = Micros(seed % 200_000)
-	c.nonce = seed
+	c.claim = claim.New(c.box, leaderKey, cfg.Node, config.FromMillis(cfg.Settings.LeaderLeaseMS), seed, throne{c})
 	c.resetLeader()
 	return c
 }
@@ -193,7 +193,7 @@
 	case msg.ReadDone:
 		c.box.ReadDone(x)
 	case msg.LeaseDone:
-		c.leaseDone(x)
+		c.claim.LeaseDone(x)
 	case msg.ReportIn:
 		c.report(x)
 	case msg.CommandDone:
@@ -236,7 +236,9 @@
 	c.sendBeat()
 	c.sendMail()
 	c.announceFormat()
-	c.tickLeadership()
+	if c.serving() {
+		c.claim.Tick()
+	}
 	// Without the machine types no job can be accepted: a node whose records don't have
 	// them asks at once.
 	if !c.catalog.Known() && c.loaded && (c.catalogAsked == 0 || c.now-c.catalogAsked > config.Second) || c.ready && c.now-c.catalogAsked > 30*config.Second {
@@ -259,8 +261,8 @@
 		listed[it.Key] = true
 		c.apply(&wire.Change{Put: it.Key, Value: it.Value, Version: it.Version})
 	}
-	if !listed[leaderKey] && c.leader.version != 0 && c.leader.version <= s.Revision {
-		c.apply(&wire.Change{Delete: leaderKey, Version: s.Revision})
+	if !listed[leaderKey] {
+		c.claim.Listed(s.Revision)
 	}
 	c.book.Listed(s.Revision, listed)
 	c.loaded = true
@@ -279,7 +281,7 @@
 	}
 	switch {
 	case key == leaderKey:
-		c.leaderChanged(ev)
+		c.claim.Apply(ev)
 		return
 	case key == catalogKey:
 		var cat wire.Catalog
--- a/internal/core/deputy.go
+++ b/internal/core/deputy.go
@@ -107,8 +107,8 @@
 // home picks the node that a worker should report to: the leader if it is in
 // the worker's zone, or else some node there; "" if none is heard.
 func (c *Core) home(r *wire.Report) string {
-	if c.location[c.leader.node] == r.Zone && c.alive(c.leader.node) {
-		return c.leader.node
+	if c.location[c.claim.Holder().Node] == r.Zone && c.alive(c.claim.Holder().Node) {
+		return c.claim.Holder().Node
 	}
 	var there []string
 	for node, loc := range c.location {
@@ -166,14 +166,14 @@
 	r := &x.Report
 	switch {
 	case c.sendHome(x):
-	case !c.alive(c.leader.node) && r.Token <= c.leader.version:
+	case !c.alive(c.claim.Holder().Node) && r.Token <= c.claim.Holder().Version:
 		c.standIn(x)
 	case c.quiet(r):
 		c.beats = append(c.beats, msg.Heard{Machine: r.Machine, Session: r.Session, Seq: r.Seq})
-		c.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.leader.version, Orders: []wire.Order{}})
+		c.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.claim.Holder().Version, Orders: []wire.Order{}})
 	default:
 		delete(c.taken, r.Machine)
-		c.box.Emit(msg.Forward{Req: x.Req, Node: c.leader.node, Report: *r})
+		c.box.Emit(msg.Forward{Req: x.Req, Node: c.claim.Holder().Node, Report: *r})
 	}
 }
 
@@ -191,7 +191,7 @@
 func (c *Core) quiet(r *wire.Report) bool {
 	t, ok := c.taken[r.Machine]
 	expected := c.expected[r.Machine]
-	if !ok || t.leader != c.leader.version || t.session != r.Session || c.now-t.at > takenFor || r.Token != c.leader.version ||
+	if !ok || t.leader != c.claim.Holder().Version || t.session != r.Session || c.now-t.at > takenFor || r.Token != c.claim.Holder().Version ||
 		r.NoticeS != nil || len(expected) != len(r.Tasks) || !slices.Equal(t.tasks, r.Tasks) || !c.fresh() {
 		return false
 	}
@@ -214,8 +214,8 @@
 		return
 	}
 	c.beatAt = c.now + beatEvery
-	if !c.ready && c.leader.node != "" && c.leader.node != c.cfg.Node {
-		c.box.Emit(msg.Beat{Node: c.leader.node, Heard: c.beats})
+	if !c.ready && c.claim.Elsewhere() != "" {
+		c.box.Emit(msg.Beat{Node: c.claim.Holder().Node, Heard: c.beats})
 	}
 	c.beats = nil
 }
@@ -230,7 +230,7 @@
 	var wanted []string
 	for _, h := range x.Heard {
 		m := c.machines.Get(h.Machine)
-		if m == nil || m.Session != h.Session || m.Token < c.baseToken || m.Wanted {
+		if m == nil || m.Session != h.Session || m.Token < c.claim.Base() || m.Wanted {
 			wanted = append(wanted, h.Machine)
 		}
 		if m != nil && m.Beat(c.now, h.Session, h.Seq) {
@@ -251,13 +251,13 @@
 func (c *Core) forwardDone(x msg.ForwardDone) {
 	r := &x.Report
 	if x.Answer != nil {
-		if len(x.Answer.Orders) == 0 && x.Answer.Token == c.leader.version {
-			c.taken[r.Machine] = taken{c.leader.version, r.Session, c.now, r.Tasks}
+		if len(x.Answer.Orders) == 0 && x.Answer.Token == c.claim.Holder().Version {
+			c.taken[r.Machine] = taken{c.claim.Holder().Version, r.Session, c.now, r.Tasks}
 		}
 		c.box.Answer(x.Req, http.StatusOK, *x.Answer)
 		return
 	}
-	if c.leading || c.leader.node == "" || c.leader.node == c.cfg.Node || r.Token > c.leader.version {
+	if c.claim.Held() || c.claim.Holder().Node == "" || c.claim.Holder().Node == c.cfg.Node || r.Token > c.claim.Holder().Version {
 		c.box.Later(x.Req, "no leader")
 		return
 	}
@@ -290,7 +290,7 @@
 	}
 	delete(c.taken, r.Machine)
 	c.mail(r)
-	c.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.leader.version, Orders: orders})
+	c.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.claim.Holder().Version, Orders: orders})
 }
 
 // mail puts a report into the leader's mail, unless it was sent a moment ago.
@@ -314,7 +314,7 @@
 // sendMail writes what is in the mailbox, as much as one value has room for and
 // what says something new first.
 func (c *Core) sendMail() {
-	if len(c.mailbox) == 0 || c.mailOut || c.now < c.mailAt || c.leader.version == 0 {
+	if len(c.mailbox) == 0 || c.mailOut || c.now < c.mailAt || c.claim.Holder().Version == 0 {
 		return
 	}
 	var lines []mailLine
@@ -338,7 +338,7 @@
 	}
 	c.mailOut, c.mailAt = true, c.now+c.writePause(mailShare)
 	c.box.Commit(wire.Commit{
-		Guards:  []wire.Guard{{Key: leaderKey, Version: c.leader.version}},
+		Guards:  []wire.Guard{{Key: leaderKey, Version: c.claim.Holder().Version}},
 		Changes: []wire.Change{{Put: mailPrefix + c.cfg.Node, Value: value}},
 	}, func(d msg.CommitDone) {
 		c.mailOut = false
@@ -356,7 +356,7 @@
 
 // mailIn takes a deputy's mail.
 func (c *Core) mailIn(ev *wire.Change) {
-	if !c.ready || ev.Put == "" || ev.Version <= c.baseToken {
+	if !c.ready || ev.Put == "" || ev.Version <= c.claim.Base() {
 		return
 	}
 	var lines []mailLine
@@ -366,7 +366,7 @@
 	for i := range lines {
 		l := &lines[i]
 		m := c.machines.Get(l.Machine)
-		if m == nil || l.Token > c.token {
+		if m == nil || l.Token > c.claim.Token() {
 			continue
 		}
 		if !m.Mailed {
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -57,7 +57,7 @@
 // writeEnded commits what has been noted, a page at a time.
 func (c *Core) writeEnded() {
 	e := &c.ended
-	if c.raising || e.out || c.now < e.writeAt {
+	if c.claim.Raising() || e.out || c.now < e.writeAt {
 		return
 	}
 	if e.txn != nil { // without an answer: it may be applied later, so the same again
@@ -78,7 +78,7 @@
 	value := c.fitEnded(lines)
 	if version == 0 || value == nil { // the first page, or the next
 		e.begun++
-		e.current, version = c.baseToken<<pageBits|e.begun, 0
+		e.current, version = c.claim.Base()<<pageBits|e.begun, 0
 		if value = c.fitEnded(nil); value == nil {
 			return
 		}
@@ -86,7 +86,7 @@
 	e.writeAt = c.now + c.writePause(endedShare)
 	key := records.PageKey(e.current)
 	e.txn = &wire.Commit{
-		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: version}},
+		Guards:  []wire.Guard{c.claim.Guard(), {Key: key, Version: version}},
 		Changes: []wire.Change{{Put: key, Value: value}},
 	}
 	c.sendEnded(e.txn)
@@ -107,7 +107,7 @@
 	c.ended.out = true
 	c.box.CommitLater(*t, func(d msg.CommitDone) {
 		e := &c.ended
-		if !c.leading || e.txn != t {
+		if !c.claim.Held() || e.txn != t {
 			return
 		}
 		e.out = false
@@ -119,8 +119,8 @@
 		case msg.OK:
 			c.apply(&wire.Change{Put: key, Value: t.Changes[0].Value, Version: d.Revision})
 		case msg.Conflict:
-			if slices.Contains(d.Failed, leaderKey) && t.Guards[0].Version == c.token && !c.raising {
-				c.stepDown("claim lost")
+			if slices.Contains(d.Failed, leaderKey) && t.Guards[0].Version == c.claim.Token() && !c.claim.Raising() {
+				c.claim.Resign("claim lost")
 				return
 			}
 			if slices.Contains(d.Failed, key) { // an earlier sending has been applied after all
@@ -196,7 +196,7 @@
 		leaving[n] = true
 		key := records.PageKey(n)
 		c.box.CommitLater(wire.Commit{
-			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: p.Version}},
+			Guards:  []wire.Guard{c.claim.Guard(), {Key: key, Version: p.Version}},
 			Changes: []wire.Change{{Delete: key}},
 		}, func(d msg.CommitDone) {
 			delete(leaving, n)
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -82,7 +82,7 @@
 		return
 	}
 	c.box.CommitLater(wire.Commit{
-		Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}},
+		Guards:  []wire.Guard{c.claim.Guard()},
 		Changes: []wire.Change{{Put: hintPrefix + strconv.Itoa(n), Value: value}},
 	}, func(d msg.CommitDone) { p.changed = p.changed || d.Outcome != msg.OK })
 }
--- a/internal/core/learning.go
+++ b/internal/core/learning.go
@@ -104,7 +104,7 @@
 	}
 	s := estimate.DefaultSettings()
 	s.Groups = c.cfg.Settings.EstimateGroups
-	c.learning.model = estimate.Restore(s, c.baseToken, chunks...)
+	c.learning.model = estimate.Restore(s, c.claim.Base(), chunks...)
 	c.learning.waits = map[string]*wait{}
 	for _, j := range c.active {
 		j.inherited = j.Rec.Attempt > 0
@@ -114,7 +114,7 @@
 // keepLearnt writes a value of what was learnt, when nothing else wants changes.
 func (c *Core) keepLearnt() {
 	l := &c.learning
-	if l.model == nil || c.raising || c.now < l.writeAt || c.writing > 0 || len(c.ended.fresh) > 0 || c.counters.held > 0 {
+	if l.model == nil || c.claim.Raising() || c.now < l.writeAt || c.writing > 0 || len(c.ended.fresh) > 0 || c.counters.held > 0 {
 		return
 	}
 	for i := range estimate.Chunks {
@@ -137,7 +137,7 @@
 		v.out = true
 		key := learntPrefix + strconv.Itoa(n)
 		c.box.CommitLater(wire.Commit{
-			Guards:  []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: key, Version: v.version}},
+			Guards:  []wire.Guard{c.claim.Guard(), {Key: key, Version: v.version}},
 			Changes: []wire.Change{{Put: key, Value: value}},
 		}, func(d msg.CommitDone) {
 			v.out = false
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -48,7 +48,7 @@
 // place waits; the next is tried.
 func (c *Core) pass() {
 	c.passDue, c.lastPass, c.passAt = false, c.now, 0
-	if !c.catalog.Known() || c.raising {
+	if !c.catalog.Known() || c.claim.Raising() {
 		return
 	}
 	s := c.surveyAll()
@@ -455,7 +455,7 @@
 
 // rent asks for the machines that the unplaced work calls for.
 func (c *Core) rent(s *scan) {
-	if c.inDoubt() || len(s.needs) == 0 {
+	if c.claim.InDoubt() || len(s.needs) == 0 {
 		return
 	}
 	c.soonFree(s)
@@ -469,7 +469,7 @@
 		n.Count += int(math.Ceil(float64(n.Count) * c.cfg.Settings.RentSurplus))
 	}
 	rent := c.fleet.Plan(c.now, s.needs, booting, count, types)
-	c.fleet.Ask(c.token, rent)
+	c.fleet.Ask(c.claim.Token(), rent)
 	for _, r := range c.fleet.Due(c.now) {
 		c.box.Emit(msg.Rent{Request: r})
 	}
--- a/internal/core/rooms.go
+++ b/internal/core/rooms.go
@@ -77,7 +77,7 @@
 
 func (h house) Wrote(ev wire.Change) {
 	h.c.apply(&ev)
-	if l := h.c.leader.node; l != "" && l != h.c.cfg.Node {
+	if l := h.c.claim.Elsewhere(); l != "" {
 		h.c.box.Emit(msg.Tell{Node: l, Event: ev})
 	}
 }
--- a/internal/core/survey.go
+++ b/internal/core/survey.go
@@ -82,7 +82,7 @@
 // reconsider has a machine looked at again if what it can offer at all may have
 // changed.
 func (c *Core) reconsider(m *zone.Machine) {
-	if m.Token >= c.baseToken {
+	if m.Token >= c.claim.Base() {
 		delete(c.survey.strange, m)
 	}
 	if c.offers(m) != (m.Room != nil) {
@@ -140,7 +140,7 @@
 
 // offers tells whether a machine may be given work at all.
 func (c *Core) offers(m *zone.Machine) bool {
-	return c.survey.byName[m.Zone] != nil && c.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= c.baseToken && !m.Releasing &&
+	return c.survey.byName[m.Zone] != nil && c.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= c.claim.Base() && !m.Releasing &&
 		!m.Failed && m.NoticeAt == 0 && !c.sick(m) && c.now-m.Spoke <= c.suspectAfter()
 }
 
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -44,7 +44,7 @@
 		c.foreign = true
 		c.box.Log("not serving: the records have a later format", "format", int(m.Format), "newest_known", int(job.Newest))
 		c.box.Emit(msg.Retire{})
-		c.stepDown("records of a later version")
+		c.claim.Resign("records of a later version")
 	}
 }
 
@@ -82,7 +82,7 @@
 
 // raiseFormat raises the format if every node reads a later one.
 func (c *Core) raiseFormat() {
-	if c.form.Format >= job.Newest || c.raising || c.now < c.formatAt {
+	if c.form.Format >= job.Newest || c.claim.Raising() || c.now < c.formatAt {
 		return
 	}
 	least := c.announced[c.cfg.Node]
@@ -92,7 +92,7 @@
 	if least = min(least, job.Newest); least <= c.form.Format {
 		return
 	}
-	guards := []wire.Guard{{Key: leaderKey, Version: c.token}, {Key: formatKey, Version: c.formatVersion}}
+	guards := []wire.Guard{c.claim.Guard(), {Key: formatKey, Version: c.formatVersion}}
 	c.putFormat(formatKey, least, guards, func(msg.CommitDone) {
 		c.box.Log("format raised: no way back to older versions", "format", int(least))
 	})
--- a/internal/core/upgrade_test.go
+++ b/internal/core/upgrade_test.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"coralhub/internal/config"
+	"coralhub/internal/core/claim"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/records"
@@ -70,8 +71,8 @@
 		Seq: 88, Token: 41, NoticeS: &notice, Tasks: []mailTask{{Task: "j-000412/3", Attempt: 2, State: wire.Exited, Cause: wire.CauseStopped, Saved: true}}}}) {
 		t.Errorf("%v %+v", err, mail)
 	}
-	var cl claim
-	if err := job.Decode(production(t, "claim"), &cl); err != nil || cl != (claim{"n1", 7}) {
+	var cl claim.Value
+	if err := job.Decode(production(t, "claim"), &cl); err != nil || cl != (claim.Value{Node: "n1", Nonce: 7}) {
 		t.Errorf("%v %+v", err, cl)
 	}
 }
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -25,8 +25,8 @@
 			c.touch(m)
 		}
 	}
-	if m.Ambiguous == 0 && c.baseToken > 0 {
-		m.Ambiguous = c.baseToken - 1 // predecessors' commands may be on their way
+	if m.Ambiguous == 0 && c.claim.Base() > 0 {
+		m.Ambiguous = c.claim.Base() - 1 // predecessors' commands may be on their way
 	}
 	return m
 }
@@ -40,16 +40,16 @@
 		return
 	}
 	if !c.ready {
-		if c.leader.node != "" && c.leader.node != c.cfg.Node && r.Machine != "" {
+		if c.claim.Elsewhere() != "" && r.Machine != "" {
 			c.relay(x)
 			return
 		}
 		c.box.Later(x.Req, "no leader")
 		return
 	}
-	if r.Token > c.token && !c.raising {
+	if r.Token > c.claim.Token() && !c.claim.Raising() {
 		c.box.Answer(x.Req, http.StatusMisdirectedRequest, wire.Redirect{})
-		c.stepDown("a worker has seen a higher token")
+		c.claim.Resign("a worker has seen a higher token")
 		return
 	}
 	if r.Machine == "" || r.Session == 0 {
@@ -71,7 +71,7 @@
 			break
 		}
 	}
-	c.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.token, Orders: orders})
+	c.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: c.claim.Token(), Orders: orders})
 }
 
 // ingest takes what a worker has told this node itself.
@@ -273,7 +273,7 @@
 		if m.Settled() {
 			c.close(key, m.Name, false) // never started, and nothing can start it any more
 		} else if reply && !m.DirectStart && m.Token <= m.Ambiguous {
-			c.wantRaise = true
+			c.claim.WantRaise()
 		}
 	}
 	return orders
@@ -335,7 +335,7 @@
 
 // sendUrgent makes the direct calls that should not wait for a report.
 func (c *Core) sendUrgent() {
-	if c.raising || len(c.urgent) == 0 {
+	if c.claim.Raising() || len(c.urgent) == 0 {
 		return
 	}
 	waiting := c.urgent
@@ -365,8 +365,8 @@
 		start = start || o.Verb == wire.Start
 	}
 	id := c.box.NextID()
-	m.SentDirect(c.now, id, c.token, start)
-	c.box.Emit(msg.Command{ID: id, Machine: m.Name, Addr: m.Addr, Commands: wire.Commands{Token: c.token, Session: max(m.Session, 1), Orders: orders}})
+	m.SentDirect(c.now, id, c.claim.Token(), start)
+	c.box.Emit(msg.Command{ID: id, Machine: m.Name, Addr: m.Addr, Commands: wire.Commands{Token: c.claim.Token(), Session: max(m.Session, 1), Orders: orders}})
 }
 
 func (c *Core) commandDone(x msg.CommandDone) {
@@ -380,8 +380,8 @@
 		m.Wanted = true // the orders have to go by the answer to a report
 	}
 	if r := x.Report; r != nil && r.Machine == m.Name {
-		if r.Token > c.token && !c.raising {
-			c.stepDown("a worker has seen a higher token")
+		if r.Token > c.claim.Token() && !c.claim.Raising() {
+			c.claim.Resign("a worker has seen a higher token")
 			return
 		}
 		if c.ingest(m, r, false) && x.Outcome == msg.OK {
@@ -394,7 +394,7 @@
 // frees workers that a cut-off predecessor still answers.
 func (c *Core) announce() {
 	for _, m := range slices.SortedFunc(maps.Keys(c.survey.strange), byName) {
-		if m.Addr == "" || m.Direct || m.Releasing || m.Token >= c.baseToken || c.now < m.DirectAt {
+		if m.Addr == "" || m.Direct || m.Releasing || m.Token >= c.claim.Base() || c.now < m.DirectAt {
 			continue
 		}
 		m.DirectAt = c.now + 2*config.Second
