Core in rooms: home, and the open placements by machine in the records

Serving workers for a leader elsewhere is a package that sees the records, the claim to lead and the outbox. Which placements are open on which machine follows from the records, and is kept there on every node, not rebuilt by each new leader.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -302,3 +302,13 @@
 
 // FromMillis converts an amount of milliseconds.
 func FromMillis(ms float64) Micros { return Micros(math.Round(ms * 1e3)) }
+
+// Silence is how long a worker may say nothing before its machine is deleted:
+// a few reports, and no less than half its lease.
+func (c *Config) Silence() Micros {
+	if s := c.Settings.SilentReleaseS; s > 0 {
+		return FromSeconds(s)
+	}
+	w := &c.Cluster.Workers
+	return max(FromSeconds(w.LeaseS)/2, FromSeconds(2.5*w.ReportS)+2*Second)
+}
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		on := planned[m.Name]
-		for _, key := range sortedKeys(c.expected[m.Name]) {
+		for _, key := range sortedKeys(c.book.OpenOn(m.Name)) {
 			if j := c.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
 				on = on.Plus(taskRes(j.Rec.Spec), 1)
 			}
@@ -63,7 +63,7 @@
 		if d := on.Plus(m.Used, -1); math.Abs(d.GPUs)+math.Abs(d.CPUs)+math.Abs(d.MemoryGB) > 1e-6 {
 			return fmt.Errorf("machine %s has %v placed, reckoned with %v", m.Name, on, m.Used)
 		}
-		if idle := len(c.expected[m.Name]) == 0 && planned[m.Name] == (zone.Res{}); idle != (m.IdleSince != 0) {
+		if idle := len(c.book.OpenOn(m.Name)) == 0 && planned[m.Name] == (zone.Res{}); idle != (m.IdleSince != 0) {
 			return fmt.Errorf("machine %s is idle: %v", m.Name, idle)
 		}
 	}
@@ -77,13 +77,13 @@
 	for _, j := range c.jobs {
 		j.EachOpen(func(p job.Placement) {
 			open++
-			if _, ok := c.expected[p.Machine][p.Key(j.ID)]; !ok {
+			if _, ok := c.book.OpenOn(p.Machine)[p.Key(j.ID)]; !ok {
 				wrong = fmt.Errorf("%s/%d is not known to be on %s", j.ID, p.Task, p.Machine)
 			}
 		})
 	}
-	for _, on := range c.expected {
-		open -= len(on)
+	for _, machine := range c.book.Used() {
+		open -= len(c.book.OpenOn(machine))
 	}
 	if wrong == nil && open != 0 {
 		wrong = fmt.Errorf("%d placements more by job than by machine", open)
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -97,6 +97,10 @@
 // Guard has a transaction fail unless our claim is the one in force.
 func (c *Claim) Guard() wire.Guard { return wire.Guard{Key: c.key, Version: c.token} }
 
+// HoldersGuard has a transaction fail once somebody has written another claim than the
+// one that is known here, whoever's it is.
+func (c *Claim) HoldersGuard() wire.Guard { return wire.Guard{Key: c.key, Version: c.holder.Version} }
+
 // Tick does what is due by time alone: it keeps the lease, and claims what is free.
 func (c *Claim) Tick() {
 	c.letGo()
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -98,7 +98,7 @@
 // up. The answer to a deletion is the proof that everything on it is gone. It looks
 // only at machines that don't work, or don't speak.
 func (c *Core) returnMachines() {
-	silence := c.silence()
+	silence := c.cfg.Silence()
 	look := slices.Collect(maps.Keys(c.survey.watched))
 	c.machines.Silent(c.now-silence, func(m *zone.Machine) {
 		if !c.survey.watched[m] {
@@ -133,7 +133,7 @@
 		switch {
 		case m.Failed:
 			why = "failed"
-		case m.Session == 0 && len(c.expected[name]) == 0:
+		case m.Session == 0 && len(c.book.OpenOn(name)) == 0:
 			if c.now-max(m.Rented, c.since) > c.bootLimit(m) {
 				why = "never came up"
 			}
@@ -150,7 +150,7 @@
 			continue
 		}
 		if m.ReleasedAt == 0 {
-			c.box.Log("releasing", "machine", name, "why", why, "placements", len(c.expected[name]))
+			c.box.Log("releasing", "machine", name, "why", why, "placements", len(c.book.OpenOn(name)))
 		}
 		m.Releasing, m.ReleasedAt = true, c.now
 		c.touch(m)
@@ -169,11 +169,11 @@
 func (c *Core) crowds() map[string]bool {
 	quiet, all := map[string]int{}, map[string]int{}
 	for _, m := range c.machines.All() {
-		if m.Session == 0 && m.Heard == 0 && len(c.expected[m.Name]) == 0 {
+		if m.Session == 0 && m.Heard == 0 && len(c.book.OpenOn(m.Name)) == 0 {
 			continue
 		}
 		all[m.Zone]++
-		if c.now-max(m.Spoke, c.since) > c.silence()/2 {
+		if c.now-max(m.Spoke, c.since) > c.cfg.Silence()/2 {
 			quiet[m.Zone]++
 		}
 	}
@@ -184,16 +184,6 @@
 	return out
 }
 
-// silence is how long a worker may say nothing before its machine is deleted:
-// a few reports, and no less than half its lease.
-func (c *Core) silence() Micros {
-	if s := c.cfg.Settings.SilentReleaseS; s > 0 {
-		return config.FromSeconds(s)
-	}
-	w := &c.cfg.Cluster.Workers
-	return max(config.FromSeconds(w.LeaseS)/2, config.FromSeconds(2.5*w.ReportS)+2*config.Second)
-}
-
 func (c *Core) silentFor(m *zone.Machine) Micros { return c.now - max(m.Heard, c.since) }
 
 // keepIdle is how long an idle machine is kept. To have it back would cost a
@@ -236,7 +226,7 @@
 	gone := append([]string(nil), x.Machines...)
 	sort.Strings(gone)
 	for _, name := range gone {
-		for _, key := range sortedKeys(c.expected[name]) {
+		for _, key := range sortedKeys(c.book.OpenOn(name)) {
 			c.close(key, name, false)
 		}
 		if m := c.machines.Get(name); m != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"coralhub/internal/core/claim"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/front"
+	"coralhub/internal/core/home"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/outbox"
@@ -49,6 +50,7 @@
 	catalog *zone.Catalog
 	front   *front.Front
 	claim   *claim.Claim // to lead
+	home    *home.Home
 
 	loaded         bool            // a first Snapshot has come
 	book           *records.Book   // what is committed about jobs
@@ -61,15 +63,13 @@
 
 	reign
 	upgrade
-	ended endedLog
-	deputy
+	ended    endedLog
 	learning learning
 
 	// What follows is only of use to the leader.
 	machines *zone.Roster
 	survey   survey
-	expected map[string]map[job.Key]job.Placement // open placements by machine
-	deleted  map[string]Micros                    // machines proven gone, which the lagging list still names
+	deleted  map[string]Micros // machines proven gone, which the lagging list still names
 	usage    *queue.Usage
 	fleet    *fleet.Fleet
 	passDue  bool
@@ -146,19 +146,14 @@
 	}
 	c.box = outbox.New(c.malformed)
 	c.book = records.New(listener{c})
+	c.claim = claim.New(c.box, leaderKey, cfg.Node, config.FromMillis(cfg.Settings.LeaderLeaseMS), seed, throne{c})
+	c.home = home.New(cfg, c.box, c.book, c.form, c.claim)
 	c.front = front.New(cfg, c.box, c.book, c.form, c.catalog, house{c})
 	for i := range cfg.Cluster.Teams {
 		t := &cfg.Cluster.Teams[i]
 		c.teams[t.Name] = t
 	}
-	c.heard, c.visits, c.taken = map[string]Micros{}, map[string]visit{}, map[string]taken{}
-	c.mailbox, c.mailed = map[string]mailLine{}, map[string]mailLine{}
-	c.location = map[string]string{cfg.Node: cfg.Location}
-	for _, p := range cfg.Peers {
-		c.location[p.Node] = p.Location
-	}
 	c.upgrade = upgrade{announced: map[string]job.Format{}}
-	c.claim = claim.New(c.box, leaderKey, cfg.Node, config.FromMillis(cfg.Settings.LeaderLeaseMS), seed, throne{c})
 	c.resetLeader()
 	return c
 }
@@ -177,15 +172,15 @@
 		for i := range x.Events {
 			c.apply(&x.Events[i])
 		}
-		c.currentAt = max(c.currentAt, now-x.Age)
+		c.book.Current(now - x.Age)
 	case msg.ForwardDone:
-		c.forwardDone(x)
+		c.home.ForwardDone(x)
 	case msg.BeatIn:
 		c.beatIn(x)
 	case msg.BeatDone:
-		c.beatDone(x)
+		c.home.BeatDone(x)
 	case msg.PeerHeard:
-		c.peerHeard(x)
+		c.home.PeerHeard(x)
 	case msg.Hint:
 		c.hint(&x.Event)
 	case msg.CommitDone:
@@ -232,9 +227,7 @@
 // tick does what is due by time alone.
 func (c *Core) tick() {
 	c.front.Tick()
-	c.forgetWorkers()
-	c.sendBeat()
-	c.sendMail()
+	c.home.Tick(c.ready)
 	c.announceFormat()
 	if c.serving() {
 		c.claim.Tick()
@@ -306,7 +299,7 @@
 		c.learntIn(num, ev)
 		return
 	}
-	if strings.HasPrefix(key, mailPrefix) {
+	if strings.HasPrefix(key, home.MailPrefix) {
 		c.mailIn(ev)
 		return
 	}
@@ -342,10 +335,9 @@
 	}
 }
 
-// reindex keeps the open placements by machine.
-func (c *Core) reindex(j *Job, old, now []job.Placement) {
+// placed has the machines looked at on which something was placed or closed.
+func (c *Core) placed(j *Job, old, now []job.Placement) {
 	for _, p := range old {
-		delete(c.expected[p.Machine], p.Key(j.ID))
 		if !slices.Contains(now, p) {
 			delete(j.started, p.Task)
 			delete(j.mine, p.Task)
@@ -355,12 +347,6 @@
 		}
 	}
 	for _, p := range now {
-		m := c.expected[p.Machine]
-		if m == nil {
-			m = map[job.Key]job.Placement{}
-			c.expected[p.Machine] = m
-		}
-		m[p.Key(j.ID)] = p
 		if m := c.machines.Get(p.Machine); m != nil {
 			c.touch(m)
 		}
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -83,7 +83,7 @@
 			return
 		}
 	}
-	e.writeAt = c.now + c.writePause(endedShare)
+	e.writeAt = c.now + c.form.Pause(endedShare)
 	key := records.PageKey(e.current)
 	e.txn = &wire.Commit{
 		Guards:  []wire.Guard{c.claim.Guard(), {Key: key, Version: version}},
--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -40,8 +40,6 @@
 type Node interface {
 	// Refusal tells why the node doesn't serve; "": it does.
 	Refusal() string
-	// CurrentAt is when its copy of the records was last known to be current.
-	CurrentAt() Micros
 	// Heard takes a change that was read.
 	Heard(wire.Change)
 	// Wrote takes a change that this node has committed, and sees to it that the leader
@@ -565,7 +563,7 @@
 // stale tells whether this node can't know well enough whether a job that waits
 // for others is still to be called queued.
 func (f *Front) stale(j *records.Job) bool {
-	return j.Waits() && f.box.Now()-f.node.CurrentAt() > config.FromSeconds(f.cfg.Cluster.Workers.CancelS)/4
+	return j.Waits() && f.box.Now()-f.book.CurrentAt() > config.FromSeconds(f.cfg.Cluster.Workers.CancelS)/4
 }
 
 // needed hands over which of the ids were never accepted, as the state service
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strconv"
 
-	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/wire"
@@ -76,7 +75,7 @@
 		}
 	}
 	p := &c.pages[n]
-	p.changed, c.pageNext, c.pageAt = false, n+1, c.now+c.writePause(hintShare)
+	p.changed, c.pageNext, c.pageAt = false, n+1, c.now+c.form.Pause(hintShare)
 	value := c.fitHints(hints)
 	if value == nil {
 		return
@@ -87,11 +86,6 @@
 	}, func(d msg.CommitDone) { p.changed = p.changed || d.Outcome != msg.OK })
 }
 
-// writePause is the time between changes that may take a share of all changes.
-func (c *Core) writePause(share float64) Micros {
-	return config.FromSeconds(1 / max(0.01, share*c.cfg.Cluster.State.LeastWriteRPS()))
-}
-
 // fitHints encodes hints so that they fit a value: images go first, then the
 // youngest machines.
 func (c *Core) fitHints(hints []machineHint) []byte {
--- a/internal/core/records/form.go
+++ b/internal/core/records/form.go
@@ -47,3 +47,8 @@
 // Tighten has values become smaller, down to a bound: the state service has refused one
 // as malformed.
 func (f *Form) Tighten() { f.tight = max(leastBytes, f.most()*3/4) }
+
+// Pause is the time between changes that may take a share of all changes.
+func (f *Form) Pause(share float64) Micros {
+	return config.FromSeconds(1 / max(0.01, share*f.state.LeastWriteRPS()))
+}
--- a/internal/core/records/log.go
+++ b/internal/core/records/log.go
@@ -97,7 +97,7 @@
 	if !f.apply(&q) {
 		return
 	}
-	b.to.Placed(j, p.Open, q.Open)
+	b.place(j, p.Open, q.Open)
 	*p = q
 	j.recount()
 	b.to.Changed(j)
--- a/internal/core/records/records.go
+++ b/internal/core/records/records.go
@@ -11,10 +11,14 @@
 	"strconv"
 	"strings"
 
+	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/wire"
 )
 
+// Micros is a time or a duration in whole microseconds.
+type Micros = config.Micros
+
 // Job is a job as the records have it. Whoever gets one only reads it.
 type Job struct {
 	ID      string
@@ -51,11 +55,15 @@
 	to    Listener
 	jobs  map[string]*Job
 	pages map[uint64]*Page
+	open  map[string]map[job.Key]job.Placement // by machine
+
+	currentAt Micros
 }
 
 // New returns a Book that knows nothing yet.
 func New(to Listener) *Book {
-	return &Book{to: to, jobs: map[string]*Job{}, pages: map[uint64]*Page{}}
+	return &Book{to: to, jobs: map[string]*Job{}, pages: map[uint64]*Page{},
+		open: map[string]map[job.Key]job.Placement{}}
 }
 
 // Apply takes a put or a delete of a key that is a job's or a page's. It returns false for
@@ -127,14 +135,14 @@
 	if rec.Spec != nil {
 		j.applyFacts(0, &j.Rec.Part)
 	}
-	b.to.Placed(j, old, j.Rec.Open)
+	b.place(j, old, j.Rec.Open)
 	b.to.Stored(j)
 	b.to.Recorded(j)
 	b.link(j)
 	if rec.Final() {
 		if rec.Spec == nil { // nothing of it is left, but for parts to be deleted
 			for n := range j.Parts {
-				b.to.Placed(j, j.Parts[n].Open, nil)
+				b.place(j, j.Parts[n].Open, nil)
 				j.Parts[n].Part = job.Part{}
 			}
 		}
@@ -173,7 +181,7 @@
 		p = job.Part{} // what it says of tasks is out of date
 	}
 	j.applyFacts(n, &p)
-	b.to.Placed(j, j.Parts[n-1].Open, p.Open)
+	b.place(j, j.Parts[n-1].Open, p.Open)
 	j.Parts[n-1] = Part{p, version}
 	j.recount()
 	b.to.Changed(j)
@@ -189,6 +197,37 @@
 	return spec != nil
 }
 
+// place keeps the open placements by machine.
+func (b *Book) place(j *Job, old, now []job.Placement) {
+	for _, p := range old {
+		on := b.open[p.Machine]
+		if delete(on, p.Key(j.ID)); len(on) == 0 {
+			delete(b.open, p.Machine)
+		}
+	}
+	for _, p := range now {
+		on := b.open[p.Machine]
+		if on == nil {
+			on = map[job.Key]job.Placement{}
+			b.open[p.Machine] = on
+		}
+		on[p.Key(j.ID)] = p
+	}
+	b.to.Placed(j, old, now)
+}
+
+// OpenOn returns the open placements on a machine, to be read only.
+func (b *Book) OpenOn(machine string) map[job.Key]job.Placement { return b.open[machine] }
+
+// Used lists the machines with open placements.
+func (b *Book) Used() []string { return slices.Sorted(maps.Keys(b.open)) }
+
+// Current notes a moment as of which the copy was current.
+func (b *Book) Current(at Micros) { b.currentAt = max(b.currentAt, at) }
+
+// CurrentAt is the last such moment.
+func (b *Book) CurrentAt() Micros { return b.currentAt }
+
 // Job returns a job; nil: nothing is known of it.
 func (b *Book) Job(id string) *Job { return b.jobs[id] }
 
--- a/internal/core/reign.go
+++ b/internal/core/reign.go
@@ -3,7 +3,6 @@
 import (
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
-	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/zone"
@@ -40,10 +39,7 @@
 }
 
 func (t throne) Passed(from, to string) {
-	if from != to {
-		t.c.heard[to] = t.c.now
-	}
-	clear(t.c.mailed) // a new leader has not read it
+	t.c.home.Passed(from, to)
 }
 
 // afterSnapshot completes a takeover.
@@ -52,14 +48,13 @@
 		return
 	}
 	c.ready = true
-	c.expected = map[string]map[job.Key]job.Placement{}
 	open := 0
 	for _, id := range c.sortedJobs() {
 		j := c.jobs[id]
 		j.closes, j.plan, j.txn, j.stops = nil, nil, nil, nil
-		c.reindex(j, nil, j.Rec.Open)
+		c.placed(j, nil, j.Rec.Open)
 		for i := range j.Parts {
-			c.reindex(j, nil, j.Parts[i].Open)
+			c.placed(j, nil, j.Parts[i].Open)
 		}
 		open += j.Open
 		if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang && j.Open > 0 && j.Open < j.Rec.Spec.Tasks {
@@ -71,7 +66,7 @@
 			c.dirty[id] = true
 		}
 	}
-	for name := range c.expected {
+	for _, name := range c.book.Used() {
 		c.machine(name)
 	}
 	for _, m := range c.machines.All() {
@@ -107,9 +102,6 @@
 	c.ended = endedLog{writeAt: c.ended.writeAt, leaving: map[uint64]bool{}}
 	c.dirty, c.delayed, c.urgent = map[string]bool{}, map[string]bool{}, nil
 	c.deleted = map[string]Micros{}
-	if c.expected == nil {
-		c.expected = map[string]map[job.Key]job.Placement{}
-	}
 	c.usage = queue.NewUsage(config.FromSeconds(c.cfg.Settings.UsageWindowS))
 	c.fleet = fleet.New()
 	c.learning = learning{stored: c.learning.stored}
--- a/internal/core/rooms.go
+++ b/internal/core/rooms.go
@@ -15,7 +15,7 @@
 }
 
 func (l listener) Placed(r *records.Job, old, now []job.Placement) {
-	l.c.reindex(l.c.jobs[r.ID], old, now)
+	l.c.placed(l.c.jobs[r.ID], old, now)
 }
 
 func (l listener) Stored(r *records.Job) {
@@ -72,7 +72,6 @@
 type house struct{ c *Core }
 
 func (h house) Refusal() string      { return h.c.refusal() }
-func (h house) CurrentAt() Micros    { return h.c.currentAt }
 func (h house) Heard(ev wire.Change) { h.c.apply(&ev) }
 
 func (h house) Wrote(ev wire.Change) {
--- a/internal/core/survey.go
+++ b/internal/core/survey.go
@@ -152,7 +152,7 @@
 // watch keeps the list of machines that may have to go back: all but those that
 // work. It notes since when a machine is idle.
 func (c *Core) watch(m *zone.Machine) {
-	c.watchIf(m, len(c.expected[m.Name]) > 0 || len(c.survey.plans[m.Name]) > 0)
+	c.watchIf(m, len(c.book.OpenOn(m.Name)) > 0 || len(c.survey.plans[m.Name]) > 0)
 }
 
 // watchIf does the same for who knows already whether the machine has anything.
@@ -239,7 +239,7 @@
 		delete(s.strange, m)
 		return
 	}
-	open, plans := c.expected[m.Name], s.plans[m.Name]
+	open, plans := c.book.OpenOn(m.Name), s.plans[m.Name]
 	c.watchIf(m, len(open)+len(plans) > 0)
 	if !m.Releasing && m.Type != "" {
 		k := fleet.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
--- a/internal/core/upgrade_test.go
+++ b/internal/core/upgrade_test.go
@@ -11,6 +11,7 @@
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/claim"
+	"coralhub/internal/core/home"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/records"
@@ -65,10 +66,10 @@
 		{Name: "m-000231", Addr: "10.1.0.232:9000", Type: "g8", Zone: "a", Spot: true, Images: []string{"img-07", "img-08"}}}) {
 		t.Errorf("%v %+v", err, hints)
 	}
-	var mail []mailLine
+	var mail []home.Line
 	notice := 7.5
-	if err := job.Decode(production(t, "mail"), &mail); err != nil || !reflect.DeepEqual(mail, []mailLine{{Machine: "m-000231", Session: 2,
-		Seq: 88, Token: 41, NoticeS: &notice, Tasks: []mailTask{{Task: "j-000412/3", Attempt: 2, State: wire.Exited, Cause: wire.CauseStopped, Saved: true}}}}) {
+	if err := job.Decode(production(t, "mail"), &mail); err != nil || !reflect.DeepEqual(mail, []home.Line{{Machine: "m-000231", Session: 2,
+		Seq: 88, Token: 41, NoticeS: &notice, Tasks: []home.Task{{Task: "j-000412/3", Attempt: 2, State: wire.Exited, Cause: wire.CauseStopped, Saved: true}}}}) {
 		t.Errorf("%v %+v", err, mail)
 	}
 	var cl claim.Value
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -8,6 +8,7 @@
 	"sort"
 
 	"coralhub/internal/config"
+	"coralhub/internal/core/home"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/zone"
@@ -41,7 +42,7 @@
 	}
 	if !c.ready {
 		if c.claim.Elsewhere() != "" && r.Machine != "" {
-			c.relay(x)
+			c.home.Relay(x)
 			return
 		}
 		c.box.Later(x.Req, "no leader")
@@ -56,7 +57,7 @@
 		c.box.Answer(x.Req, http.StatusBadRequest, wire.Error{Error: "no machine or session"})
 		return
 	}
-	if !x.Forwarded && c.sendHome(x) {
+	if !x.Forwarded && c.home.SendHome(x) {
 		return
 	}
 	m := c.machine(r.Machine)
@@ -98,7 +99,7 @@
 		c.noteMachine(m.Name)
 		c.passDue = true
 	}
-	expected := c.expected[m.Name]
+	expected := c.book.OpenOn(m.Name)
 	for _, key := range sortedKeys(expected) {
 		if expected[key].Session < m.Session {
 			c.close(key, m.Name, false) // a later session: everything of the earlier one is gone
@@ -132,7 +133,7 @@
 
 // drain stops what can still save before the cloud takes the machine.
 func (c *Core) drain(m *zone.Machine) {
-	for _, key := range sortedKeys(c.expected[m.Name]) {
+	for _, key := range sortedKeys(c.book.OpenOn(m.Name)) {
 		j := c.jobs[key.Job]
 		if j == nil || j.Rec.Spec == nil || j.Rec.Spec.CheckpointS == 0 {
 			continue
@@ -238,7 +239,7 @@
 // records. Forgetting is left to reports' answers: it is never urgent.
 func (c *Core) orders(m *zone.Machine, reply bool) []wire.Order {
 	orders := []wire.Order{}
-	expected := c.expected[m.Name]
+	expected := c.book.OpenOn(m.Name)
 	for _, key := range sortedKeys(m.Tasks) {
 		t := m.Tasks[key]
 		if t.State == wire.Exited {
@@ -407,10 +408,62 @@
 // probe calls workers that have been quiet: it may be only their reports that
 // don't come through.
 func (c *Core) probe() {
-	c.machines.Silent(c.now-c.silence()/2+1, func(m *zone.Machine) {
+	c.machines.Silent(c.now-c.cfg.Silence()/2+1, func(m *zone.Machine) {
 		if m.Session != 0 && m.Addr != "" && !m.Direct && !m.Releasing && c.now >= m.DirectAt {
 			m.DirectAt = c.now + directPause
 			c.direct(m, c.orders(m, false))
 		}
 	})
 }
+
+// beatIn hears, as the leader, of workers that their homes have answered. It
+// answers with those whose next report it wants to see.
+func (c *Core) beatIn(x msg.BeatIn) {
+	if !c.ready {
+		c.box.Later(x.Req, "not the leader")
+		return
+	}
+	var wanted []string
+	for _, h := range x.Heard {
+		m := c.machines.Get(h.Machine)
+		if m == nil || m.Session != h.Session || m.Token < c.claim.Base() || m.Wanted {
+			wanted = append(wanted, h.Machine)
+		}
+		if m != nil && m.Beat(c.now, h.Session, h.Seq) {
+			c.machines.Touch(m, c.now)
+			c.reconsider(m)
+		}
+	}
+	c.box.Answer(x.Req, http.StatusOK, wanted)
+}
+
+// mailIn takes a deputy's mail.
+func (c *Core) mailIn(ev *wire.Change) {
+	if !c.ready || ev.Put == "" || ev.Version <= c.claim.Base() {
+		return
+	}
+	var lines []home.Line
+	if job.Decode(ev.Value, &lines) != nil {
+		return
+	}
+	for i := range lines {
+		l := &lines[i]
+		m := c.machines.Get(l.Machine)
+		if m == nil || l.Token > c.claim.Token() {
+			continue
+		}
+		if !m.Mailed {
+			c.box.Debug("hearing of a worker by way of the state service", "machine", m.Name)
+		}
+		r := wire.Report{Machine: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			Session: l.Session, Seq: l.Seq, Token: l.Token, NoticeS: l.NoticeS}
+		for _, t := range l.Tasks {
+			r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.Task, Attempt: t.Attempt, State: t.State, Cause: t.Cause, Saved: t.Saved})
+		}
+		if c.learnOf(m, &r, false) {
+			m.Mailed = true
+			c.machines.Introduce(m)
+			c.reconsider(m)
+		}
+	}
+}
