Core in rooms: owner, which commands the workers

It hears reports, gives orders by the records, stops what is to end and proves what is over, by the token of the claim it is given; the leader hears of it by eight messages.

--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -110,7 +110,7 @@
 		}
 		g.Waiting[class]++
 	}
-	for _, m := range c.machines.All() {
+	for _, m := range c.owner.Roster().All() {
 		g.Machines[c.stateOf(m)]++
 	}
 	if c.learning.model != nil {
--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/owner"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/zone"
 )
@@ -47,7 +48,7 @@
 			return fmt.Errorf("team %s uses %v, reckoned with %v", team.Name, a, b)
 		}
 	}
-	for _, m := range c.machines.All() {
+	for _, m := range c.owner.Roster().All() {
 		if m.Stale || m.Room == nil {
 			if !m.Stale && c.offers(m) {
 				return fmt.Errorf("machine %s offers nothing", m.Name)
@@ -55,7 +56,7 @@
 			continue
 		}
 		on := planned[m.Name]
-		for _, key := range sortedKeys(c.book.OpenOn(m.Name)) {
+		for _, key := range owner.SortedKeys(c.book.OpenOn(m.Name)) {
 			if j := c.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
 				on = on.Plus(taskRes(j.Rec.Spec), 1)
 			}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -8,6 +8,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/msg"
+	"coralhub/internal/core/owner"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
 )
@@ -19,8 +20,8 @@
 	c.tidyEnded()
 	c.count()
 	c.keepLearnt()
-	c.announce()
-	c.probe()
+	c.owner.Announce()
+	c.owner.Probe()
 	c.claim.RaiseIfWanted()
 	if !c.listing && c.now-c.lastList > c.listPeriod() {
 		c.listing, c.lastList = true, c.now
@@ -53,8 +54,8 @@
 		if _, gone := c.deleted[l.Name]; gone {
 			continue
 		}
-		had := c.machines.Get(l.Name) != nil
-		m := c.machine(l.Name)
+		had := c.owner.Roster().Get(l.Name) != nil
+		m := c.owner.Machine(l.Name)
 		if !had {
 			m.Rented = c.now - config.FromSeconds(l.AgeS)
 		}
@@ -83,7 +84,7 @@
 		}
 		c.box.Log("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(x.Machines))
 		for _, name := range x.Machines {
-			m := c.machine(name)
+			m := c.owner.Machine(name)
 			m.Describe("", r.Type, r.Zone, r.Spot)
 			c.touch(m)
 			c.noteMachine(name)
@@ -100,17 +101,17 @@
 func (c *Core) returnMachines() {
 	silence := c.cfg.Silence()
 	look := slices.Collect(maps.Keys(c.survey.watched))
-	c.machines.Silent(c.now-silence, func(m *zone.Machine) {
+	c.owner.Roster().Silent(c.now-silence, func(m *zone.Machine) {
 		if !c.survey.watched[m] {
 			look = append(look, m)
 		}
 	})
-	slices.SortFunc(look, byName)
+	slices.SortFunc(look, owner.ByName)
 	var crowds map[string]bool
 	var names []string
 	for _, m := range look {
 		name := m.Name
-		if c.machines.Get(name) != m {
+		if c.owner.Roster().Get(name) != m {
 			continue
 		}
 		if m.Releasing {
@@ -168,7 +169,7 @@
 // cut.
 func (c *Core) crowds() map[string]bool {
 	quiet, all := map[string]int{}, map[string]int{}
-	for _, m := range c.machines.All() {
+	for _, m := range c.owner.Roster().All() {
 		if m.Session == 0 && m.Heard == 0 && len(c.book.OpenOn(m.Name)) == 0 {
 			continue
 		}
@@ -215,7 +216,7 @@
 		// Certainly not deleted: it may be used again. Otherwise the deletion
 		// may come late, and nothing must be there by then.
 		for _, name := range x.Machines {
-			if m := c.machines.Get(name); m != nil {
+			if m := c.owner.Roster().Get(name); m != nil {
 				m.Doomed = m.Doomed || x.Outcome == msg.Unknown
 				m.Releasing = m.Doomed
 				c.touch(m)
@@ -226,13 +227,13 @@
 	gone := append([]string(nil), x.Machines...)
 	sort.Strings(gone)
 	for _, name := range gone {
-		for _, key := range sortedKeys(c.book.OpenOn(name)) {
+		for _, key := range owner.SortedKeys(c.book.OpenOn(name)) {
 			c.close(key, name, false)
 		}
-		if m := c.machines.Get(name); m != nil {
+		if m := c.owner.Roster().Get(name); m != nil {
 			c.touch(m)
 		}
-		c.machines.Remove(name)
+		c.owner.Roster().Remove(name)
 		c.deleted[name] = c.now
 		c.noteMachine(name)
 	}
@@ -241,7 +242,7 @@
 
 // kinds sorts the machines for the fleet's planning, the booting ones by name.
 func (c *Core) kinds() (booting []fleet.Kind, count map[fleet.Kind]int) {
-	for _, m := range slices.SortedFunc(maps.Keys(c.survey.booting), byName) {
+	for _, m := range slices.SortedFunc(maps.Keys(c.survey.booting), owner.ByName) {
 		booting = append(booting, c.survey.kinds[m])
 	}
 	return booting, c.survey.count
--- a/internal/core/commits.go
+++ b/internal/core/commits.go
@@ -491,7 +491,7 @@
 	}
 	sure := true
 	j.EachOpen(func(p job.Placement) {
-		m := c.machines.Get(p.Machine)
+		m := c.owner.Roster().Get(p.Machine)
 		if m == nil || m.Token < c.claim.Base() {
 			sure = false
 			return
@@ -530,6 +530,6 @@
 		}
 		j.left[machine] = key.Attempt
 	}
-	delete(j.stops, key)
+	c.owner.Over(key)
 	c.dirty[key.Job] = true
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,7 @@
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/outbox"
+	"coralhub/internal/core/owner"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/records"
 	"coralhub/internal/core/zone"
@@ -51,6 +52,7 @@
 	front   *front.Front
 	claim   *claim.Claim // to lead
 	home    *home.Home
+	owner   *owner.Owner // of every zone, as the leader
 
 	loaded         bool            // a first Snapshot has come
 	book           *records.Book   // what is committed about jobs
@@ -67,7 +69,6 @@
 	learning learning
 
 	// What follows is only of use to the leader.
-	machines *zone.Roster
 	survey   survey
 	deleted  map[string]Micros // machines proven gone, which the lagging list still names
 	usage    *queue.Usage
@@ -82,7 +83,6 @@
 	listing  bool
 	dirty    map[string]bool // jobs with facts to commit
 	delayed  map[string]bool // those that can't be committed before the next tick
-	urgent   []*zone.Machine // those with commands that should not wait
 	writing  int             // changes to jobs on their way
 	reigns   uint64          // counts the times that this node began anew
 	counters counters
@@ -105,7 +105,6 @@
 	txn      *txn
 	retryAt  Micros
 
-	stops      map[job.Key]stop
 	arrived    Micros // when this node first saw the job
 	started    map[int]Micros
 	deadGang   uint64 // gang attempts up to this one can't be completed
@@ -120,11 +119,6 @@
 	parting    bool // its tasks are to be moved out of its record
 }
 
-type stop struct {
-	since Micros
-	grace float64
-}
-
 // closing is a placement with proof that it is over.
 type closing struct {
 	key     job.Key
@@ -148,6 +142,7 @@
 	c.book = records.New(listener{c})
 	c.claim = claim.New(c.box, leaderKey, cfg.Node, config.FromMillis(cfg.Settings.LeaderLeaseMS), seed, throne{c})
 	c.home = home.New(cfg, c.box, c.book, c.form, c.claim)
+	c.owner = owner.New(cfg, c.box, c.book, c.claim, desk{c})
 	c.front = front.New(cfg, c.box, c.book, c.form, c.catalog, house{c})
 	for i := range cfg.Cluster.Teams {
 		t := &cfg.Cluster.Teams[i]
@@ -192,7 +187,7 @@
 	case msg.ReportIn:
 		c.report(x)
 	case msg.CommandDone:
-		c.commandDone(x)
+		c.owner.CommandDone(x)
 	case msg.CatalogDone:
 		c.catalogDone(x)
 	case msg.ListDone:
@@ -218,7 +213,7 @@
 			c.flushJobs()
 		}
 		c.refreshMachines()
-		c.sendUrgent()
+		c.owner.SendUrgent()
 	}
 	c.front.Flush()
 	return c.box.End()
@@ -342,12 +337,12 @@
 			delete(j.started, p.Task)
 			delete(j.mine, p.Task)
 		}
-		if m := c.machines.Get(p.Machine); m != nil {
+		if m := c.owner.Roster().Get(p.Machine); m != nil {
 			c.touch(m)
 		}
 	}
 	for _, p := range now {
-		if m := c.machines.Get(p.Machine); m != nil {
+		if m := c.owner.Roster().Get(p.Machine); m != nil {
 			c.touch(m)
 		}
 	}
@@ -362,8 +357,8 @@
 		if had[p.Key(j.ID)] {
 			continue
 		}
-		if m := c.machines.Get(p.Machine); m != nil {
-			c.hurry(m)
+		if m := c.owner.Roster().Get(p.Machine); m != nil {
+			c.owner.Hurry(m)
 		} else if _, gone := c.deleted[p.Machine]; gone {
 			// Deleted while the transaction was under way: nobody else would
 			// ever close the placement.
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -51,7 +51,7 @@
 		return
 	}
 	states := map[string]int{}
-	for _, m := range c.machines.All() {
+	for _, m := range c.owner.Roster().All() {
 		states[c.stateOf(m)]++
 	}
 	closing := 0
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -68,7 +68,7 @@
 		return
 	}
 	var hints []machineHint
-	for _, m := range c.machines.All() {
+	for _, m := range c.owner.Roster().All() {
 		if pageOf(m.Name) == n && !m.Releasing {
 			hints = append(hints, machineHint{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 				Images: slices.Sorted(maps.Keys(m.Images))})
@@ -122,7 +122,7 @@
 	for i := range hints {
 		h := &hints[i]
 		p.names = append(p.names, h.Name)
-		m := c.machine(h.Name)
+		m := c.owner.Machine(h.Name)
 		for _, image := range h.Images {
 			m.Images[image] = true
 		}
@@ -130,7 +130,7 @@
 	}
 	for _, gone := range old {
 		if !slices.Contains(p.names, gone) {
-			c.machines.Remove(gone)
+			c.owner.Roster().Remove(gone)
 		}
 	}
 }
--- a/internal/core/learning.go
+++ b/internal/core/learning.go
@@ -221,7 +221,7 @@
 	}
 	every := config.FromSeconds(spec.CheckpointS)
 	j.kept[task] = max(kept, work/every*every)
-	if m := c.machines.Get(on); m != nil && m.Tasks[key].Saved {
+	if m := c.owner.Roster().Get(on); m != nil && m.Tasks[key].Saved {
 		j.kept[task] = work
 	}
 }
@@ -234,7 +234,7 @@
 	spec, l := j.Rec.Spec, &c.learning
 	seconds := func(at Micros) float64 { return float64(at+c.wallAhead) / 1e6 }
 	outcome := history.Lost
-	switch m := c.machines.Get(machine); {
+	switch m := c.owner.Roster().Get(machine); {
 	case done:
 		outcome = history.Done
 	case j.Rec.Cancel:
@@ -253,7 +253,7 @@
 	if spec.Shape == wire.Array {
 		line.Ref, line.Tasks = wire.TaskName(j.ID, key.Task), 1
 	}
-	if m := c.machines.Get(machine); m != nil {
+	if m := c.owner.Roster().Get(machine); m != nil {
 		line.Type = m.Type
 	}
 	if len(l.runs) < keptRuns {
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -103,8 +103,8 @@
 	var gang *zone.Victim // the same one in every zone that it is in
 	listed := map[string]bool{}
 	j.EachOpen(func(p job.Placement) {
-		m := c.machines.Get(p.Machine)
-		if _, stopping := j.stops[p.Key(j.ID)]; stopping || m == nil || m.Room == nil {
+		m := c.owner.Roster().Get(p.Machine)
+		if c.owner.Stopping(p.Key(j.ID)) || m == nil || m.Room == nil {
 			return
 		}
 		since, ran := j.started[p.Task]
@@ -195,7 +195,7 @@
 	if gang && j.Open > 0 {
 		// A gang that hasn't started takes a replacement under its number; one
 		// that has, or that is going, starts again once all of it has left.
-		if j.Rec.Attempt <= j.deadGang || j.Rec.Attempt <= j.gangRan || len(j.stops) > 0 {
+		if j.Rec.Attempt <= j.deadGang || j.Rec.Attempt <= j.gangRan || c.owner.StopsAny(j.ID) {
 			return
 		}
 		attempt = j.Rec.Attempt
@@ -281,7 +281,7 @@
 	s.needs = append(s.needs, fleet.Need{Task: q.Needs, Count: len(tasks), Types: q.Types, Zone: spec.Zone, Spot: spec.Spot})
 	if c.now < j.preempted {
 		for name := range j.reserved {
-			if m := c.machines.Get(name); m != nil && m.Room != nil {
+			if m := c.owner.Roster().Get(name); m != nil && m.Room != nil {
 				m.Room.Barred = true
 				c.touch(m)
 			}
@@ -447,7 +447,7 @@
 				only[p.Key(v.Job)] = true
 			}
 		})
-		c.stop(victim, only, "preempted by "+j.ID)
+		c.owner.Stop(victim.Job, only, "preempted by "+j.ID)
 		wait = max(wait, config.FromSeconds(victim.Rec.Spec.SaveS)+6*config.Second)
 	}
 	j.preempted = c.now + wait
--- a/internal/core/reign.go
+++ b/internal/core/reign.go
@@ -5,7 +5,6 @@
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/queue"
-	"coralhub/internal/core/zone"
 	"coralhub/wire"
 )
 
@@ -51,7 +50,7 @@
 	open := 0
 	for _, id := range c.sortedJobs() {
 		j := c.jobs[id]
-		j.closes, j.plan, j.txn, j.stops = nil, nil, nil, nil
+		j.closes, j.plan, j.txn = nil, nil, nil
 		c.placed(j, nil, j.Rec.Open)
 		for i := range j.Parts {
 			c.placed(j, nil, j.Parts[i].Open)
@@ -66,41 +65,30 @@
 			c.dirty[id] = true
 		}
 	}
-	for _, name := range c.book.Used() {
-		c.machine(name)
-	}
-	for _, m := range c.machines.All() {
-		c.survey.strange[m] = true
+	c.owner.Begin()
+	for _, m := range c.owner.Roster().All() {
 		c.watch(m)
 	}
 	c.startLearning()
 	c.passDue = true
 	c.lastList = 0
-	c.box.Log("records read", "open_placements", open, "machines", c.machines.Len(), "after_ms", (c.now-c.since)/1000)
+	c.box.Log("records read", "open_placements", open, "machines", c.owner.Roster().Len(), "after_ms", (c.now-c.since)/1000)
 }
 
 func (c *Core) resetLeader() {
 	for _, j := range c.jobs {
-		j.closes, j.plan, j.txn, j.stops, j.reserved, j.mergeNow = nil, nil, nil, nil, nil, false
+		j.closes, j.plan, j.txn, j.reserved, j.mergeNow = nil, nil, nil, nil, false
 		j.standing, j.runs = standing{}, runs{}
 	}
 	c.ready, c.listing = false, false
 	looked := c.survey.lookedAt
 	c.survey = newSurvey(c.cfg.Cluster.Zones)
 	c.survey.lookedAt = looked
-	old := c.machines
-	c.machines = zone.NewRoster()
-	if old != nil {
-		for _, m := range old.All() { // addresses and images stay true
-			fresh := zone.New(m.Name, m.Addr, m.Type, m.Zone, m.Spot, m.Rented)
-			fresh.Images = m.Images
-			c.machines.Add(fresh)
-		}
-	}
+	c.owner.Reset()
 	c.reigns++
 	c.writing = 0
 	c.ended = endedLog{writeAt: c.ended.writeAt, leaving: map[uint64]bool{}}
-	c.dirty, c.delayed, c.urgent = map[string]bool{}, map[string]bool{}, nil
+	c.dirty, c.delayed = map[string]bool{}, map[string]bool{}
 	c.deleted = map[string]Micros{}
 	c.usage = queue.NewUsage(config.FromSeconds(c.cfg.Settings.UsageWindowS))
 	c.fleet = fleet.New()
--- a/internal/core/rooms.go
+++ b/internal/core/rooms.go
@@ -4,6 +4,7 @@
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/records"
+	"coralhub/internal/core/zone"
 	"coralhub/wire"
 )
 
@@ -33,7 +34,8 @@
 func (l listener) Ended(r *records.Job) {
 	j := l.c.jobs[r.ID]
 	if r.Rec.Spec == nil {
-		j.stops, j.started, j.failedOn, j.closes, j.reserved = nil, nil, nil, nil, nil
+		j.started, j.failedOn, j.closes, j.reserved = nil, nil, nil, nil
+		l.c.owner.OverAll(r.ID)
 		j.runs = runs{}
 	}
 	l.c.front.Ended(r)
@@ -98,3 +100,28 @@
 		c.apply(ev)
 	}
 }
+
+// desk takes what the owner of the zones has for the leader.
+type desk struct{ c *Core }
+
+func (d desk) Joined(m *zone.Machine) {
+	d.c.touch(m)
+	d.c.noteMachine(m.Name)
+	d.c.passDue = true
+}
+
+func (d desk) Looks(m *zone.Machine)            { d.c.touch(m) }
+func (d desk) MayOffer(m *zone.Machine)         { d.c.reconsider(m) }
+func (d desk) Cached(m *zone.Machine, _ string) { d.c.noteMachine(m.Name) }
+func (d desk) Running(key job.Key)              { d.c.running(d.c.jobs[key.Job], key) }
+
+func (d desk) Exited(m *zone.Machine, key job.Key, t *zone.Task) {
+	d.c.exited(m, d.c.jobs[key.Job], key, t)
+}
+
+func (d desk) Close(key job.Key, machine string, done bool) { d.c.close(key, machine, done) }
+
+func (d desk) Closing(key job.Key, machine string) bool {
+	j := d.c.jobs[key.Job]
+	return j != nil && j.isClosing(key, machine)
+}
--- a/internal/core/survey.go
+++ b/internal/core/survey.go
@@ -35,7 +35,6 @@
 	count    map[fleet.Kind]int
 	booting  map[*zone.Machine]bool
 	watched  map[*zone.Machine]bool // those that may have to go back, see returnMachines
-	strange  map[*zone.Machine]bool // those that have not followed this leader yet
 	lookedAt Looked
 }
 
@@ -49,7 +48,7 @@
 func newSurvey(zones []string) survey {
 	s := survey{whole: true, byName: map[string]*zone.Zone{}, used: map[string]queue.Amount{}, lines: map[string]*queue.Line{},
 		wanting: map[*Job]bool{}, plans: map[string]map[*Job]int{}, kinds: map[*zone.Machine]fleet.Kind{}, count: map[fleet.Kind]int{},
-		booting: map[*zone.Machine]bool{}, watched: map[*zone.Machine]bool{}, strange: map[*zone.Machine]bool{}}
+		booting: map[*zone.Machine]bool{}, watched: map[*zone.Machine]bool{}}
 	for _, name := range zones {
 		z := &zone.Zone{Name: name}
 		s.zones = append(s.zones, z)
@@ -82,9 +81,6 @@
 // reconsider has a machine looked at again if what it can offer at all may have
 // changed.
 func (c *Core) reconsider(m *zone.Machine) {
-	if m.Token >= c.claim.Base() {
-		delete(c.survey.strange, m)
-	}
 	if c.offers(m) != (m.Room != nil) {
 		c.touch(m)
 	}
@@ -133,7 +129,7 @@
 	if len(on) == 0 {
 		delete(c.survey.plans, machine)
 	}
-	if m := c.machines.Get(machine); m != nil {
+	if m := c.owner.Roster().Get(machine); m != nil {
 		c.touch(m)
 	}
 }
@@ -180,7 +176,7 @@
 	if s.whole {
 		c.renew()
 	}
-	c.machines.Silent(c.now-c.suspectAfter(), c.reconsider)
+	c.owner.Roster().Silent(c.now-c.suspectAfter(), c.reconsider)
 	s.lookedAt.Passes++
 	s.lookedAt.Jobs += len(s.jobs)
 	c.refreshMachines()
@@ -195,7 +191,7 @@
 func (c *Core) renew() {
 	s := &c.survey
 	s.whole, s.wholeAt, s.judgeDue = false, c.now, true
-	for _, m := range c.machines.All() {
+	for _, m := range c.owner.Roster().All() {
 		c.touch(m)
 	}
 	clear(s.used)
@@ -236,7 +232,6 @@
 	delete(s.booting, m)
 	if !m.Known() {
 		delete(s.watched, m)
-		delete(s.strange, m)
 		return
 	}
 	open, plans := c.book.OpenOn(m.Name), s.plans[m.Name]
