Core in rooms: the fleet's keeper, which rents and gives back

Listing, renting, returning and what is known of machines that are booting or idle is in package fleet.

--- a/internal/core/audit.go
+++ b/internal/core/audit.go
@@ -5,7 +5,6 @@
 	"math"
 
 	"coralhub/internal/core/job"
-	"coralhub/internal/core/owner"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/zone"
 )
@@ -56,7 +55,7 @@
 			continue
 		}
 		on := planned[m.Name]
-		for _, key := range owner.SortedKeys(c.book.OpenOn(m.Name)) {
+		for _, key := range job.SortedKeys(c.book.OpenOn(m.Name)) {
 			if j := c.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
 				on = on.Plus(taskRes(j.Rec.Spec), 1)
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,6 +52,7 @@
 	front   *front.Front
 	claim   *claim.Claim // to lead
 	home    *home.Home
+	keeper  *fleet.Keeper
 	owner   *owner.Owner // of every zone, as the leader
 
 	loaded         bool            // a first Snapshot has come
@@ -70,17 +71,13 @@
 
 	// What follows is only of use to the leader.
 	survey   survey
-	deleted  map[string]Micros // machines proven gone, which the lagging list still names
 	usage    *queue.Usage
-	fleet    *fleet.Fleet
 	passDue  bool
 	passAt   Micros // when one is due though nothing happens; 0: never
 	lastPass Micros
-	lastList Micros
 	pages    [hintPages]hintPage
 	pageNext int
 	pageAt   Micros
-	listing  bool
 	dirty    map[string]bool // jobs with facts to commit
 	delayed  map[string]bool // those that can't be committed before the next tick
 	writing  int             // changes to jobs on their way
@@ -143,6 +140,7 @@
 	c.claim = claim.New(c.box, leaderKey, cfg.Node, config.FromMillis(cfg.Settings.LeaderLeaseMS), seed, throne{c})
 	c.home = home.New(cfg, c.box, c.book, c.form, c.claim)
 	c.owner = owner.New(cfg, c.box, c.book, c.claim, desk{c})
+	c.keeper = fleet.NewKeeper(cfg, c.box, c.book, c.catalog, c.claim, c.owner, desk{c})
 	c.front = front.New(cfg, c.box, c.book, c.form, c.catalog, house{c})
 	for i := range cfg.Cluster.Teams {
 		t := &cfg.Cluster.Teams[i]
@@ -191,11 +189,11 @@
 	case msg.CatalogDone:
 		c.catalogDone(x)
 	case msg.ListDone:
-		c.listDone(x)
+		c.keeper.ListDone(x)
 	case msg.RentDone:
-		c.rentDone(x)
+		c.keeper.RentDone(x)
 	case msg.ReleaseDone:
-		c.releaseDone(x)
+		c.keeper.ReleaseDone(x)
 	case msg.SubmitIn:
 		c.front.Submit(x)
 	case msg.PollIn:
@@ -359,7 +357,7 @@
 		}
 		if m := c.owner.Roster().Get(p.Machine); m != nil {
 			c.owner.Hurry(m)
-		} else if _, gone := c.deleted[p.Machine]; gone {
+		} else if c.keeper.Gone(p.Machine) {
 			// Deleted while the transaction was under way: nobody else would
 			// ever close the placement.
 			c.close(p.Key(j.ID), p.Machine, false)
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -35,7 +35,7 @@
 		return leaving
 	case m.Session == 0:
 		return booting
-	case c.sick(m):
+	case m.Sick():
 		return sick
 	case m.Mailed:
 		return mailed
--- /dev/null
+++ b/internal/core/fleet/keeper.go
@@ -0,0 +1,365 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"sort"
+
+	"coralhub/internal/config"
+	"coralhub/internal/core/claim"
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
+	"coralhub/internal/core/outbox"
+	"coralhub/internal/core/records"
+	"coralhub/internal/core/zone"
+	"coralhub/wire"
+)
+
+// Machines are those that the keeper rents and gives back.
+type Machines interface {
+	Roster() *zone.Roster
+	Machine(name string) *zone.Machine // made if need be
+}
+
+// Leader hears what is news to it.
+type Leader interface {
+	Looks(*zone.Machine)                          // something about it has changed
+	Moved(machine string)                         // it came or is gone
+	Close(key job.Key, machine string, done bool) // proof that a placement is over
+	Changed()                                     // there may be more or less room
+}
+
+// Keeper rents machines and gives back what is idle, dead, silent, faulty or never came up,
+// as long as its node leads.
+type Keeper struct {
+	cfg     *config.Config
+	box     *outbox.Box
+	book    *records.Book
+	catalog *zone.Catalog
+	claim   *claim.Claim
+	owner   Machines
+	to      Leader
+
+	ready    bool
+	since    Micros // when the claim was made
+	fleet    *Fleet
+	deleted  map[string]Micros // machines proven gone, which the lagging list still names
+	lastList Micros
+	listing  bool
+
+	kinds   map[*zone.Machine]Kind // those that count
+	count   map[Kind]int
+	booting map[*zone.Machine]bool
+	watched map[*zone.Machine]bool // those that may have to go back
+}
+
+// NewKeeper returns a keeper of no machines.
+func NewKeeper(cfg *config.Config, box *outbox.Box, book *records.Book, catalog *zone.Catalog, claim *claim.Claim, owner Machines, to Leader) *Keeper {
+	k := &Keeper{cfg: cfg, box: box, book: book, catalog: catalog, claim: claim, owner: owner, to: to}
+	k.Reset()
+	return k
+}
+
+// Reset forgets what is only of use under one claim.
+func (k *Keeper) Reset() {
+	k.ready, k.listing, k.since = false, false, k.box.Now()
+	k.fleet, k.deleted = New(), map[string]Micros{}
+	k.kinds, k.count = map[*zone.Machine]Kind{}, map[Kind]int{}
+	k.booting, k.watched = map[*zone.Machine]bool{}, map[*zone.Machine]bool{}
+}
+
+// Begin begins to rent and give back: the records have been read since the claim.
+func (k *Keeper) Begin() { k.ready, k.lastList = true, 0 }
+
+// Tick does what is due by time alone.
+func (k *Keeper) Tick() {
+	if !k.listing && k.box.Now()-k.lastList > k.listPeriod() {
+		k.listing, k.lastList = true, k.box.Now()
+		k.box.Emit(msg.ListMachines{})
+	}
+	if k.claim.InDoubt() {
+		return
+	}
+	k.ask()
+	k.returnMachines()
+}
+
+func (k *Keeper) ask() {
+	for _, r := range k.fleet.Due(k.box.Now()) {
+		k.box.Emit(msg.Rent{Request: r})
+	}
+}
+
+// Rent asks for the machines that needs call for.
+func (k *Keeper) Rent(needs []Need) {
+	booting, count := k.sorted()
+	types := make([]*wire.MachineType, 0, len(k.catalog.Types))
+	for _, name := range slices.Sorted(maps.Keys(k.catalog.Types)) {
+		types = append(types, k.catalog.Types[name])
+	}
+	k.fleet.Ask(k.claim.Token(), k.fleet.Plan(k.box.Now(), needs, booting, count, types))
+	k.ask()
+}
+
+// Gone tells whether a machine is proven to be gone.
+func (k *Keeper) Gone(name string) bool {
+	_, gone := k.deleted[name]
+	return gone
+}
+
+// Forget drops a machine that is in no roster any more.
+func (k *Keeper) Forget(m *zone.Machine) {
+	k.uncount(m)
+	delete(k.watched, m)
+}
+
+func (k *Keeper) uncount(m *zone.Machine) {
+	if kind, ok := k.kinds[m]; ok {
+		k.count[kind]--
+		delete(k.kinds, m)
+	}
+	delete(k.booting, m)
+}
+
+// Count sorts a machine that has changed for what is rented next: whether nothing open is
+// on it, and whether anything is or is about to be.
+func (k *Keeper) Count(m *zone.Machine, empty, used bool) {
+	k.uncount(m)
+	k.Watch(m, used)
+	if m.Releasing || m.Type == "" {
+		return
+	}
+	kind := Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+	k.kinds[m] = kind
+	k.count[kind]++
+	if m.Session == 0 && !m.Failed && empty {
+		k.booting[m] = true
+	}
+}
+
+func (k *Keeper) listPeriod() Micros {
+	return max(config.FromSeconds(k.cfg.Cluster.Cloud.ListLagS)/2, 2*config.Second)
+}
+
+func (k *Keeper) ListDone(x msg.ListDone) {
+	k.listing = false
+	if !k.ready || x.Outcome != msg.OK {
+		return
+	}
+	listed := make(map[string]bool, len(x.Machines))
+	for i := range x.Machines {
+		l := &x.Machines[i]
+		listed[l.Name] = true
+		if _, gone := k.deleted[l.Name]; gone {
+			continue
+		}
+		had := k.owner.Roster().Get(l.Name) != nil
+		m := k.owner.Machine(l.Name)
+		if !had {
+			m.Rented = k.box.Now() - config.FromSeconds(l.AgeS)
+		}
+		if fails := l.State == wire.MachineFailed; !had || m.Failed != fails || m.Session == 0 && m.Type == "" {
+			m.Failed = fails
+			k.to.Looks(m)
+		}
+		m.Describe(l.Addr, l.Type, l.Zone, l.Spot)
+	}
+	for name, since := range k.deleted {
+		if !listed[name] && k.box.Now()-since > 5*config.FromSeconds(k.cfg.Cluster.Cloud.ListLagS) {
+			delete(k.deleted, name)
+		}
+	}
+}
+
+func (k *Keeper) RentDone(x msg.RentDone) {
+	if !k.ready {
+		return
+	}
+	switch x.Outcome {
+	case msg.OK, msg.Conflict:
+		r, ok := k.fleet.Done(k.box.Now(), x.Name, len(x.Machines), x.Outcome == msg.Conflict)
+		if !ok {
+			return
+		}
+		k.box.Log("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(x.Machines))
+		for _, name := range x.Machines {
+			m := k.owner.Machine(name)
+			m.Describe("", r.Type, r.Zone, r.Spot)
+			k.to.Looks(m)
+			k.to.Moved(name)
+		}
+		k.to.Changed()
+	default:
+		k.fleet.Retry(k.box.Now(), x.Name)
+	}
+}
+
+// returnMachines gives back what is idle, dead, silent, faulty or never came
+// up. The answer to a deletion is the proof that everything on it is gone. It looks
+// only at machines that don't work, or don't speak.
+func (k *Keeper) returnMachines() {
+	silence := k.cfg.Silence()
+	look := slices.Collect(maps.Keys(k.watched))
+	k.owner.Roster().Silent(k.box.Now()-silence, func(m *zone.Machine) {
+		if !k.watched[m] {
+			look = append(look, m)
+		}
+	})
+	slices.SortFunc(look, zone.ByName)
+	var crowds map[string]bool
+	var names []string
+	for _, m := range look {
+		name := m.Name
+		if k.owner.Roster().Get(name) != m {
+			continue
+		}
+		if m.Releasing {
+			if k.box.Now()-m.ReleasedAt > 2*config.Second {
+				m.ReleasedAt = k.box.Now()
+				names = append(names, name)
+			}
+			continue
+		}
+		limit := silence
+		if k.silentFor(m) > silence {
+			if crowds == nil {
+				crowds = k.crowds()
+			}
+			if crowds[m.Zone] {
+				limit = 6 * silence
+			}
+		}
+		why := ""
+		switch {
+		case m.Failed:
+			why = "failed"
+		case m.Session == 0 && len(k.book.OpenOn(name)) == 0:
+			if k.box.Now()-max(m.Rented, k.since) > k.bootLimit(m) {
+				why = "never came up"
+			}
+		case k.silentFor(m) > limit:
+			why = "silent"
+		case m.Sick():
+			if m.IdleSince != 0 {
+				why = "faulty"
+			}
+		case m.IdleSince != 0 && k.box.Now()-m.IdleSince > k.keepIdle(m):
+			why = "idle"
+		}
+		if why == "" || m.ReleasedAt != 0 && k.box.Now()-m.ReleasedAt < 2*config.Second {
+			continue
+		}
+		if m.ReleasedAt == 0 {
+			k.box.Log("releasing", "machine", name, "why", why, "placements", len(k.book.OpenOn(name)))
+		}
+		m.Releasing, m.ReleasedAt = true, k.box.Now()
+		k.to.Looks(m)
+		names = append(names, name)
+	}
+	for len(names) > 0 {
+		n := min(len(names), wire.MaxRelease)
+		k.box.Emit(msg.Release{Machines: names[:n:n]})
+		names = names[n:]
+	}
+}
+
+// crowds tells in which zones so many workers are quiet that it is rather the
+// network than the machines. Those heard of through a deputy count: they tell of a
+// cut.
+func (k *Keeper) crowds() map[string]bool {
+	quiet, all := map[string]int{}, map[string]int{}
+	for _, m := range k.owner.Roster().All() {
+		if m.Session == 0 && m.Heard == 0 && len(k.book.OpenOn(m.Name)) == 0 {
+			continue
+		}
+		all[m.Zone]++
+		if k.box.Now()-max(m.Spoke, k.since) > k.cfg.Silence()/2 {
+			quiet[m.Zone]++
+		}
+	}
+	out := map[string]bool{}
+	for z, n := range quiet {
+		out[z] = n > 1 && n*3 > all[z]
+	}
+	return out
+}
+
+func (k *Keeper) silentFor(m *zone.Machine) Micros { return k.box.Now() - max(m.Heard, k.since) }
+
+// keepIdle is how long an idle machine is kept. To have it back would cost a
+// boot, paid without use, and the images that it has cached.
+func (k *Keeper) keepIdle(m *zone.Machine) Micros {
+	if s := k.cfg.Settings.IdleReturnS; s > 0 {
+		return config.FromSeconds(s)
+	}
+	keep := 20.0
+	if t := k.catalog.Types[m.Type]; t != nil {
+		keep += 1.4 * t.BootS
+	}
+	return config.FromSeconds(keep)
+}
+
+func (k *Keeper) bootLimit(m *zone.Machine) Micros {
+	boot := 60.0
+	if t := k.catalog.Types[m.Type]; t != nil {
+		boot = t.BootS
+	}
+	return config.FromSeconds(boot*k.cfg.Settings.BootGiveUpTimes) + 5*config.Second
+}
+
+func (k *Keeper) ReleaseDone(x msg.ReleaseDone) {
+	if !k.ready {
+		return
+	}
+	if x.Outcome != msg.OK {
+		// Certainly not deleted: it may be used again. Otherwise the deletion
+		// may come late, and nothing must be there by then.
+		for _, name := range x.Machines {
+			if m := k.owner.Roster().Get(name); m != nil {
+				m.Doomed = m.Doomed || x.Outcome == msg.Unknown
+				m.Releasing = m.Doomed
+				k.to.Looks(m)
+			}
+		}
+		return
+	}
+	gone := append([]string(nil), x.Machines...)
+	sort.Strings(gone)
+	for _, name := range gone {
+		for _, key := range job.SortedKeys(k.book.OpenOn(name)) {
+			k.to.Close(key, name, false)
+		}
+		if m := k.owner.Roster().Get(name); m != nil {
+			k.to.Looks(m)
+		}
+		k.owner.Roster().Remove(name)
+		k.deleted[name] = k.box.Now()
+		k.to.Moved(name)
+	}
+	k.to.Changed()
+}
+
+// sorted sorts the machines for the fleet's planning, the booting ones by name.
+func (k *Keeper) sorted() (booting []Kind, count map[Kind]int) {
+	for _, m := range slices.SortedFunc(maps.Keys(k.booting), zone.ByName) {
+		booting = append(booting, k.kinds[m])
+	}
+	return booting, k.count
+}
+
+// Watch keeps the list of machines that may have to go back: all but those that
+// work. It notes since when a machine is idle.
+func (k *Keeper) Watch(m *zone.Machine, used bool) {
+	busy := m.Session == 0 || used
+	switch {
+	case busy:
+		m.IdleSince = 0
+	case m.IdleSince == 0:
+		m.IdleSince = k.box.Now()
+	}
+	if !busy || m.Session == 0 || m.Releasing || m.Failed {
+		k.watched[m] = true
+	} else {
+		delete(k.watched, m)
+	}
+}
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/bits"
 	"slices"
+	"sort"
 	"strconv"
 	"strings"
 
@@ -197,3 +198,22 @@
 	n, err := strconv.Atoi(num)
 	return id, n, ok && err == nil && n > 0 && wire.ValidJobID(id)
 }
+
+// SortedKeys lists attempts in a set order.
+func SortedKeys[V any](m map[Key]V) []Key {
+	keys := make([]Key, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		a, b := keys[i], keys[j]
+		if a.Job != b.Job {
+			return a.Job < b.Job
+		}
+		if a.Task != b.Task {
+			return a.Task < b.Task
+		}
+		return a.Attempt < b.Attempt
+	})
+	return keys
+}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -4,11 +4,9 @@
 package owner
 
 import (
-	"cmp"
 	"maps"
 	"net/http"
 	"slices"
-	"sort"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/claim"
@@ -170,7 +168,7 @@
 		o.to.Joined(m)
 	}
 	expected := o.book.OpenOn(m.Name)
-	for _, key := range SortedKeys(expected) {
+	for _, key := range job.SortedKeys(expected) {
 		if expected[key].Session < m.Session {
 			o.to.Close(key, m.Name, false) // a later session: everything of the earlier one is gone
 		}
@@ -178,7 +176,7 @@
 	if m.NoticeAt != 0 {
 		o.drain(m)
 	}
-	for _, key := range SortedKeys(m.Tasks) {
+	for _, key := range job.SortedKeys(m.Tasks) {
 		t := m.Tasks[key]
 		j := o.book.Job(key.Job)
 		if j != nil && j.Rec.Spec != nil && t.State != wire.Fetching && t.State != wire.Exited {
@@ -203,7 +201,7 @@
 
 // drain stops what can still save before the cloud takes the machine.
 func (o *Owner) drain(m *zone.Machine) {
-	for _, key := range SortedKeys(o.book.OpenOn(m.Name)) {
+	for _, key := range job.SortedKeys(o.book.OpenOn(m.Name)) {
 		j := o.book.Job(key.Job)
 		if j == nil || j.Rec.Spec == nil || j.Rec.Spec.CheckpointS == 0 {
 			continue
@@ -214,31 +212,12 @@
 	}
 }
 
-// SortedKeys lists attempts in a set order.
-func SortedKeys[V any](m map[job.Key]V) []job.Key {
-	keys := make([]job.Key, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Slice(keys, func(i, j int) bool {
-		a, b := keys[i], keys[j]
-		if a.Job != b.Job {
-			return a.Job < b.Job
-		}
-		if a.Task != b.Task {
-			return a.Task < b.Task
-		}
-		return a.Attempt < b.Attempt
-	})
-	return keys
-}
-
 // orders lists everything a worker should do, given its newest message and the
 // records. Forgetting is left to reports' answers: it is never urgent.
 func (o *Owner) orders(m *zone.Machine, reply bool) []wire.Order {
 	orders := []wire.Order{}
 	expected := o.book.OpenOn(m.Name)
-	for _, key := range SortedKeys(m.Tasks) {
+	for _, key := range job.SortedKeys(m.Tasks) {
 		t := m.Tasks[key]
 		if t.State == wire.Exited {
 			// After forgetting, a repeated start takes effect again: only when
@@ -256,7 +235,7 @@
 			orders = append(orders, wire.Order{Verb: wire.Stop, Task: wire.TaskName(key.Job, key.Task), Attempt: key.Attempt, GraceS: &grace})
 		}
 	}
-	for _, key := range SortedKeys(expected) {
+	for _, key := range job.SortedKeys(expected) {
 		if _, seen := m.Tasks[key]; seen || expected[key].Session != m.Session {
 			continue
 		}
@@ -390,7 +369,7 @@
 // Announce shows our token to machines that have not followed us yet. That
 // frees workers that a cut-off predecessor still answers.
 func (o *Owner) Announce() {
-	for _, m := range slices.SortedFunc(maps.Keys(o.strange), ByName) {
+	for _, m := range slices.SortedFunc(maps.Keys(o.strange), zone.ByName) {
 		if m.Token >= o.claim.Base() || !m.Known() {
 			delete(o.strange, m)
 			continue
@@ -403,9 +382,6 @@
 	}
 }
 
-// ByName compares machines by their names.
-func ByName(a, b *zone.Machine) int { return cmp.Compare(a.Name, b.Name) }
-
 // Probe calls workers that have been quiet: it may be only their reports that
 // don't come through.
 func (o *Owner) Probe() {
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -9,7 +9,6 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/job"
-	"coralhub/internal/core/msg"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
@@ -459,18 +458,9 @@
 		return
 	}
 	c.soonFree(s)
-	booting, count := c.kinds()
-	types := make([]*wire.MachineType, 0, len(c.catalog.Types))
-	for _, name := range slices.Sorted(maps.Keys(c.catalog.Types)) {
-		types = append(types, c.catalog.Types[name])
-	}
 	for i := range s.needs { // more of the same arrives while the machines boot
 		n := &s.needs[i]
 		n.Count += int(math.Ceil(float64(n.Count) * c.cfg.Settings.RentSurplus))
 	}
-	rent := c.fleet.Plan(c.now, s.needs, booting, count, types)
-	c.fleet.Ask(c.claim.Token(), rent)
-	for _, r := range c.fleet.Due(c.now) {
-		c.box.Emit(msg.Rent{Request: r})
-	}
+	c.keeper.Rent(s.needs)
 }
--- a/internal/core/reign.go
+++ b/internal/core/reign.go
@@ -2,7 +2,6 @@
 
 import (
 	"coralhub/internal/config"
-	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/queue"
 	"coralhub/wire"
@@ -65,13 +64,13 @@
 			c.dirty[id] = true
 		}
 	}
+	c.keeper.Begin()
 	c.owner.Begin()
 	for _, m := range c.owner.Roster().All() {
 		c.watch(m)
 	}
 	c.startLearning()
 	c.passDue = true
-	c.lastList = 0
 	c.box.Log("records read", "open_placements", open, "machines", c.owner.Roster().Len(), "after_ms", (c.now-c.since)/1000)
 }
 
@@ -80,17 +79,16 @@
 		j.closes, j.plan, j.txn, j.reserved, j.mergeNow = nil, nil, nil, nil, false
 		j.standing, j.runs = standing{}, runs{}
 	}
-	c.ready, c.listing = false, false
+	c.ready = false
 	looked := c.survey.lookedAt
 	c.survey = newSurvey(c.cfg.Cluster.Zones)
 	c.survey.lookedAt = looked
 	c.owner.Reset()
+	c.keeper.Reset()
 	c.reigns++
 	c.writing = 0
 	c.ended = endedLog{writeAt: c.ended.writeAt, leaving: map[uint64]bool{}}
 	c.dirty, c.delayed = map[string]bool{}, map[string]bool{}
-	c.deleted = map[string]Micros{}
 	c.usage = queue.NewUsage(config.FromSeconds(c.cfg.Settings.UsageWindowS))
-	c.fleet = fleet.New()
 	c.learning = learning{stored: c.learning.stored}
 }
--- a/internal/core/rooms.go
+++ b/internal/core/rooms.go
@@ -125,3 +125,6 @@
 	j := d.c.jobs[key.Job]
 	return j != nil && j.isClosing(key, machine)
 }
+
+func (d desk) Moved(machine string) { d.c.noteMachine(machine) }
+func (d desk) Changed()             { d.c.passDue = true }
--- a/internal/core/survey.go
+++ b/internal/core/survey.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"coralhub/internal/config"
-	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/zone"
@@ -31,10 +30,6 @@
 	wanting map[*Job]bool           // jobs that lack places
 	plans   map[string]map[*Job]int // tasks about to be placed, by machine
 
-	kinds    map[*zone.Machine]fleet.Kind // those that count, see kinds
-	count    map[fleet.Kind]int
-	booting  map[*zone.Machine]bool
-	watched  map[*zone.Machine]bool // those that may have to go back, see returnMachines
 	lookedAt Looked
 }
 
@@ -47,8 +42,7 @@
 
 func newSurvey(zones []string) survey {
 	s := survey{whole: true, byName: map[string]*zone.Zone{}, used: map[string]queue.Amount{}, lines: map[string]*queue.Line{},
-		wanting: map[*Job]bool{}, plans: map[string]map[*Job]int{}, kinds: map[*zone.Machine]fleet.Kind{}, count: map[fleet.Kind]int{},
-		booting: map[*zone.Machine]bool{}, watched: map[*zone.Machine]bool{}}
+		wanting: map[*Job]bool{}, plans: map[string]map[*Job]int{}}
 	for _, name := range zones {
 		z := &zone.Zone{Name: name}
 		s.zones = append(s.zones, z)
@@ -137,7 +131,7 @@
 // offers tells whether a machine may be given work at all.
 func (c *Core) offers(m *zone.Machine) bool {
 	return c.survey.byName[m.Zone] != nil && c.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= c.claim.Base() && !m.Releasing &&
-		!m.Failed && m.NoticeAt == 0 && !c.sick(m) && c.now-m.Spoke <= c.suspectAfter()
+		!m.Failed && m.NoticeAt == 0 && !m.Sick() && c.now-m.Spoke <= c.suspectAfter()
 }
 
 // suspectAfter is how long a worker may say nothing before it gets no more work.
@@ -148,23 +142,7 @@
 // watch keeps the list of machines that may have to go back: all but those that
 // work. It notes since when a machine is idle.
 func (c *Core) watch(m *zone.Machine) {
-	c.watchIf(m, len(c.book.OpenOn(m.Name)) > 0 || len(c.survey.plans[m.Name]) > 0)
-}
-
-// watchIf does the same for who knows already whether the machine has anything.
-func (c *Core) watchIf(m *zone.Machine, used bool) {
-	busy := m.Session == 0 || used
-	switch {
-	case busy:
-		m.IdleSince = 0
-	case m.IdleSince == 0:
-		m.IdleSince = c.now
-	}
-	if !busy || m.Session == 0 || m.Releasing || m.Failed {
-		c.survey.watched[m] = true
-	} else {
-		delete(c.survey.watched, m)
-	}
+	c.keeper.Watch(m, len(c.book.OpenOn(m.Name)) > 0 || len(c.survey.plans[m.Name]) > 0)
 }
 
 // refresh looks at what has changed since the last pass.
@@ -225,25 +203,12 @@
 		s.byName[m.Room.Zone].Drop(m.Room)
 		m.Room = nil
 	}
-	if k, ok := s.kinds[m]; ok {
-		s.count[k]--
-		delete(s.kinds, m)
-	}
-	delete(s.booting, m)
 	if !m.Known() {
-		delete(s.watched, m)
+		c.keeper.Forget(m)
 		return
 	}
 	open, plans := c.book.OpenOn(m.Name), s.plans[m.Name]
-	c.watchIf(m, len(open)+len(plans) > 0)
-	if !m.Releasing && m.Type != "" {
-		k := fleet.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
-		s.kinds[m] = k
-		s.count[k]++
-		if m.Session == 0 && !m.Failed && len(open) == 0 {
-			s.booting[m] = true
-		}
-	}
+	c.keeper.Count(m, len(open) == 0, len(open)+len(plans) > 0)
 	if !c.offers(m) {
 		return
 	}
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -83,15 +83,11 @@
 	c.close(key, m.Name, t.Cause == wire.Done)
 }
 
-// sickJobs is after how many different jobs in a row failing on a machine the
-// machine is held to be the cause.
-const sickJobs = 2
-
 // failed tells machines that fail everything from jobs that fail everywhere.
 // The task is tried elsewhere first; a job that keeps failing waits longer and
 // longer, and a machine on which different jobs fail gets no more work.
 func (c *Core) failed(m *zone.Machine, j *Job) {
-	wasSick := c.sick(m)
+	wasSick := m.Sick()
 	if j.failures < 3 { // a job that fails everywhere says nothing about machines
 		m.Errors[j.ID] = c.now
 		c.reconsider(m)
@@ -100,7 +96,7 @@
 		j.failedOn = map[string]Micros{}
 	}
 	j.failedOn[m.Name] = c.now + 120*config.Second
-	if c.sick(m) {
+	if m.Sick() {
 		if !wasSick {
 			c.box.Log("machine fails its tasks", "machine", m.Name)
 		}
@@ -113,8 +109,6 @@
 	}
 }
 
-func (c *Core) sick(m *zone.Machine) bool { return len(m.Errors) >= sickJobs }
-
 // beatIn hears, as the leader, of workers that their homes have answered. It
 // answers with those whose next report it wants to see.
 func (c *Core) beatIn(x msg.BeatIn) {
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -4,6 +4,8 @@
 package zone
 
 import (
+	"cmp"
+
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/wire"
@@ -169,3 +171,13 @@
 	}
 	m.Direct, m.DirectStart = false, false
 }
+
+// sickJobs is after how many different jobs in a row failing on a machine the
+// machine is held to be the cause.
+const sickJobs = 2
+
+// Sick tells whether it is the machine that fails what it is given.
+func (m *Machine) Sick() bool { return len(m.Errors) >= sickJobs }
+
+// ByName compares machines by their names.
+func ByName(a, b *Machine) int { return cmp.Compare(a.Name, b.Name) }
