--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -71,6 +71,9 @@
 	return &Claim{box: box, key: key, node: node, ttl: ttl, to: to, jitter: Micros(seed % 200_000), nonce: seed}
 }
 
+// Key is the key that is claimed.
+func (c *Claim) Key() string { return c.key }
+
 // Holder tells who holds the claim.
 func (c *Claim) Holder() Holder { return c.holder }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,9 +9,6 @@
 package core
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"strings"
 
 	"coralhub/internal/config"
@@ -20,10 +17,10 @@
 	"coralhub/internal/core/front"
 	"coralhub/internal/core/home"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/leader"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/outbox"
 	"coralhub/internal/core/owner"
-	"coralhub/internal/core/queue"
 	"coralhub/internal/core/records"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
@@ -42,9 +39,6 @@
 type Core struct {
 	cfg *config.Config
 	now Micros
-	// The time of day less now, for the age of jobs that this node has not seen
-	// coming. It decides about ranks alone.
-	wallAhead Micros
 
 	box     *outbox.Box
 	form    *records.Form
@@ -52,102 +46,33 @@
 	front   *front.Front
 	claim   *claim.Claim // to lead
 	home    *home.Home
+	leader  *leader.Leader
 	keeper  *fleet.Keeper
 	owner   *owner.Owner // of every zone, as the leader
 
-	loaded         bool            // a first Snapshot has come
-	book           *records.Book   // what is committed about jobs
-	jobs           map[string]*Job // the same jobs, with what this node adds to them
-	active         []*Job          // jobs that have anything left, oldest first: passes must not cost more with every finished job
+	loaded         bool          // a first Snapshot has come
+	book           *records.Book // what is committed about jobs
 	catalogVersion uint64
 	catalogAsked   Micros
 
-	teams map[string]*config.Team
-
-	reign
 	upgrade
-	ended    endedLog
-	learning learning
-
-	// What follows is only of use to the leader.
-	survey   survey
-	usage    *queue.Usage
-	passDue  bool
-	passAt   Micros // when one is due though nothing happens; 0: never
-	lastPass Micros
-	pages    [hintPages]hintPage
-	pageNext int
-	pageAt   Micros
-	dirty    map[string]bool // jobs with facts to commit
-	delayed  map[string]bool // those that can't be committed before the next tick
-	writing  int             // changes to jobs on their way
-	reigns   uint64          // counts the times that this node began anew
-	counters counters
-}
-
-// Job is a job as this node knows it.
-type Job struct {
-	*records.Job
-
-	// For the leader: what has been learnt or decided and is to be committed.
-	active  bool
-	created Micros // as it stands in the order of active jobs
-	standing
-	runs
-	types    typeSet
-	closes   []closing
-	mergeNow bool              // to be written so that a page of the log can go
-	left     map[string]uint64 // machines that an attempt of a gang has left
-	plan     []job.Placement
-	txn      *txn
-	retryAt  Micros
-
-	arrived    Micros // when this node first saw the job
-	started    map[int]Micros
-	deadGang   uint64 // gang attempts up to this one can't be completed
-	gangRan    uint64 // highest gang attempt that ran
-	failures   int
-	failedOn   map[string]Micros
-	holdUntil  Micros
-	preempted  Micros          // victims are leaving until then
-	reserved   map[string]bool // machines that they leave
-	cancelling bool
-	tooLarge   bool // its record was once found too large to be written
-	parting    bool // its tasks are to be moved out of its record
-}
-
-// closing is a placement with proof that it is over.
-type closing struct {
-	key     job.Key
-	machine string
-	done    bool
-	noted   bool // on its way into the log of ended attempts
 }
 
 // New returns a node that knows nothing yet. The seed decides the moments at
 // which nodes that start together do things.
 func New(cfg *config.Config, seed uint64) *Core {
-	c := &Core{
-		cfg:     cfg,
-		form:    records.NewForm(&cfg.Cluster.State),
-		catalog: &zone.Catalog{},
-		jobs:    map[string]*Job{},
-		teams:   map[string]*config.Team{},
-		dirty:   map[string]bool{},
-	}
+	c := &Core{cfg: cfg, form: records.NewForm(&cfg.Cluster.State), catalog: &zone.Catalog{}, upgrade: upgrade{announced: map[string]job.Format{}}}
 	c.box = outbox.New(c.malformed)
-	c.book = records.New(listener{c})
 	c.claim = claim.New(c.box, leaderKey, cfg.Node, config.FromMillis(cfg.Settings.LeaderLeaseMS), seed, throne{c})
-	c.home = home.New(cfg, c.box, c.book, c.form, c.claim)
-	c.owner = owner.New(cfg, c.box, c.book, c.claim, desk{c})
-	c.keeper = fleet.NewKeeper(cfg, c.box, c.book, c.catalog, c.claim, c.owner, desk{c})
+	c.leader = leader.New(cfg, c.box, c.form, c.catalog, c.claim)
+	hears := &listener{Leader: c.leader}
+	c.book = records.New(hears)
 	c.front = front.New(cfg, c.box, c.book, c.form, c.catalog, house{c})
-	for i := range cfg.Cluster.Teams {
-		t := &cfg.Cluster.Teams[i]
-		c.teams[t.Name] = t
-	}
-	c.upgrade = upgrade{announced: map[string]job.Format{}}
-	c.resetLeader()
+	hears.front = c.front
+	c.home = home.New(cfg, c.box, c.book, c.form, c.claim)
+	c.owner = owner.New(cfg, c.box, c.book, c.claim, c.leader.Desk())
+	c.keeper = fleet.NewKeeper(cfg, c.box, c.book, c.catalog, c.claim, c.owner, c.leader.Desk())
+	c.leader.Use(c.book, c.owner, c.keeper)
 	return c
 }
 
@@ -157,7 +82,7 @@
 	c.box.Begin(now)
 	switch x := in.(type) {
 	case msg.Tick:
-		c.wallAhead = x.Wall - now
+		c.leader.SetWall(x.Wall)
 		c.tick()
 	case msg.Snapshot:
 		c.snapshot(x)
@@ -169,7 +94,7 @@
 	case msg.ForwardDone:
 		c.home.ForwardDone(x)
 	case msg.BeatIn:
-		c.beatIn(x)
+		c.leader.BeatIn(x)
 	case msg.BeatDone:
 		c.home.BeatDone(x)
 	case msg.PeerHeard:
@@ -201,17 +126,10 @@
 	case msg.CancelIn:
 		c.front.Cancel(x)
 	case msg.AdminIn:
-		c.admin(x)
+		c.leader.Admin(x)
 	}
-	if c.ready {
-		c.flushJobs()
-		c.writeEnded()
-		if c.passDue && now-c.lastPass >= config.FromMillis(c.cfg.Settings.PassIntervalMS) {
-			c.pass()
-			c.flushJobs()
-		}
-		c.refreshMachines()
-		c.owner.SendUrgent()
+	if c.leader.Ready() {
+		c.leader.Settle()
 	}
 	c.front.Flush()
 	return c.box.End()
@@ -220,21 +138,20 @@
 // tick does what is due by time alone.
 func (c *Core) tick() {
 	c.front.Tick()
-	c.home.Tick(c.ready)
+	c.home.Tick(c.leader.Ready())
 	c.announceFormat()
 	if c.serving() {
 		c.claim.Tick()
 	}
 	// Without the machine types no job can be accepted: a node whose records don't have
 	// them asks at once.
-	if !c.catalog.Known() && c.loaded && (c.catalogAsked == 0 || c.now-c.catalogAsked > config.Second) || c.ready && c.now-c.catalogAsked > 30*config.Second {
+	if !c.catalog.Known() && c.loaded && (c.catalogAsked == 0 || c.now-c.catalogAsked > config.Second) || c.leader.Ready() && c.now-c.catalogAsked > 30*config.Second {
 		c.catalogAsked = c.now
 		c.box.Emit(msg.FetchCatalog{})
 	}
-	if c.ready {
+	if c.leader.Ready() {
 		c.raiseFormat()
-		c.wakeJobs()
-		c.tickLeader()
+		c.leader.Tick()
 	}
 }
 
@@ -252,11 +169,7 @@
 	}
 	c.book.Listed(s.Revision, listed)
 	c.loaded = true
-	c.afterSnapshot(s.Revision)
-}
-
-func (c *Core) sortedJobs() []string {
-	return slices.Sorted(maps.Keys(c.jobs))
+	c.leader.Read(s.Revision)
 }
 
 // apply takes a put or a delete that has happened.
@@ -284,16 +197,7 @@
 		c.announcementIn(name, ev)
 		return
 	}
-	if name, ok := strings.CutPrefix(key, hintPrefix); ok {
-		c.hintsIn(name, ev)
-		return
-	}
-	if num, ok := strings.CutPrefix(key, learntPrefix); ok {
-		c.learntIn(num, ev)
-		return
-	}
-	if strings.HasPrefix(key, home.MailPrefix) {
-		c.mailIn(ev)
+	if c.leader.Apply(key, ev) {
 		return
 	}
 	if _, err := c.book.Apply(ev); err != nil {
@@ -301,77 +205,9 @@
 	}
 }
 
-// setActive puts a job into the list of active ones or takes it out.
-func (c *Core) setActive(j *Job, active bool) {
-	if active == j.active {
-		return
-	}
-	if active {
-		j.created = j.Rec.Created
-	}
-	i, _ := slices.BinarySearchFunc(c.active, j, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(a.created, b.created), cmp.Compare(a.ID, b.ID))
-	})
-	if j.active = active; active {
-		c.active = slices.Insert(c.active, i, j)
-	} else {
-		c.active = slices.Delete(c.active, i, i+1)
-	}
-}
-
-// outdatePlan drops a plan that was made for an older record. A transaction
-// that had no answer may have placed the same tasks after all: placed once more
-// they would run twice. What is in flight keeps its plan, for its places count.
-func (c *Core) outdatePlan(j *Job) {
-	if j.txn == nil {
-		c.setPlan(j, nil)
-	}
-}
-
-// placed has the machines looked at on which something was placed or closed.
-func (c *Core) placed(j *Job, old, now []job.Placement) {
-	for _, p := range old {
-		if !slices.Contains(now, p) {
-			delete(j.started, p.Task)
-			delete(j.mine, p.Task)
-		}
-		if m := c.owner.Roster().Get(p.Machine); m != nil {
-			c.touch(m)
-		}
-	}
-	for _, p := range now {
-		if m := c.owner.Roster().Get(p.Machine); m != nil {
-			c.touch(m)
-		}
-	}
-	if !c.ready {
-		return
-	}
-	had := make(map[job.Key]bool, len(old))
-	for _, p := range old {
-		had[p.Key(j.ID)] = true
-	}
-	for _, p := range now {
-		if had[p.Key(j.ID)] {
-			continue
-		}
-		if m := c.owner.Roster().Get(p.Machine); m != nil {
-			c.owner.Hurry(m)
-		} else if c.keeper.Gone(p.Machine) {
-			// Deleted while the transaction was under way: nobody else would
-			// ever close the placement.
-			c.close(p.Key(j.ID), p.Machine, false)
-		}
-	}
-}
-
 func (c *Core) setCatalog(cat *wire.Catalog) {
 	c.catalog.Set(cat)
-	c.survey.whole = true
-	for _, j := range c.active {
-		j.types = typeSet{}
-	}
-	c.passDue = true
+	c.leader.CatalogChanged()
 }
 
 // catalogDone takes the machine types. The leader keeps them in the state
@@ -386,7 +222,7 @@
 		same = same && o != nil && o.CPUs == t.CPUs && o.GPUs == t.GPUs && o.MemoryGB == t.MemoryGB
 	}
 	c.setCatalog(&x.Catalog)
-	if c.ready && (!same || c.catalogVersion == 0) {
+	if c.leader.Ready() && (!same || c.catalogVersion == 0) {
 		value, err := job.Encode(&x.Catalog)
 		if err != nil || !c.form.Fits(value) {
 			return
@@ -415,3 +251,9 @@
 	}
 	c.form.Tighten()
 }
+
+// Looked tells what this node's passes have looked at.
+func (c *Core) Looked() leader.Looked { return c.leader.Looked() }
+
+// Audit holds what passes go by against the records, for tests.
+func (c *Core) Audit() error { return c.leader.Audit() }
--- a/internal/core/admin.go
+++ b/internal/core/leader/admin.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"math"
@@ -94,7 +94,7 @@
 }
 
 // gauges counts.
-func (c *Core) gauges() Gauges {
+func (c *Leader) gauges() Gauges {
 	g := Gauges{Leading: c.ready, Records: len(c.jobs), Unfinished: len(c.active), Writing: c.writing, Takeovers: c.takeovers, Looked: c.survey.lookedAt,
 		Waiting: map[string]int{}, Machines: map[string]int{}}
 	for _, j := range c.active {
@@ -119,7 +119,8 @@
 	return g
 }
 
-func (c *Core) admin(x msg.AdminIn) {
+// Admin answers an operator.
+func (c *Leader) Admin(x msg.AdminIn) {
 	if x.What == msg.AskGauges {
 		c.box.Answer(x.Req, http.StatusOK, c.gauges())
 		return
@@ -151,7 +152,7 @@
 	}
 }
 
-func (c *Core) listEstimates(most int) Estimates {
+func (c *Leader) listEstimates(most int) Estimates {
 	m := c.learning.model
 	out := Estimates{Runs: m.Observed(), Changes: m.Changes(), Kinds: []EstimateRow{}, Machines: []SlowMachine{}}
 	m.Kinds(func(f estimate.Features) bool {
@@ -188,7 +189,7 @@
 	return row
 }
 
-func (c *Core) listRuns(from uint64, most int) Runs {
+func (c *Leader) listRuns(from uint64, most int) Runs {
 	l := &c.learning
 	first := l.runsEnd - uint64(len(l.runs))
 	out := Runs{Runs: []history.Line{}}
@@ -205,7 +206,7 @@
 	return out
 }
 
-func (c *Core) jobOutlook(j *Job) JobOutlook {
+func (c *Leader) jobOutlook(j *Job) JobOutlook {
 	st := front.Status(j.Job)
 	out := JobOutlook{Job: JobState{ID: st.ID, Status: st.Status, Done: *st.Done, Running: *st.Running}}
 	spec := j.Rec.Spec
@@ -227,7 +228,7 @@
 		out.LeftS = &left
 	}
 	if spec.DeadlineS != nil {
-		due := round(float64(j.Rec.Created-c.wallAhead-c.now)/1e6 + *spec.DeadlineS)
+		due := round(float64(j.Rec.Created-c.wallAhead-c.box.Now())/1e6 + *spec.DeadlineS)
 		out.DueInS = &due
 	}
 	if v, chance := c.judge(j); v != "" {
--- a/internal/core/audit.go
+++ b/internal/core/leader/audit.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"fmt"
@@ -12,7 +12,7 @@
 // Audit holds what passes go by against the records, added up from nothing. What is
 // on the lists to be looked at again is left out. It is for tests: a change that
 // nobody has put on a list would show here.
-func (c *Core) Audit() error {
+func (c *Leader) Audit() error {
 	if !c.ready || c.survey.whole || c.claim.Raising() {
 		return nil
 	}
@@ -71,7 +71,7 @@
 }
 
 // auditPlaces holds the open placements by machine against those by job.
-func (c *Core) auditPlaces() error {
+func (c *Leader) auditPlaces() error {
 	open := 0
 	var wrong error
 	for _, j := range c.jobs {
--- a/internal/core/commits.go
+++ b/internal/core/leader/commits.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"maps"
@@ -34,7 +34,7 @@
 )
 
 // flushJobs commits what has been learnt or decided about jobs.
-func (c *Core) flushJobs() {
+func (c *Leader) flushJobs() {
 	if len(c.dirty) == 0 {
 		return
 	}
@@ -48,7 +48,7 @@
 }
 
 // wakeJobs has another look at the jobs that could not be committed before.
-func (c *Core) wakeJobs() {
+func (c *Leader) wakeJobs() {
 	for id := range c.delayed {
 		c.dirty[id] = true
 	}
@@ -57,15 +57,15 @@
 
 // flush commits a job's next state; it returns false if there is more to do
 // after the transaction in flight, or later.
-func (c *Core) flush(j *Job) bool {
-	if t := j.txn; t != nil && t.resendAt != 0 && c.now >= t.resendAt {
+func (c *Leader) flush(j *Job) bool {
+	if t := j.txn; t != nil && t.resendAt != 0 && c.box.Now() >= t.resendAt {
 		t.resendAt = 0
 		c.send(j, t)
 	}
 	if j.Version == 0 {
 		return true // its record has not come yet
 	}
-	if j.txn != nil || c.now < j.retryAt || c.claim.Raising() {
+	if j.txn != nil || c.box.Now() < j.retryAt || c.claim.Raising() {
 		return false
 	}
 	c.assure(j)
@@ -89,7 +89,7 @@
 
 // fitting returns a job's next transaction, made so small that every value of it
 // may be put: a plan is cut down, and ends go by the log.
-func (c *Core) fitting(j *Job) (*txn, bool) {
+func (c *Leader) fitting(j *Job) (*txn, bool) {
 	for {
 		t, more := c.next(j)
 		if t == nil || t.ends || c.putable(&t.commit) {
@@ -107,13 +107,13 @@
 			c.setPlan(j, j.plan[:len(j.plan)/2])
 		case len(j.plan) > 0:
 			c.setPlan(j, nil)
-			j.holdUntil = c.now + 10*config.Second
+			j.holdUntil = c.box.Now() + 10*config.Second
 		case len(t.closes) > 0 && !j.Rec.Final():
 			t.ends = true
 			return t, more
 		default:
 			j.mergeNow = false
-			j.retryAt = c.now + 10*config.Second
+			j.retryAt = c.box.Now() + 10*config.Second
 			return nil, false
 		}
 	}
@@ -121,7 +121,7 @@
 
 // canPart tells whether the tasks can be moved out of a job's record in one
 // transaction: if they are all in it.
-func (c *Core) canPart(j *Job) bool {
+func (c *Leader) canPart(j *Job) bool {
 	if j.parting || j.Rec.Apart || c.form.Format < job.Grouped {
 		return false
 	}
@@ -129,7 +129,7 @@
 }
 
 // putable tells whether every value of a transaction may be put.
-func (c *Core) putable(t *wire.Commit) bool {
+func (c *Leader) putable(t *wire.Commit) bool {
 	for i := range t.Changes {
 		if t.Changes[i].Put != "" && !c.form.Fits(t.Changes[i].Value) {
 			return false
@@ -139,7 +139,7 @@
 }
 
 // next builds the transaction that brings a job's record up to what is known.
-func (c *Core) next(j *Job) (*txn, bool) {
+func (c *Leader) next(j *Job) (*txn, bool) {
 	if j.Rec.Spec == nil {
 		return c.leftover(j)
 	}
@@ -245,7 +245,7 @@
 		t.ends, t.whole = false, true
 		if n := c.dropParts(j, t, room); n > 0 {
 			more, changed = true, true
-			j.retryAt = c.now + dropPause
+			j.retryAt = c.box.Now() + dropPause
 		} else {
 			rec.Shrink()
 			changed = true
@@ -270,7 +270,7 @@
 // and nothing of it stays open: its record shrinks at once, whichever tasks are
 // in how many parts. The parts are void from then on and deleted at leisure. With
 // the first format, whose readers take a part at its word, they go before.
-func (c *Core) finish(j *Job) *txn {
+func (c *Leader) finish(j *Job) *txn {
 	if c.form.Format < job.Grouped {
 		return nil
 	}
@@ -306,19 +306,19 @@
 }
 
 // leftover returns the deletion of what parts are left of a job that is over.
-func (c *Core) leftover(j *Job) (*txn, bool) {
+func (c *Leader) leftover(j *Job) (*txn, bool) {
 	t := &txn{token: c.claim.Token()}
 	if !j.Over() || c.dropParts(j, t, c.form.Ops()) == 0 {
 		return nil, false
 	}
 	t.commit.Guards = append(t.commit.Guards, c.claim.Guard())
-	j.retryAt = c.now + dropPause
+	j.retryAt = c.box.Now() + dropPause
 	return t, true
 }
 
 // dropParts puts the deletion of parts into t, as many as there is room for.
 // It returns how many are left or dropped; 0 means that none existed.
-func (c *Core) dropParts(j *Job, t *txn, room int) int {
+func (c *Leader) dropParts(j *Job, t *txn, room int) int {
 	n := 0
 	t.parts = map[int]job.Part{}
 	for i := range j.Parts {
@@ -336,7 +336,7 @@
 }
 
 // fill turns the new values into guards and changes.
-func (c *Core) fill(j *Job, t *txn, rec *job.Record) error {
+func (c *Leader) fill(j *Job, t *txn, rec *job.Record) error {
 	key := job.RecordKey(j.ID)
 	t.commit.Guards = append(t.commit.Guards, c.claim.Guard(), wire.Guard{Key: key, Version: j.Version})
 	// A record that says nothing new is guarded and not written. In the first
@@ -366,11 +366,11 @@
 // mostWriting is how many changes to jobs may be on their way at a time: what
 // the state service takes in about half a second. More would wait in a line that
 // knows no ranks.
-func (c *Core) mostWriting() int {
+func (c *Leader) mostWriting() int {
 	return max(c.form.Ops(), int(c.cfg.Cluster.State.LeastWriteRPS()/2))
 }
 
-func (c *Core) send(j *Job, t *txn) {
+func (c *Leader) send(j *Job, t *txn) {
 	reign := c.reigns
 	c.writing += len(t.commit.Changes)
 	// An end that others wait for doesn't give way, nor does a cancellation that
@@ -394,7 +394,7 @@
 			// It may be applied later. The same transaction again: either it
 			// or the late one fails by its guards, and until then what it
 			// places is counted.
-			t.unsure, t.resendAt = true, c.now+commitPause
+			t.unsure, t.resendAt = true, c.box.Now()+commitPause
 		case msg.Conflict:
 			j.txn = nil
 			c.setPlan(j, nil)
@@ -408,19 +408,19 @@
 			c.passDue = true
 			var keys []string
 			for _, g := range t.commit.Guards {
-				if g.Key != leaderKey {
+				if g.Key != c.claim.Key() {
 					keys = append(keys, g.Key)
 				}
 			}
 			c.conflict(j, t, keys)
 		default:
 			if t.unsure { // this sending was refused; an earlier one may still be applied
-				t.resendAt = c.now + commitPause
+				t.resendAt = c.box.Now() + commitPause
 				return
 			}
 			j.txn = nil
 			c.setPlan(j, nil)
-			j.retryAt = c.now + commitPause
+			j.retryAt = c.box.Now() + commitPause
 			c.passDue = true
 		}
 	})
@@ -434,7 +434,7 @@
 }
 
 // committed takes over what a transaction has written.
-func (c *Core) committed(j *Job, t *txn, revision uint64) {
+func (c *Leader) committed(j *Job, t *txn, revision uint64) {
 	j.forget(t.closes)
 	j.mergeNow, j.parting = false, false
 	if t.rec != nil && j.Version < revision { // first: tasks may have moved out of it
@@ -455,23 +455,23 @@
 }
 
 // conflict reads what has changed under us.
-func (c *Core) conflict(j *Job, t *txn, failed []string) {
+func (c *Leader) conflict(j *Job, t *txn, failed []string) {
 	for _, key := range failed {
-		if key == leaderKey {
+		if key == c.claim.Key() {
 			if t.token == c.claim.Token() && !c.claim.Raising() {
 				c.claim.Resign("claim lost")
 				return
 			}
 			continue
 		}
-		j.retryAt = c.now + config.Second // unless the answer comes sooner
+		j.retryAt = c.box.Now() + config.Second // unless the answer comes sooner
 		c.box.Read(key, func(d msg.ReadDone) {
 			if d.Outcome != msg.OK || !c.claim.Held() {
 				return
 			}
-			j.retryAt = c.now
+			j.retryAt = c.box.Now()
 			if d.Item.Version != 0 {
-				c.apply(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
+				c.take(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
 			} else if _, n, ok := job.ParseKey(key); ok && n > 0 {
 				c.book.SetPart(j.Job, n, job.Part{}, 0)
 			}
@@ -484,7 +484,7 @@
 // open placement must be on a worker that follows us, so that we will stop the
 // task or the worker's lease ends, and no start may still be on its way that
 // could take effect after that.
-func (c *Core) assure(j *Job) {
+func (c *Leader) assure(j *Job) {
 	if !j.Rec.Cancel || j.Rec.Final() {
 		j.cancelling = false
 		return
@@ -514,7 +514,7 @@
 }
 
 // close notes proof that a placement is over.
-func (c *Core) close(key job.Key, machine string, done bool) {
+func (c *Leader) close(key job.Key, machine string, done bool) {
 	j := c.jobs[key.Job]
 	if j == nil {
 		return
--- a/internal/core/counters.go
+++ b/internal/core/leader/counters.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"coralhub/internal/config"
@@ -29,7 +29,7 @@
 	leaving = "leaving"
 )
 
-func (c *Core) stateOf(m *zone.Machine) string {
+func (c *Leader) stateOf(m *zone.Machine) string {
 	switch {
 	case m.Releasing || m.Failed || m.NoticeAt != 0:
 		return leaving
@@ -39,15 +39,15 @@
 		return sick
 	case m.Mailed:
 		return mailed
-	case c.now-m.Spoke > c.suspectAfter():
+	case c.box.Now()-m.Spoke > c.suspectAfter():
 		return quiet
 	}
 	return usable
 }
 
 // count writes the line when it is due.
-func (c *Core) count() {
-	if c.now-c.counters.at < countEvery {
+func (c *Leader) count() {
+	if c.box.Now()-c.counters.at < countEvery {
 		return
 	}
 	states := map[string]int{}
@@ -62,5 +62,5 @@
 	c.box.Debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held,
 		"writing", c.writing, "waiting", len(c.dirty)+len(c.delayed), "closing", closing, "log", len(c.ended.fresh),
 		usable, states[usable], quiet, states[quiet], mailed, states[mailed], sick, states[sick], booting, states[booting], leaving, states[leaving])
-	c.counters = counters{at: c.now}
+	c.counters = counters{at: c.box.Now()}
 }
--- a/internal/core/ended.go
+++ b/internal/core/leader/ended.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"slices"
@@ -42,7 +42,7 @@
 }
 
 // note hands closings to the log.
-func (c *Core) note(j *Job, closes []closing) {
+func (c *Leader) note(j *Job, closes []closing) {
 	for _, cl := range closes {
 		for i := range j.closes {
 			if o := &j.closes[i]; o.key == cl.key && o.machine == cl.machine && !o.noted {
@@ -55,9 +55,9 @@
 }
 
 // writeEnded commits what has been noted, a page at a time.
-func (c *Core) writeEnded() {
+func (c *Leader) writeEnded() {
 	e := &c.ended
-	if c.claim.Raising() || e.out || c.now < e.writeAt {
+	if c.claim.Raising() || e.out || c.box.Now() < e.writeAt {
 		return
 	}
 	if e.txn != nil { // without an answer: it may be applied later, so the same again
@@ -83,7 +83,7 @@
 			return
 		}
 	}
-	e.writeAt = c.now + c.form.Pause(endedShare)
+	e.writeAt = c.box.Now() + c.form.Pause(endedShare)
 	key := records.PageKey(e.current)
 	e.txn = &wire.Commit{
 		Guards:  []wire.Guard{c.claim.Guard(), {Key: key, Version: version}},
@@ -93,7 +93,7 @@
 }
 
 // fitEnded adds as many fresh lines to a page as it has room for; nil: none.
-func (c *Core) fitEnded(lines []records.Ended) []byte {
+func (c *Leader) fitEnded(lines []records.Ended) []byte {
 	for n := len(c.ended.fresh); n > 0; n /= 2 {
 		value, err := job.Encode(append(lines[:len(lines):len(lines)], c.ended.fresh[:n]...))
 		if err == nil && c.form.Fits(value) {
@@ -103,7 +103,7 @@
 	return nil
 }
 
-func (c *Core) sendEnded(t *wire.Commit) {
+func (c *Leader) sendEnded(t *wire.Commit) {
 	c.ended.out = true
 	c.box.CommitLater(*t, func(d msg.CommitDone) {
 		e := &c.ended
@@ -114,20 +114,20 @@
 		key := t.Changes[0].Put
 		switch d.Outcome {
 		case msg.Unknown:
-			e.writeAt = c.now + commitPause
+			e.writeAt = c.box.Now() + commitPause
 			return
 		case msg.OK:
-			c.apply(&wire.Change{Put: key, Value: t.Changes[0].Value, Version: d.Revision})
+			c.take(&wire.Change{Put: key, Value: t.Changes[0].Value, Version: d.Revision})
 		case msg.Conflict:
-			if slices.Contains(d.Failed, leaderKey) && t.Guards[0].Version == c.claim.Token() && !c.claim.Raising() {
+			if slices.Contains(d.Failed, c.claim.Key()) && t.Guards[0].Version == c.claim.Token() && !c.claim.Raising() {
 				c.claim.Resign("claim lost")
 				return
 			}
 			if slices.Contains(d.Failed, key) { // an earlier sending has been applied after all
-				e.writeAt = c.now + commitPause
+				e.writeAt = c.box.Now() + commitPause
 				c.box.Read(key, func(d msg.ReadDone) {
 					if d.Outcome == msg.OK && d.Item.Version != 0 {
-						c.apply(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
+						c.take(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
 						c.logged()
 					}
 				})
@@ -136,9 +136,9 @@
 			// An earlier sending may have been applied: the watch tells. What isn't in
 			// the log by then goes into a new page.
 			e.current = 0
-			e.writeAt = c.now + config.Second
+			e.writeAt = c.box.Now() + config.Second
 		default:
-			e.writeAt = c.now + commitPause
+			e.writeAt = c.box.Now() + commitPause
 		}
 		e.txn = nil
 		c.logged()
@@ -146,7 +146,7 @@
 }
 
 // logged drops what pages or records say by now from what is to be written.
-func (c *Core) logged() {
+func (c *Leader) logged() {
 	e := &c.ended
 	left := e.fresh[:0]
 	for _, l := range e.fresh {
@@ -170,7 +170,7 @@
 
 // tidyEnded deletes pages that no record needs any more, and has jobs written
 // for the sake of the oldest page when there are many.
-func (c *Core) tidyEnded() {
+func (c *Leader) tidyEnded() {
 	pages := c.book.Pages()
 	for i, n := range pages {
 		p := c.book.Page(n)
--- a/internal/core/hints.go
+++ b/internal/core/leader/hints.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"hash/fnv"
@@ -26,7 +26,8 @@
 	maxImages = 16
 )
 
-type machineHint struct {
+// Hint is what is stored of a machine, a format that live clusters share.
+type Hint struct {
 	//lint:ignore U1000 read by the encoder: a hint is a list, to be short
 	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
@@ -50,11 +51,11 @@
 }
 
 // noteMachine has a machine's hint written in its turn.
-func (c *Core) noteMachine(name string) { c.pages[pageOf(name)].changed = true }
+func (c *Leader) noteMachine(name string) { c.pages[pageOf(name)].changed = true }
 
 // writeHints writes one page, now and then.
-func (c *Core) writeHints() {
-	if c.now < c.pageAt {
+func (c *Leader) writeHints() {
+	if c.box.Now() < c.pageAt {
 		return
 	}
 	n := -1
@@ -67,15 +68,15 @@
 	if n < 0 {
 		return
 	}
-	var hints []machineHint
+	var hints []Hint
 	for _, m := range c.owner.Roster().All() {
 		if pageOf(m.Name) == n && !m.Releasing {
-			hints = append(hints, machineHint{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			hints = append(hints, Hint{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 				Images: slices.Sorted(maps.Keys(m.Images))})
 		}
 	}
 	p := &c.pages[n]
-	p.changed, c.pageNext, c.pageAt = false, n+1, c.now+c.form.Pause(hintShare)
+	p.changed, c.pageNext, c.pageAt = false, n+1, c.box.Now()+c.form.Pause(hintShare)
 	value := c.fitHints(hints)
 	if value == nil {
 		return
@@ -88,7 +89,7 @@
 
 // fitHints encodes hints so that they fit a value: images go first, then the
 // youngest machines.
-func (c *Core) fitHints(hints []machineHint) []byte {
+func (c *Leader) fitHints(hints []Hint) []byte {
 	for most := maxImages; ; most /= 2 {
 		for i := range hints {
 			hints[i].Images = hints[i].Images[:min(len(hints[i].Images), most)]
@@ -107,13 +108,13 @@
 
 // hintsIn takes a page. A leader that has begun knows better than what was
 // written before.
-func (c *Core) hintsIn(name string, ev *wire.Change) {
+func (c *Leader) hintsIn(name string, ev *wire.Change) {
 	n, err := strconv.Atoi(name)
 	if err != nil || n < 0 || n >= hintPages || c.ready || ev.Version <= c.pages[n].version {
 		return
 	}
 	p := &c.pages[n]
-	var hints []machineHint
+	var hints []Hint
 	if ev.Put != "" && job.Decode(ev.Value, &hints) != nil {
 		return
 	}
--- a/internal/core/learning.go
+++ b/internal/core/leader/learning.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"errors"
@@ -70,7 +70,7 @@
 }
 
 // learntIn takes a stored value. Nobody but the leader reads it.
-func (c *Core) learntIn(num string, ev *wire.Change) {
+func (c *Leader) learntIn(num string, ev *wire.Change) {
 	n, err := strconv.Atoi(num)
 	if err != nil || n < 0 || n >= estimate.Chunks || ev.Version <= c.learning.stored[n].version {
 		return
@@ -83,7 +83,7 @@
 }
 
 // startLearning takes over what earlier leaders have learnt.
-func (c *Core) startLearning() {
+func (c *Leader) startLearning() {
 	if !c.cfg.Settings.Estimates {
 		return
 	}
@@ -112,9 +112,9 @@
 }
 
 // keepLearnt writes a value of what was learnt, when nothing else wants changes.
-func (c *Core) keepLearnt() {
+func (c *Leader) keepLearnt() {
 	l := &c.learning
-	if l.model == nil || c.claim.Raising() || c.now < l.writeAt || c.writing > 0 || len(c.ended.fresh) > 0 || c.counters.held > 0 {
+	if l.model == nil || c.claim.Raising() || c.box.Now() < l.writeAt || c.writing > 0 || len(c.ended.fresh) > 0 || c.counters.held > 0 {
 		return
 	}
 	for i := range estimate.Chunks {
@@ -123,7 +123,7 @@
 		if v.aside || v.out || v.at == l.model.Observed() {
 			continue
 		}
-		l.next, l.writeAt = n+1, c.now+learntEvery
+		l.next, l.writeAt = n+1, c.box.Now()+learntEvery
 		value, err := l.model.Encode(n, func(raw []byte) bool { return wire.JSONSize(raw) <= int(float64(c.form.Room())*learntPart) })
 		observed := l.model.Observed()
 		if err != nil {
@@ -149,13 +149,13 @@
 	}
 }
 
-func (c *Core) features(j *Job, machine string) estimate.Features {
+func (c *Leader) features(j *Job, machine string) estimate.Features {
 	s := j.Rec.Spec
 	return estimate.Features{Image: s.Image, Shape: wire.ShapeName(s.Shape), Class: s.Class, Team: s.Team, Expect: config.FromSeconds(s.EstimateS), Machine: machine}
 }
 
 // placedFirst learns how long a job has waited for its first place.
-func (c *Core) placedFirst(j *Job) {
+func (c *Leader) placedFirst(j *Job) {
 	if c.learning.model == nil || j.Rec.Spec == nil {
 		return
 	}
@@ -167,11 +167,11 @@
 		w = &wait{}
 		c.learning.waits[j.Rec.Spec.Class] = w
 	}
-	w.add(c.now - j.arrived)
+	w.add(c.box.Now() - j.arrived)
 }
 
 // noteMine remembers what this leader has placed itself.
-func (c *Core) noteMine(j *Job, placed []job.Placement) {
+func (c *Leader) noteMine(j *Job, placed []job.Placement) {
 	if c.learning.model == nil || len(placed) == 0 {
 		return
 	}
@@ -188,7 +188,7 @@
 
 // learnRun learns from the end of a run, whatever its proof. It is asked before the
 // placement is closed.
-func (c *Core) learnRun(j *Job, key job.Key, machine string, done bool) {
+func (c *Leader) learnRun(j *Job, key job.Key, machine string, done bool) {
 	spec := j.Rec.Spec
 	m := c.learning.model
 	if m == nil || spec == nil || spec.Shape == wire.Service {
@@ -209,7 +209,7 @@
 		}
 	}
 	kept := j.kept[task]
-	work := kept + c.now - began
+	work := kept + c.box.Now() - began
 	whole := done && j.mine[key.Task] == key.Attempt && (!j.inherited || spec.CheckpointS == 0)
 	m.Observe(&estimate.Evidence{Features: c.features(j, machine), Ran: work, Done: whole})
 	c.recordRun(j, key, machine, began, done)
@@ -227,7 +227,7 @@
 }
 
 // recordRun keeps a run for those who record histories.
-func (c *Core) recordRun(j *Job, key job.Key, machine string, began Micros, done bool) {
+func (c *Leader) recordRun(j *Job, key job.Key, machine string, began Micros, done bool) {
 	if !c.cfg.Settings.Admin {
 		return
 	}
@@ -249,7 +249,7 @@
 	}
 	line := history.Line{Ref: j.ID, Class: spec.Class, Team: spec.Team, Shape: wire.ShapeName(spec.Shape), Tasks: spec.Tasks, CPUs: spec.CPUs, GPUs: spec.GPUs,
 		MemoryGB: spec.MemoryGB, Image: spec.Image, ExpectS: spec.EstimateS, Submitted: float64(j.Rec.Created) / 1e6,
-		Started: seconds(began), Ended: seconds(c.now), Outcome: outcome, Machine: machine}
+		Started: seconds(began), Ended: seconds(c.box.Now()), Outcome: outcome, Machine: machine}
 	if spec.Shape == wire.Array {
 		line.Ref, line.Tasks = wire.TaskName(j.ID, key.Task), 1
 	}
@@ -265,7 +265,7 @@
 }
 
 // taskLeft estimates what remains of a task that runs.
-func (c *Core) taskLeft(j *Job, p *job.Placement) (estimate.Answer, bool) {
+func (c *Leader) taskLeft(j *Job, p *job.Placement) (estimate.Answer, bool) {
 	if c.learning.model == nil {
 		return estimate.Answer{}, false
 	}
@@ -279,21 +279,21 @@
 
 // worked is how long a placed task, or its gang, has worked: what is safe of earlier
 // runs and this one.
-func (c *Core) worked(j *Job, p *job.Placement) Micros {
+func (c *Leader) worked(j *Job, p *job.Placement) Micros {
 	task := p.Task
 	if j.Rec.Spec.Shape == wire.Gang {
 		task = -1
 	}
 	work := j.kept[task]
 	if began, ok := j.started[p.Task]; ok {
-		work += c.now - began
+		work += c.box.Now() - began
 	}
 	return work
 }
 
 // avoidSlow adds the machines that are known to be slow to those that a gang avoids: it
 // would run as slowly as the slowest.
-func (c *Core) avoidSlow(avoid map[string]Micros) map[string]Micros {
+func (c *Leader) avoidSlow(avoid map[string]Micros) map[string]Micros {
 	if c.learning.model == nil {
 		return avoid
 	}
@@ -305,7 +305,7 @@
 				out[name] = until
 			}
 		}
-		out[machine] = c.now + config.Second
+		out[machine] = c.box.Now() + config.Second
 	})
 	if out == nil {
 		return avoid
@@ -361,7 +361,7 @@
 
 // ownStretch is how long a job takes from when its turn has come; false if nothing is
 // known of such work.
-func (c *Core) ownStretch(j *Job) (stretch, bool) {
+func (c *Leader) ownStretch(j *Job) (stretch, bool) {
 	spec := j.Rec.Spec
 	f := c.features(j, "")
 	a := c.learning.model.Estimate(&f)
@@ -407,7 +407,7 @@
 }
 
 // outlook is how long a job takes along the longest way through what it needs.
-func (c *Core) outlook(j *Job, depth int) (stretch, bool) {
+func (c *Leader) outlook(j *Job, depth int) (stretch, bool) {
 	own, ok := c.ownStretch(j)
 	if !ok || depth >= longestPath {
 		return own, ok
@@ -427,12 +427,12 @@
 
 // judge tells how likely a job meets its deadline; a negative chance means that it
 // can't be told.
-func (c *Core) judge(j *Job) (verdict string, chance float64) {
+func (c *Leader) judge(j *Job) (verdict string, chance float64) {
 	spec := j.Rec.Spec
 	if c.learning.model == nil || spec == nil || spec.DeadlineS == nil || j.Rec.Final() || j.Rec.Cancel || j.Doomed() {
 		return "", -1
 	}
-	due := float64(j.Rec.Created-c.wallAhead-c.now)/1e6 + *spec.DeadlineS
+	due := float64(j.Rec.Created-c.wallAhead-c.box.Now())/1e6 + *spec.DeadlineS
 	if due <= 0 {
 		return verdictLost, 0
 	}
@@ -450,7 +450,7 @@
 }
 
 // judgeDeadlines tells of deadlines that have become at risk, lost or safe again.
-func (c *Core) judgeDeadlines() {
+func (c *Leader) judgeDeadlines() {
 	if c.learning.model == nil {
 		return
 	}
@@ -468,7 +468,7 @@
 
 // rankWithin orders jobs of one level before their credit does, as the settings have
 // it; smaller goes first.
-func (c *Core) rankWithin(j *Job) float64 {
+func (c *Leader) rankWithin(j *Job) float64 {
 	rank := c.cfg.Settings.Rank
 	if c.learning.model == nil || rank == config.RankCredit {
 		return 0
@@ -481,14 +481,14 @@
 		return s.mean
 	}
 	if d := j.Rec.Spec.DeadlineS; d != nil {
-		return float64(j.Rec.Created-c.wallAhead-c.now)/1e6 + *d - s.mean
+		return float64(j.Rec.Created-c.wallAhead-c.box.Now())/1e6 + *d - s.mean
 	}
 	return math.MaxFloat32
 }
 
 // soonFree is how much of the work without room the ends of running tasks will make
 // room for before a machine that is rented now has booted. A half is reckoned with.
-func (c *Core) soonFree(s *scan) {
+func (c *Leader) soonFree(s *scan) {
 	if !c.cfg.Settings.RentAgainstBoot || c.learning.model == nil {
 		return
 	}
--- a/internal/core/pass.go
+++ b/internal/core/leader/pass.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"maps"
@@ -45,13 +45,13 @@
 
 // pass ranks the pending jobs and places what it can. A job that finds no
 // place waits; the next is tried.
-func (c *Core) pass() {
-	c.passDue, c.lastPass, c.passAt = false, c.now, 0
+func (c *Leader) pass() {
+	c.passDue, c.lastPass, c.passAt = false, c.box.Now(), 0
 	if !c.catalog.Known() || c.claim.Raising() {
 		return
 	}
 	s := c.surveyAll()
-	c.usage.Observe(c.now, s.used)
+	c.usage.Observe(c.box.Now(), s.used)
 	entries := c.pending()
 	queue.Rank(entries)
 	c.counters.passes++
@@ -68,7 +68,7 @@
 
 // surveyAll brings what passes go by up to date. Everything open counts, whatever the
 // workers last said of it, and so does what is being committed.
-func (c *Core) surveyAll() *scan {
+func (c *Leader) surveyAll() *scan {
 	c.refresh()
 	s := &scan{zones: c.survey.zones, used: maps.Clone(c.survey.used), barred: map[string]bool{}, budget: c.mostWriting() - c.writing}
 	for _, z := range s.zones {
@@ -79,7 +79,7 @@
 
 // victims lists the work of a zone that could be stopped. Most passes find room
 // without, so it is put together only when a job asks.
-func (c *Core) victims(s *scan, name string) []*zone.Victim {
+func (c *Leader) victims(s *scan, name string) []*zone.Victim {
 	if s.victims == nil {
 		s.victims = map[string][]*zone.Victim{}
 		for _, j := range c.active {
@@ -95,7 +95,7 @@
 }
 
 // couldStop lists what could be stopped of a job.
-func (c *Core) couldStop(s *scan, j *Job) {
+func (c *Leader) couldStop(s *scan, j *Job) {
 	spec := j.Rec.Spec
 	needs := taskRes(spec)
 	level := queue.Level(j.Priority(), c.within(j))
@@ -108,7 +108,7 @@
 		}
 		since, ran := j.started[p.Task]
 		if !ran {
-			since = c.now
+			since = c.box.Now()
 		}
 		left := Micros(0)
 		if c.cfg.Settings.VictimsByLeft && spec.Shape != wire.Service {
@@ -118,7 +118,7 @@
 		}
 		loss := Micros(0)
 		if spec.Shape != wire.Service && spec.CheckpointS == 0 {
-			loss = c.now - since
+			loss = c.box.Now() - since
 		}
 		take := zone.Take{Room: m.Room, Res: needs}
 		if spec.Shape != wire.Gang {
@@ -138,14 +138,14 @@
 }
 
 // pending lists the jobs that want places.
-func (c *Core) pending() []queue.Entry {
+func (c *Leader) pending() []queue.Entry {
 	var out []queue.Entry
 	for j := range c.survey.wanting { // in any order: ranking knows no ties
 		spec := j.Rec.Spec
 		if j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 {
 			continue
 		}
-		if at := max(j.holdUntil, j.retryAt); c.now < at {
+		if at := max(j.holdUntil, j.retryAt); c.box.Now() < at {
 			// When its time has come it should not wait for an event or a scan as well.
 			if c.passAt == 0 || at < c.passAt {
 				c.passAt = at
@@ -153,7 +153,7 @@
 			continue
 		}
 		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.Priority(), c.within(j)), Within: c.rankWithin(j), Created: j.Rec.Created,
-			Credit: queue.Credit(&c.cfg.Settings, c.now-j.arrived, c.usage.Share(spec.Team))})
+			Credit: queue.Credit(&c.cfg.Settings, c.box.Now()-j.arrived, c.usage.Share(spec.Team))})
 	}
 	return out
 }
@@ -161,7 +161,7 @@
 // missing lists the tasks that have no place, at most as many as one transaction
 // can hold. A gang needs room for all: what its transaction can't hold is placed
 // in the next pass, under the same attempt.
-func (c *Core) missing(j *Job) []int {
+func (c *Leader) missing(j *Job) []int {
 	most := job.PartTasks
 	switch {
 	case j.Rec.Spec.Shape == wire.Gang:
@@ -184,7 +184,7 @@
 }
 
 // place finds machines for a job's missing tasks.
-func (c *Core) place(s *scan, e *queue.Entry) {
+func (c *Leader) place(s *scan, e *queue.Entry) {
 	j := c.jobs[e.ID]
 	spec := j.Rec.Spec
 	tasks := c.missing(j)
@@ -221,7 +221,7 @@
 		}
 		for name, left := range j.left {
 			if left == attempt {
-				q.Avoid[name] = c.now + config.Second
+				q.Avoid[name] = c.box.Now() + config.Second
 			}
 		}
 	}
@@ -261,7 +261,7 @@
 		}
 		if commit {
 			c.box.Debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Rooms), "warm", bid.Warm, "zone", bid.Zone,
-				"age_ms", (c.now-j.arrived)/1000, "level", e.Level)
+				"age_ms", (c.box.Now()-j.arrived)/1000, "level", e.Level)
 			c.dirty[j.ID] = true
 		}
 		if commit {
@@ -278,7 +278,7 @@
 	}
 	c.counters.without++
 	s.needs = append(s.needs, fleet.Need{Task: q.Needs, Count: len(tasks), Types: q.Types, Zone: spec.Zone, Spot: spec.Spot})
-	if c.now < j.preempted {
+	if c.box.Now() < j.preempted {
 		for name := range j.reserved {
 			if m := c.owner.Roster().Get(name); m != nil && m.Room != nil {
 				m.Room.Barred = true
@@ -286,14 +286,14 @@
 			}
 		}
 	}
-	if c.now-j.arrived > config.FromSeconds(c.cfg.Settings.AgeCapS) && len(s.barred) == 0 {
+	if c.box.Now()-j.arrived > config.FromSeconds(c.cfg.Settings.AgeCapS) && len(s.barred) == 0 {
 		if z := c.roomiest(s, spec); z != "" {
 			s.barred[z] = true
 		}
 	}
 }
 
-func (c *Core) roomiest(s *scan, spec *wire.Job) string {
+func (c *Leader) roomiest(s *scan, spec *wire.Job) string {
 	best, most := "", -1.0
 	for _, z := range s.zones {
 		if spec.Zone != "" && spec.Zone != z.Name {
@@ -306,7 +306,7 @@
 	return best
 }
 
-func (c *Core) request(j *Job, e *queue.Entry) *zone.Request {
+func (c *Leader) request(j *Job, e *queue.Entry) *zone.Request {
 	spec := j.Rec.Spec
 	if j.types.set == nil {
 		j.types.set = map[string]bool{}
@@ -319,7 +319,7 @@
 	}
 	q := &zone.Request{Job: j.ID, Needs: taskRes(spec), Whole: spec.Shape == wire.Gang, Spot: spec.Spot,
 		Types: j.types.set, TypeKey: j.types.text, Image: spec.Image, Avoid: j.failedOn}
-	if c.now < j.preempted {
+	if c.box.Now() < j.preempted {
 		q.Keep = j.reserved
 		return q
 	}
@@ -336,7 +336,7 @@
 }
 
 // auction asks every zone for a bid and returns the best.
-func (c *Core) auction(s *scan, j *Job, e *queue.Entry, q *zone.Request, tasks []int, inZone map[string]int) *zone.Bid {
+func (c *Leader) auction(s *scan, j *Job, e *queue.Entry, q *zone.Request, tasks []int, inZone map[string]int) *zone.Bid {
 	spec := j.Rec.Spec
 	var best *zone.Bid
 	fewest := -1
@@ -363,7 +363,7 @@
 		if s.cached(z, &r, e.Level) {
 			continue
 		}
-		bid := of.Plan(c.now, &r)
+		bid := of.Plan(c.box.Now(), &r)
 		if bid == nil {
 			s.failed = append(s.failed, failure{z, r.Needs, r.Spot, r.TypeKey, e.Level, need(&r)})
 			continue
@@ -380,7 +380,7 @@
 }
 
 // acrossZones places a gang that fits no zone alone but may be split.
-func (c *Core) acrossZones(s *scan, spec *wire.Job, q *zone.Request, tasks []int, inZone map[string]int) *zone.Bid {
+func (c *Leader) acrossZones(s *scan, spec *wire.Job, q *zone.Request, tasks []int, inZone map[string]int) *zone.Bid {
 	whole := &zone.Bid{}
 	for _, of := range s.zones {
 		z := of.Name
@@ -396,7 +396,7 @@
 		if r.Count <= 0 {
 			continue
 		}
-		if bid := of.Plan(c.now, &r); bid != nil {
+		if bid := of.Plan(c.box.Now(), &r); bid != nil {
 			whole.Rooms = append(whole.Rooms, bid.Rooms...)
 		}
 	}
@@ -429,7 +429,7 @@
 }
 
 // evict stops a bid's victims and keeps their machines for the job.
-func (c *Core) evict(j *Job, bid *zone.Bid) {
+func (c *Leader) evict(j *Job, bid *zone.Bid) {
 	j.reserved = map[string]bool{}
 	for _, r := range bid.Rooms {
 		j.reserved[r.Machine.Name] = true
@@ -449,11 +449,11 @@
 		c.owner.Stop(victim.Job, only, "preempted by "+j.ID)
 		wait = max(wait, config.FromSeconds(victim.Rec.Spec.SaveS)+6*config.Second)
 	}
-	j.preempted = c.now + wait
+	j.preempted = c.box.Now() + wait
 }
 
 // rent asks for the machines that the unplaced work calls for.
-func (c *Core) rent(s *scan) {
+func (c *Leader) rent(s *scan) {
 	if c.claim.InDoubt() || len(s.needs) == 0 {
 		return
 	}
--- a/internal/core/survey.go
+++ b/internal/core/leader/survey.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"math"
@@ -38,7 +38,7 @@
 type Looked struct{ Passes, Machines, Jobs int }
 
 // Looked tells what this node's passes have looked at.
-func (c *Core) Looked() Looked { return c.survey.lookedAt }
+func (c *Leader) Looked() Looked { return c.survey.lookedAt }
 
 func newSurvey(zones []string) survey {
 	s := survey{whole: true, byName: map[string]*zone.Zone{}, used: map[string]queue.Amount{}, lines: map[string]*queue.Line{},
@@ -61,7 +61,7 @@
 }
 
 // touch has a machine looked at again.
-func (c *Core) touch(m *zone.Machine) {
+func (c *Leader) touch(m *zone.Machine) {
 	if !c.ready {
 		return // a new leader looks at everything
 	}
@@ -74,14 +74,14 @@
 
 // reconsider has a machine looked at again if what it can offer at all may have
 // changed.
-func (c *Core) reconsider(m *zone.Machine) {
+func (c *Leader) reconsider(m *zone.Machine) {
 	if c.offers(m) != (m.Room != nil) {
 		c.touch(m)
 	}
 }
 
 // changed has a job looked at again.
-func (c *Core) changed(j *Job) {
+func (c *Leader) changed(j *Job) {
 	if c.ready && !j.listed {
 		j.listed = true
 		c.survey.jobs = append(c.survey.jobs, j)
@@ -90,7 +90,7 @@
 
 // setPlan replaces what is about to be placed of a job. It counts as placed from
 // now on.
-func (c *Core) setPlan(j *Job, plan []job.Placement) {
+func (c *Leader) setPlan(j *Job, plan []job.Placement) {
 	if len(j.plan) == 0 && len(plan) == 0 {
 		return
 	}
@@ -105,13 +105,13 @@
 }
 
 // addPlan has one more task of a job placed.
-func (c *Core) addPlan(j *Job, p job.Placement) {
+func (c *Leader) addPlan(j *Job, p job.Placement) {
 	j.plan = append(j.plan, p)
 	c.promise(j, p.Machine, 1)
 	c.changed(j)
 }
 
-func (c *Core) promise(j *Job, machine string, n int) {
+func (c *Leader) promise(j *Job, machine string, n int) {
 	on := c.survey.plans[machine]
 	if on == nil {
 		on = map[*Job]int{}
@@ -129,32 +129,32 @@
 }
 
 // offers tells whether a machine may be given work at all.
-func (c *Core) offers(m *zone.Machine) bool {
+func (c *Leader) offers(m *zone.Machine) bool {
 	return c.survey.byName[m.Zone] != nil && c.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= c.claim.Base() && !m.Releasing &&
-		!m.Failed && m.NoticeAt == 0 && !m.Sick() && c.now-m.Spoke <= c.suspectAfter()
+		!m.Failed && m.NoticeAt == 0 && !m.Sick() && c.box.Now()-m.Spoke <= c.suspectAfter()
 }
 
 // suspectAfter is how long a worker may say nothing before it gets no more work.
-func (c *Core) suspectAfter() Micros {
+func (c *Leader) suspectAfter() Micros {
 	return config.FromSeconds(c.cfg.Cluster.Workers.ReportS*1.25) + 2*config.Second
 }
 
 // watch keeps the list of machines that may have to go back: all but those that
 // work. It notes since when a machine is idle.
-func (c *Core) watch(m *zone.Machine) {
+func (c *Leader) watch(m *zone.Machine) {
 	c.keeper.Watch(m, len(c.book.OpenOn(m.Name)) > 0 || len(c.survey.plans[m.Name]) > 0)
 }
 
 // refresh looks at what has changed since the last pass.
-func (c *Core) refresh() {
+func (c *Leader) refresh() {
 	s := &c.survey
-	if c.now-s.wholeAt >= config.FromSeconds(c.cfg.Settings.ScanPeriodS) {
+	if c.box.Now()-s.wholeAt >= config.FromSeconds(c.cfg.Settings.ScanPeriodS) {
 		s.whole = true
 	}
 	if s.whole {
 		c.renew()
 	}
-	c.owner.Roster().Silent(c.now-c.suspectAfter(), c.reconsider)
+	c.owner.Roster().Silent(c.box.Now()-c.suspectAfter(), c.reconsider)
 	s.lookedAt.Passes++
 	s.lookedAt.Jobs += len(s.jobs)
 	c.refreshMachines()
@@ -166,9 +166,9 @@
 
 // renew puts everything on the lists and adds up from nothing, which also removes
 // what rounding has left in sums.
-func (c *Core) renew() {
+func (c *Leader) renew() {
 	s := &c.survey
-	s.whole, s.wholeAt, s.judgeDue = false, c.now, true
+	s.whole, s.wholeAt, s.judgeDue = false, c.box.Now(), true
 	for _, m := range c.owner.Roster().All() {
 		c.touch(m)
 	}
@@ -187,7 +187,7 @@
 
 // refreshMachines looks at the machines that have changed. It is asked after every
 // input, when what is looked at is at hand, and not in the pass that follows.
-func (c *Core) refreshMachines() {
+func (c *Leader) refreshMachines() {
 	s := &c.survey
 	s.lookedAt.Machines += len(s.machines)
 	for _, m := range s.machines {
@@ -196,7 +196,7 @@
 	s.machines = s.machines[:0]
 }
 
-func (c *Core) refreshMachine(m *zone.Machine) {
+func (c *Leader) refreshMachine(m *zone.Machine) {
 	s := &c.survey
 	m.Stale = false
 	if m.Room != nil {
@@ -222,7 +222,7 @@
 // addUp adds up what is placed on a machine or about to be. Everything open counts,
 // whatever the worker last said of it. Whole millionths add up to the same in any order,
 // so nothing has to be sorted.
-func (c *Core) addUp(m *zone.Machine, open map[job.Key]job.Placement, plans map[*Job]int) {
+func (c *Leader) addUp(m *zone.Machine, open map[job.Key]job.Placement, plans map[*Job]int) {
 	var cpus, gpus, memory int64
 	add := func(s *wire.Job, n int) {
 		cpus += millionths(s.CPUs) * int64(n)
@@ -244,7 +244,7 @@
 
 func millionths(amount float64) int64 { return int64(math.Round(amount * 1e6)) }
 
-func (c *Core) refreshJob(j *Job) {
+func (c *Leader) refreshJob(j *Job) {
 	s := &c.survey
 	j.listed = false
 	spec := j.Rec.Spec
@@ -271,7 +271,7 @@
 }
 
 // refreshLine keeps a job's place in the line of its team, for the guarantee.
-func (c *Core) refreshLine(j *Job) {
+func (c *Leader) refreshLine(j *Job) {
 	spec := j.Rec.Spec
 	if spec == nil { // it has left its team's line before or does now
 		if l := c.survey.lines[j.lineOf]; l != nil {
@@ -299,7 +299,7 @@
 
 // within tells whether a job fits into its team's guarantee together with the
 // team's earlier unfinished jobs, as of the last pass.
-func (c *Core) within(j *Job) bool {
+func (c *Leader) within(j *Job) bool {
 	team := c.teams[j.Rec.Spec.Team]
 	if team == nil || j.Rec.Final() || j.Held() {
 		return false
--- a/internal/core/workers.go
+++ b/internal/core/leader/workers.go
@@ -1,4 +1,4 @@
-package core
+package leader
 
 import (
 	"net/http"
@@ -11,45 +11,14 @@
 	"coralhub/wire"
 )
 
-// report answers a worker. Only an owner whose records are read may do so; a
-// 200 from anybody else would hold the worker there while its lease runs out.
-func (c *Core) report(x msg.ReportIn) {
-	r := &x.Report
-	if c.foreign {
-		c.box.Later(x.Req, c.refusal())
-		return
-	}
-	if !c.ready {
-		if c.claim.Elsewhere() != "" && r.Machine != "" {
-			c.home.Relay(x)
-			return
-		}
-		c.box.Later(x.Req, "no leader")
-		return
-	}
-	if r.Token > c.claim.Token() && !c.claim.Raising() {
-		c.box.Answer(x.Req, http.StatusMisdirectedRequest, wire.Redirect{})
-		c.claim.Resign("a worker has seen a higher token")
-		return
-	}
-	if r.Machine == "" || r.Session == 0 {
-		c.box.Answer(x.Req, http.StatusBadRequest, wire.Error{Error: "no machine or session"})
-		return
-	}
-	if !x.Forwarded && c.home.SendHome(x) {
-		return
-	}
-	c.owner.Report(x)
-}
-
-func (c *Core) running(j *Job, key job.Key) {
+func (c *Leader) running(j *Job, key job.Key) {
 	if j.started == nil {
 		j.started = map[int]Micros{}
 	}
 	if _, ok := j.started[key.Task]; !ok {
-		j.started[key.Task] = c.now
+		j.started[key.Task] = c.box.Now()
 		if spec := j.Rec.Spec; spec != nil && len(j.started) == spec.Tasks {
-			c.box.Debug("all tasks run", "job", j.ID, "class", spec.Class, "age_ms", (c.now-j.arrived)/1000)
+			c.box.Debug("all tasks run", "job", j.ID, "class", spec.Class, "age_ms", (c.box.Now()-j.arrived)/1000)
 		}
 	}
 	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang {
@@ -58,7 +27,7 @@
 }
 
 // exited closes a placement whose task has ended, by the worker's word.
-func (c *Core) exited(m *zone.Machine, j *Job, key job.Key, t *zone.Task) {
+func (c *Leader) exited(m *zone.Machine, j *Job, key job.Key, t *zone.Task) {
 	if j.isClosing(key, m.Name) {
 		return
 	}
@@ -73,9 +42,9 @@
 	case wire.CauseError:
 		c.failed(m, j)
 	case wire.CauseNoRoom:
-		m.FullUntil = c.now + config.Second
+		m.FullUntil = c.box.Now() + config.Second
 	case wire.CauseUnknown, wire.CauseBusy:
-		j.holdUntil = c.now + 2*config.Second
+		j.holdUntil = c.box.Now() + 2*config.Second
 	}
 	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang && t.Cause != wire.CauseNoRoom && t.Cause != wire.CauseBusy {
 		j.deadGang = max(j.deadGang, key.Attempt)
@@ -86,16 +55,16 @@
 // failed tells machines that fail everything from jobs that fail everywhere.
 // The task is tried elsewhere first; a job that keeps failing waits longer and
 // longer, and a machine on which different jobs fail gets no more work.
-func (c *Core) failed(m *zone.Machine, j *Job) {
+func (c *Leader) failed(m *zone.Machine, j *Job) {
 	wasSick := m.Sick()
 	if j.failures < 3 { // a job that fails everywhere says nothing about machines
-		m.Errors[j.ID] = c.now
+		m.Errors[j.ID] = c.box.Now()
 		c.reconsider(m)
 	}
 	if j.failedOn == nil {
 		j.failedOn = map[string]Micros{}
 	}
-	j.failedOn[m.Name] = c.now + 120*config.Second
+	j.failedOn[m.Name] = c.box.Now() + 120*config.Second
 	if m.Sick() {
 		if !wasSick {
 			c.box.Log("machine fails its tasks", "machine", m.Name)
@@ -104,14 +73,14 @@
 	}
 	j.failures++
 	if j.failures > 2 {
-		j.holdUntil = c.now + config.Second<<min(j.failures, 6)
+		j.holdUntil = c.box.Now() + config.Second<<min(j.failures, 6)
 		j.failedOn = nil
 	}
 }
 
-// beatIn hears, as the leader, of workers that their homes have answered. It
+// BeatIn hears, as the leader, of workers that their homes have answered. It
 // answers with those whose next report it wants to see.
-func (c *Core) beatIn(x msg.BeatIn) {
+func (c *Leader) BeatIn(x msg.BeatIn) {
 	if !c.ready {
 		c.box.Later(x.Req, "not the leader")
 		return
@@ -122,8 +91,8 @@
 		if m == nil || m.Session != h.Session || m.Token < c.claim.Base() || m.Wanted {
 			wanted = append(wanted, h.Machine)
 		}
-		if m != nil && m.Beat(c.now, h.Session, h.Seq) {
-			c.owner.Roster().Touch(m, c.now)
+		if m != nil && m.Beat(c.box.Now(), h.Session, h.Seq) {
+			c.owner.Roster().Touch(m, c.box.Now())
 			c.reconsider(m)
 		}
 	}
@@ -131,7 +100,7 @@
 }
 
 // mailIn takes a deputy's mail.
-func (c *Core) mailIn(ev *wire.Change) {
+func (c *Leader) mailIn(ev *wire.Change) {
 	if !c.ready || ev.Put == "" || ev.Version <= c.claim.Base() {
 		return
 	}
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -39,7 +39,7 @@
 		return
 	}
 	c.form.Format, c.formatVersion = m.Format, ev.Version
-	c.passDue = true
+	c.leader.Wake()
 	if m.Format > job.Newest && !c.foreign {
 		c.foreign = true
 		c.box.Log("not serving: the records have a later format", "format", int(m.Format), "newest_known", int(job.Newest))
--- a/internal/core/upgrade_test.go
+++ b/internal/core/upgrade_test.go
@@ -13,6 +13,7 @@
 	"coralhub/internal/core/claim"
 	"coralhub/internal/core/home"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/leader"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/records"
 	"coralhub/wire"
@@ -61,8 +62,8 @@
 		{Job: "j-000412", Task: 33, Attempt: 3, Machine: "m-000240", Done: true}, {Job: "j-7", Attempt: 1, Machine: "m-1"}}) {
 		t.Errorf("%v %+v", err, ended)
 	}
-	var hints []machineHint
-	if err := job.Decode(production(t, "hints"), &hints); err != nil || !reflect.DeepEqual(hints, []machineHint{
+	var hints []leader.Hint
+	if err := job.Decode(production(t, "hints"), &hints); err != nil || !reflect.DeepEqual(hints, []leader.Hint{
 		{Name: "m-000231", Addr: "10.1.0.232:9000", Type: "g8", Zone: "a", Spot: true, Images: []string{"img-07", "img-08"}}}) {
 		t.Errorf("%v %+v", err, hints)
 	}
--- a/internal/node/httpapi/httpapi.go
+++ b/internal/node/httpapi/httpapi.go
@@ -11,7 +11,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"coralhub/internal/core"
+	"coralhub/internal/core/leader"
 	"coralhub/internal/core/msg"
 	"coralhub/wire"
 )
@@ -73,12 +73,12 @@
 		var err error
 		if s := c.QueryParam("from"); s != "" {
 			if q.From, err = strconv.ParseUint(s, 10, 64); err != nil {
-				return c.JSON(http.StatusBadRequest, core.AdminError{Error: "from: no number"})
+				return c.JSON(http.StatusBadRequest, leader.AdminError{Error: "from: no number"})
 			}
 		}
 		if s := c.QueryParam("most"); s != "" {
 			if q.Most, err = strconv.Atoi(s); err != nil || q.Most < 1 {
-				return c.JSON(http.StatusBadRequest, core.AdminError{Error: "most: no number above 0"})
+				return c.JSON(http.StatusBadRequest, leader.AdminError{Error: "most: no number above 0"})
 			}
 		}
 		x := a.ask(c.Request().Context().Done(), func(req uint64) msg.Input {
@@ -89,7 +89,7 @@
 			c.Response().Header().Set("Retry-After", strconv.Itoa(x.RetryAfter))
 		}
 		if e, ok := x.Body.(wire.Error); ok {
-			x.Body = core.AdminError{Error: e.Error}
+			x.Body = leader.AdminError{Error: e.Error}
 		}
 		return c.JSON(x.Status, x.Body)
 	}
@@ -99,8 +99,8 @@
 func (a *API) Serve(path string, h http.Handler) { a.echo.GET(path, echo.WrapHandler(h)) }
 
 // Gauges asks the core to count; false if it has no time.
-func (a *API) Gauges() (core.Gauges, bool) {
-	g, ok := a.ask(nil, func(req uint64) msg.Input { return msg.AdminIn{Req: req, What: msg.AskGauges} }).Body.(core.Gauges)
+func (a *API) Gauges() (leader.Gauges, bool) {
+	g, ok := a.ask(nil, func(req uint64) msg.Input { return msg.AdminIn{Req: req, What: msg.AskGauges} }).Body.(leader.Gauges)
 	return g, ok
 }
 
--- a/internal/node/metrics/metrics.go
+++ b/internal/node/metrics/metrics.go
@@ -12,7 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"coralhub/internal/core"
+	"coralhub/internal/core/leader"
 	"coralhub/internal/core/msg"
 )
 
@@ -26,7 +26,7 @@
 }
 
 // New returns the metrics of a node: of what its core and adapters count.
-func New(gauges func() (core.Gauges, bool), store, peers func() map[string]float64) *Metrics {
+func New(gauges func() (leader.Gauges, bool), store, peers func() map[string]float64) *Metrics {
 	r := prometheus.NewRegistry()
 	m := &Metrics{steps: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "coralhub_step_seconds",
 		Help: "Time that the core took for an input, by kind; a pass is part of the input that it followed.", Buckets: prometheus.ExponentialBuckets(1e-5, 4, 9)},
@@ -48,7 +48,7 @@
 
 // counted is what is counted when somebody asks.
 type counted struct {
-	gauges       func() (core.Gauges, bool)
+	gauges       func() (leader.Gauges, bool)
 	store, peers func() map[string]float64
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"coralhub/internal/config"
-	"coralhub/internal/core"
+	"coralhub/internal/core/leader"
 	"coralhub/internal/node/httpapi"
 	"coralhub/internal/node/metrics"
 	"coralhub/internal/standin"
@@ -239,8 +239,8 @@
 
 	r.eventually("operators are answered by the leader", func() bool {
 		for _, c := range r.configs {
-			var runs core.Runs
-			var job core.JobOutlook
+			var runs leader.Runs
+			var job leader.JobOutlook
 			if ask(r, c.Listen, httpapi.PathRuns, &runs) && ask(r, c.Listen, httpapi.PathJob+"/j-1", &job) {
 				return len(runs.Runs) >= 6 && job.Job.Status == wire.Done // five tasks and a gang
 			}
@@ -263,7 +263,7 @@
 	if leaders != 1 {
 		t.Errorf("%d nodes say that they lead", leaders)
 	}
-	if ask(r, r.configs[0].Listen, httpapi.PathEstimates+"?most=0", &core.Estimates{}) {
+	if ask(r, r.configs[0].Listen, httpapi.PathEstimates+"?most=0", &leader.Estimates{}) {
 		t.Error("most=0 was taken")
 	}
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"coralhub/internal/core"
+	"coralhub/internal/core/leader"
 	"coralhub/internal/node/httpapi"
 	"coralhub/internal/user"
 )
@@ -68,7 +68,7 @@
 	return nil
 }
 
-func (r *Recorder) page(ctx context.Context) (*core.Runs, error) {
+func (r *Recorder) page(ctx context.Context) (*leader.Runs, error) {
 	node := r.Nodes[r.at]
 	if node != r.leader {
 		r.from = 0 // another leader counts anew
@@ -87,13 +87,13 @@
 		return nil, err
 	}
 	if res.StatusCode != http.StatusOK {
-		var e core.AdminError
+		var e leader.AdminError
 		if json.Unmarshal(raw, &e) != nil || e.Error == "" {
 			return nil, fmt.Errorf("%s: %w: status %d", node, errElsewhere, res.StatusCode)
 		}
 		return nil, fmt.Errorf("%s: %w: %s", node, errElsewhere, e.Error)
 	}
-	page := &core.Runs{}
+	page := &leader.Runs{}
 	if err := json.Unmarshal(raw, page); err != nil {
 		return nil, fmt.Errorf("%s: %w", node, err)
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"coralhub/internal/core"
+	"coralhub/internal/core/leader"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/standin"
 	"coralhub/wire"
@@ -230,10 +230,10 @@
 // estimates lists what a node knows of run times.
 func estimates(s *Sim, n *node) string {
 	a := s.Ask(n, func(req uint64) msg.Input { return msg.AdminIn{Req: req, What: msg.AskEstimates} })
-	if e, ok := a.Body.(core.AdminError); ok {
+	if e, ok := a.Body.(leader.AdminError); ok {
 		return fmt.Sprintln(a.Status, e.Error, e.Leader)
 	}
-	body, _ := a.Body.(core.Estimates)
+	body, _ := a.Body.(leader.Estimates)
 	var b strings.Builder
 	for _, r := range body.Kinds {
 		fmt.Fprintf(&b, "%s %s %s: %.0f runs, %.0f s, mostly %.0f to %.0f s, from %s\n", r.Class, r.Shape, r.Image, r.Samples, r.MedianS,
@@ -245,7 +245,7 @@
 // outlook tells what a node knows of a job's deadline.
 func outlook(s *Sim, n *node, id string) string {
 	a := s.Ask(n, func(req uint64) msg.Input { return msg.AdminIn{Req: req, What: msg.AskJob, ID: id} })
-	o, ok := a.Body.(core.JobOutlook)
+	o, ok := a.Body.(leader.JobOutlook)
 	if !ok {
 		return fmt.Sprintln(a.Status)
 	}
