--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -2,10 +2,9 @@
 // input and returns what to send, write and answer. It has no clock, no I/O
 // and no goroutines, and nothing in it depends on the order of a map.
 //
-// Every node keeps a copy of the records, answers users and stands by to lead.
-// The leader ranks, grants and rents; it also owns every zone and commands the
-// workers. The records are the truth: a start leaves only after its placement
-// is committed, and a placement is closed only on proof.
+// Every node keeps a copy of the records, answers users and stands by to lead. What a
+// node does is in rooms, packages with a state of their own; the core hands inputs to
+// them. See docs/design.md, "Rooms".
 package core
 
 import (
