--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -139,7 +139,8 @@
 
 // pending lists the jobs that want places.
 func (c *Leader) pending() []queue.Entry {
-	var out []queue.Entry
+	out := make([]queue.Entry, 0, len(c.survey.wanting))
+	shares := c.usage.Shares()
 	for j := range c.survey.wanting { // in any order: ranking knows no ties
 		spec := j.Rec.Spec
 		if j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 {
@@ -153,7 +154,7 @@
 			continue
 		}
 		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.Priority(), c.within(j)), Within: c.rankWithin(j), Created: j.Rec.Created,
-			Credit: queue.Credit(&c.cfg.Settings, c.box.Now()-j.arrived, c.usage.Share(spec.Team))})
+			Credit: queue.Credit(&c.cfg.Settings, c.box.Now()-j.arrived, shares[spec.Team])})
 	}
 	return out
 }
@@ -187,9 +188,13 @@
 func (c *Leader) place(s *scan, e *queue.Entry) {
 	j := c.jobs[e.ID]
 	spec := j.Rec.Spec
-	tasks := c.missing(j)
 	team := c.teams[spec.Team]
 	gang := spec.Shape == wire.Gang
+	if !gang && !queue.UnderLimit(team, s.used[spec.Team].Plus(taskAmount(spec), 1)) {
+		j.preempted, j.reserved = 0, nil
+		return // as most of a long queue may
+	}
+	tasks := c.missing(j)
 	attempt := j.Rec.Attempt + 1
 	if gang && j.Open > 0 {
 		// A gang that hasn't started takes a replacement under its number; one
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -86,17 +86,19 @@
 // weigh makes one number of an amount; a GPU counts for far more than a CPU.
 func weigh(a Amount) float64 { return a.GPUs + a.CPUs/64 }
 
-// Share is the part of all use that is the team's, 0 to 1.
-func (u *Usage) Share(team string) float64 {
-	teams := slices.Sorted(maps.Keys(u.avg))
+// Shares are the parts of all use that are the teams', 0 to 1.
+func (u *Usage) Shares() map[string]float64 {
 	total := 0.0
-	for _, t := range teams {
-		total += u.avg[t]
+	for _, team := range slices.Sorted(maps.Keys(u.avg)) {
+		total += u.avg[team]
 	}
-	if total <= 0 {
-		return 0
+	out := make(map[string]float64, len(u.avg))
+	for team, used := range u.avg {
+		if total > 0 {
+			out[team] = used / total
+		}
 	}
-	return u.avg[team] / total
+	return out
 }
 
 // Credit is the paper's credit of a job: its age up to a cap, and what its
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -48,7 +48,10 @@
 
 func machineZone(i int) string { return []string{"a", "b"}[i%2] }
 
-func newFleet(tb testing.TB, machines int) *fleet {
+func newFleet(tb testing.TB, machines int) *fleet { return newQueue(tb, machines, pendingJobs) }
+
+// newQueue returns a fleet with so many jobs that wait.
+func newQueue(tb testing.TB, machines, waiting int) *fleet {
 	f := &fleet{machines: machines, now: config.Second, version: 1000}
 	put := func(id string, rec *job.Record) {
 		value, err := job.EncodeRecord(rec, job.Newest)
@@ -74,7 +77,7 @@
 	full.Spec.GPUs = 0
 	full.Open = []job.Placement{{Attempt: 1, Machine: machineName(0), Session: 1, Zone: machineZone(0)}}
 	put("j-800000", full)
-	for i := range pendingJobs {
+	for i := range waiting {
 		put(waitingName(i), &job.Record{Spec: spec(waitingName(i), "blue", 2), Created: int64(i + 1)})
 	}
 	catalog, err := job.Encode(&wire.Catalog{Types: []wire.MachineType{{Name: "t4", CPUs: 16, GPUs: 4, MemoryGB: 64, CacheGB: 100,
@@ -252,6 +255,17 @@
 			b.ReportMetric(float64(spent[len(spent)-1].Nanoseconds()), "ns/whole-pass") // one that looks at everything
 		})
 	}
+	for _, waiting := range []int{100, 1000, 10000} { // all ranked, none with room under its team's limit
+		b.Run(fmt.Sprintf("queue/%d", waiting), func(b *testing.B) {
+			f := newQueue(b, fleetSizes[2], waiting)
+			rounds := 0
+			for b.Loop() {
+				f.change(rounds)
+				f.pass()
+				rounds++
+			}
+		})
+	}
 	for _, n := range fleetSizes {
 		b.Run(fmt.Sprintf("takeover/%d", n), func(b *testing.B) {
 			f := newFleet(b, n)
