Preemption looks at the machines of its victims alone

A bid that takes victims counted the room of every machine of its zone, twice. It now counts those that have the GPUs free, and looks at others only as victims come to them.

--- a/internal/core/zone/bid.go
+++ b/internal/core/zone/bid.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -43,6 +44,7 @@
 	Name    string
 	rooms   []*Room
 	shelves []*shelf                  // in a set order
+	plans   uint64                    // counts the plans that took victims
 	warm    map[string]map[*Room]bool // rooms by the images that their machines had when they were put
 	// Victims lists the work that could be stopped, in the order of ByLoss. It
 	// is asked only when free room is short.
@@ -60,9 +62,10 @@
 	at      int // where its zone lists it
 	shelf   *shelf
 	images  []string // by which its zone finds it
-	usable  bool     // scratch of one Plan: the request may use it
 	offered bool     // scratch of one Plan: it is among the offers
-	gain    Res      // scratch of one Plan: what victims leave
+	plan    uint64   // which plan that takes victims looked at it last, and found:
+	usable  bool     // the request may use it
+	gain    Res      // what victims leave
 }
 
 // Take is what a victim has of a machine.
@@ -248,18 +251,26 @@
 	if !q.Whole {
 		want = 1
 	}
+	z.plans++
+	// usable looks at a room once a plan, and only if something comes to it.
+	usable := func(r *Room) bool {
+		if r.plan != z.plans {
+			r.plan, r.gain, r.usable = z.plans, Res{}, r.shelf.suits(q) && q.mayUse(now, r)
+		}
+		return r.usable
+	}
 	fit := 0
-	for _, r := range z.rooms {
-		r.usable, r.gain = r.shelf.suits(q) && q.mayUse(now, r), Res{}
-		if r.usable {
+	z.eachFit(q, func(r *Room) bool {
+		if usable(r) {
 			fit += q.Needs.Times(r.Free)
 		}
-	}
+		return true
+	})
 	// move gives a victim's room away, or back.
 	move := func(v *Victim, n float64) (here bool) {
 		for i := range v.Takes {
 			r := v.Takes[i].Room
-			if !r.usable || r.Machine.Zone != z.Name {
+			if r.Machine.Zone != z.Name || !usable(r) {
 				continue
 			}
 			here = true
@@ -291,10 +302,18 @@
 		}
 		taken = append(taken[:i], taken[i+1:]...)
 	}
-	var left offers
-	for _, r := range z.rooms {
-		if free := r.Free.Plus(r.gain, 1); r.usable && q.Needs.Fits(free) {
-			left = append(left, offer{r, free, r.Machine.Images[q.Image]})
+	left := slices.DeleteFunc(z.offers(now, q), func(o offer) bool { return o.plan == z.plans && o.gain != Res{} })
+	listed := map[*Room]bool{}
+	for _, v := range taken {
+		for i := range v.Takes {
+			r := v.Takes[i].Room
+			if r.Machine.Zone != z.Name || listed[r] || !usable(r) {
+				continue
+			}
+			listed[r] = true
+			if free := r.Free.Plus(r.gain, 1); q.Needs.Fits(free) {
+				left = append(left, offer{r, free, r.Machine.Images[q.Image]})
+			}
 		}
 	}
 	bid.fill(left, q)
--- a/internal/core/zone/shelf.go
+++ b/internal/core/zone/shelf.go
@@ -130,6 +130,19 @@
 	return float64(sum) / 1e6
 }
 
+// eachFit calls f for the rooms that suit a request and have its GPUs free, shelf by shelf,
+// the roomiest first. Once f returns false the next shelf follows.
+func (z *Zone) eachFit(q *Request, f func(*Room) bool) {
+	for _, s := range z.shelves {
+		if !s.suits(q) {
+			continue
+		}
+		s.rooms.Ascend(func(r *Room) bool {
+			return r.Free.GPUs+slack >= q.Needs.GPUs && f(r) // those that follow have no more
+		})
+	}
+}
+
 // offers lists the rooms that a request may come to: the roomiest of each shelf, as many as
 // it has tasks, and those that have its image. Any other room would only be used after one
 // of these.
@@ -143,21 +156,17 @@
 		out = append(out, offer{r, r.Free, r.Machine.Images[q.Image]})
 		return true
 	}
-	for _, s := range z.shelves {
-		if !s.suits(q) {
-			continue
+	var on *shelf
+	left := 0
+	z.eachFit(q, func(r *Room) bool {
+		if r.shelf != on {
+			on, left = r.shelf, q.Count
 		}
-		left := q.Count
-		s.rooms.Ascend(func(r *Room) bool {
-			if r.Free.GPUs+slack < q.Needs.GPUs {
-				return false // and so have all that follow
-			}
-			if add(r) {
-				left--
-			}
-			return left > 0
-		})
-	}
+		if add(r) {
+			left--
+		}
+		return left > 0
+	})
 	for r := range z.warm[q.Image] { // in any order: the best are picked by one that knows no ties
 		if r.shelf.suits(q) {
 			add(r)
--- a/internal/core/zone/zone_test.go
+++ b/internal/core/zone/zone_test.go
@@ -1,6 +1,7 @@
 package zone
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math"
@@ -240,3 +241,98 @@
 		}
 	})
 }
+
+// evicting makes a bid that takes victims by counting the room of every machine anew for
+// each victim.
+func evicting(z *Zone, rooms map[string]*Room, q *Request) (victims []*Victim) {
+	want := 1
+	if q.Whole {
+		want = q.Count
+	}
+	fit := func(gone []*Victim) int {
+		n := 0
+		for _, r := range rooms {
+			free := r.Free
+			for _, v := range gone {
+				for _, t := range v.Takes {
+					if t.Room == r {
+						free = free.Plus(t.Res, 1)
+					}
+				}
+			}
+			if (q.Spot || !r.Machine.Spot) && q.mayUse(1, r) {
+				n += q.Needs.Times(free)
+			}
+		}
+		return n
+	}
+	for _, v := range z.Victims() {
+		if fit(victims) >= want {
+			break
+		}
+		here := slices.ContainsFunc(v.Takes, func(t Take) bool { return (q.Spot || !t.Room.Machine.Spot) && q.mayUse(1, t.Room) })
+		if here && !v.Gone && q.May(v) {
+			victims = append(victims, v)
+		}
+	}
+	if fit(victims) < want {
+		return nil
+	}
+	slices.SortStableFunc(victims, func(a, b *Victim) int { return cmp.Compare(b.size(), a.size()) })
+	for i := len(victims) - 1; i >= 0; i-- {
+		if without := slices.Delete(slices.Clone(victims), i, i+1); fit(without) >= want {
+			victims = without
+		}
+	}
+	return victims
+}
+
+// Looking only at the machines that victims are on, and at those with room, finds the
+// victims that looking everywhere would.
+func TestVictimsAreTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		z := &Zone{Name: "a"}
+		rooms := map[string]*Room{}
+		var victims []*Victim
+		for i := range rapid.IntRange(1, 12).Draw(t, "machines") {
+			r := room(fmt.Sprint("m", i), 0)
+			r.Machine.Zone, r.Machine.Spot, r.Barred = "a", i%3 == 0, i%7 == 6
+			left := 4
+			for left > 0 {
+				gpus := rapid.IntRange(1, left).Draw(t, "gpus")
+				if left -= gpus; rapid.IntRange(0, 5).Draw(t, "free") == 0 {
+					r.Free.GPUs += float64(gpus)
+					continue
+				}
+				v := &Victim{Job: fmt.Sprint("j", len(victims)), Level: rapid.IntRange(0, 3).Draw(t, "level"), Since: Micros(len(victims)),
+					Takes: []Take{{r, Res{GPUs: float64(gpus)}}}}
+				if n := len(victims); n > 0 && rapid.IntRange(0, 4).Draw(t, "gang") == 0 {
+					victims[n-1].Takes = append(victims[n-1].Takes, v.Takes...)
+					continue
+				}
+				victims = append(victims, v)
+			}
+			rooms[r.Machine.Name] = r
+			z.Put(r)
+		}
+		ByLoss(victims)
+		z.Victims = func() []*Victim { return victims }
+		q := request(float64(rapid.IntRange(1, 4).Draw(t, "needs")), rapid.IntRange(1, 6).Draw(t, "count"), rapid.Bool().Draw(t, "whole"))
+		q.Spot, q.Avoid = rapid.Bool().Draw(t, "spot"), map[string]Micros{"m4": 9}
+		q.May = func(v *Victim) bool { return v.Level < 3 }
+		bid, want := z.Plan(1, q), evicting(z, rooms, q)
+		switch {
+		case bid == nil:
+			if want != nil {
+				t.Fatalf("no bid, %d victims would do", len(want))
+			}
+		case !slices.Equal(bid.Victims, want) && len(bid.Victims)+len(want) > 0:
+			t.Fatalf("%d victims, %d", len(bid.Victims), len(want))
+		case q.Whole && len(bid.Rooms) != q.Count:
+			t.Fatalf("%+v", bid)
+		}
+		if again := z.Plan(1, q); !reflect.DeepEqual(bid, again) {
+			t.Fatalf("%+v and then %+v", bid, again)
+		}
+	})
+}
