--- /dev/null
+++ b/internal/core/claim/claim_test.go
@@ -0,0 +1,172 @@
+package claim
+
+import (
+	"testing"
+
+	"coralhub/internal/config"
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
+	"coralhub/internal/core/outbox"
+	"coralhub/wire"
+)
+
+// two claims of one node on keys of their own, as zones will be: what befalls one leaves
+// the other alone.
+type two struct {
+	t    *testing.T
+	box  *outbox.Box
+	now  Micros
+	a, b *Claim
+	said []string
+}
+
+type ear struct {
+	w    *two
+	name string
+}
+
+func (e ear) Won()                      { e.w.said = append(e.w.said, e.name+" won") }
+func (e ear) Lost(why string, _ uint64) { e.w.said = append(e.w.said, e.name+" lost: "+why) }
+func (e ear) Passed(_, to string)       { e.w.said = append(e.w.said, e.name+" passed to "+to) }
+
+const ttl = 4 * config.Second
+
+func newTwo(t *testing.T) *two {
+	w := &two{t: t, box: outbox.New(func(*wire.Commit) {})}
+	w.a, w.b = New(w.box, "zone/a", "n1", ttl, 100, ear{w, "a"}), New(w.box, "zone/b", "n1", ttl, 200, ear{w, "b"})
+	return w
+}
+
+// step lets a second pass and does f; it returns what was asked for.
+func (w *two) step(f func()) []msg.Effect {
+	w.now += config.Second
+	w.box.Begin(w.now)
+	f()
+	return w.box.End()
+}
+
+// heard tells what was said since it was last asked.
+func (w *two) heard(want ...string) {
+	w.t.Helper()
+	if len(want) != len(w.said) {
+		w.t.Fatalf("heard %q, want %q", w.said, want)
+	}
+	for i := range want {
+		if w.said[i] != want[i] {
+			w.t.Fatalf("heard %q, want %q", w.said, want)
+		}
+	}
+	w.said = nil
+}
+
+// transaction finds the only transaction among effects.
+func (w *two) transaction(effects []msg.Effect) msg.Commit {
+	w.t.Helper()
+	var found []msg.Commit
+	for _, e := range effects {
+		if c, ok := e.(msg.Commit); ok {
+			found = append(found, c)
+		}
+	}
+	if len(found) != 1 {
+		w.t.Fatalf("%d transactions", len(found))
+	}
+	return found[0]
+}
+
+// win has a claim made and granted at a revision.
+func (w *two) win(c *Claim, lease, revision uint64) {
+	w.t.Helper()
+	w.step(c.Tick)
+	t := w.transaction(w.step(func() { c.LeaseDone(msg.LeaseDone{Outcome: msg.OK, Lease: lease}) }))
+	if t.Txn.Guards[0] != (wire.Guard{Key: c.Key()}) || t.Txn.Changes[0].Lease != lease {
+		w.t.Fatalf("%+v", t.Txn)
+	}
+	w.step(func() { w.box.CommitDone(msg.CommitDone{ID: t.ID, Outcome: msg.OK, Revision: revision}) })
+	if !c.Held() || c.Token() != revision || c.Base() != revision || c.Guard() != (wire.Guard{Key: c.Key(), Version: revision}) {
+		w.t.Fatalf("held %v, token %d", c.Held(), c.Token())
+	}
+}
+
+func (w *two) written(c *Claim, node string, nonce, revision uint64) {
+	w.t.Helper()
+	raw, err := job.Encode(Value{node, nonce})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.step(func() { c.Apply(&wire.Change{Put: c.Key(), Value: raw, Version: revision}) })
+}
+
+func TestClaimsStandApart(t *testing.T) {
+	w := newTwo(t)
+	w.win(w.a, 7, 40)
+	w.win(w.b, 8, 41)
+	w.heard("a won", "b won")
+
+	// A lease that ends takes its own claim alone.
+	w.step(func() { w.a.LeaseDone(msg.LeaseDone{Outcome: msg.Gone, Lease: 7, Renewal: true}) })
+	w.heard("a lost: lease ended")
+	if !w.b.Held() || w.a.Held() || w.a.Token() != 0 {
+		t.Fatal("b is still held and a is not")
+	}
+
+	// What is held by another is followed, and not claimed.
+	w.written(w.a, "n2", 1, 50)
+	w.heard("a passed to n2")
+	if w.a.Elsewhere() != "n2" || len(w.step(w.a.Tick)) != 0 {
+		t.Fatalf("%+v", w.a.Holder())
+	}
+	w.step(func() { w.a.Listed(60) })
+	w.step(w.a.Tick)
+	w.win(w.a, 9, 61)
+	w.heard("a won")
+}
+
+// A raise voids what is under way under the older token, and keeps the first one.
+func TestRaise(t *testing.T) {
+	w := newTwo(t)
+	w.win(w.a, 7, 40)
+	w.step(w.a.RaiseIfWanted)
+	w.a.WantRaise()
+	raise := w.transaction(w.step(w.a.RaiseIfWanted))
+	if raise.Txn.Guards[0] != (wire.Guard{Key: "zone/a", Version: 40}) || !w.a.Raising() {
+		t.Fatalf("%+v", raise.Txn)
+	}
+	w.step(func() { w.box.CommitDone(msg.CommitDone{ID: raise.ID, Outcome: msg.OK, Revision: 45}) })
+	if w.a.Token() != 45 || w.a.Base() != 40 || w.a.Raising() {
+		t.Fatalf("token %d, base %d", w.a.Token(), w.a.Base())
+	}
+	// Another node's claim that the guards should have ruled out is believed.
+	w.written(w.a, "n2", 1, 50)
+	w.heard("a won", "a passed to n2", "a lost: claim of n2")
+
+	// The same with an answer that never comes: whether it was written is not known, so it
+	// is not held any more.
+	w.win(w.b, 8, 41)
+	w.b.WantRaise()
+	raise = w.transaction(w.step(w.b.RaiseIfWanted))
+	w.step(func() { w.box.CommitDone(msg.CommitDone{ID: raise.ID, Outcome: msg.Unknown}) })
+	w.heard("b won", "b lost: claim lost")
+}
+
+// A claim of an earlier process of this node is not renewed by this one, or it would never
+// end.
+func TestEarlierProcess(t *testing.T) {
+	w := newTwo(t)
+	w.step(w.a.Tick)
+	w.written(w.a, "n1", 3, 30)
+	if effects := w.step(func() { w.a.LeaseDone(msg.LeaseDone{Outcome: msg.OK, Lease: 7}) }); len(effects) != 0 || w.a.Held() {
+		t.Fatalf("%v", effects)
+	}
+	for range 10 {
+		for _, e := range w.step(w.a.Tick) {
+			if _, renews := e.(msg.RenewLease); renews {
+				t.Fatal("renews a lease while an earlier process's claim is there")
+			}
+		}
+	}
+	w.step(func() { w.a.Apply(&wire.Change{Delete: "zone/a", Version: 31}) })
+	w.step(w.a.Tick)
+	w.win(w.a, 9, 33)
+	w.heard("a passed to n1", "a won")
+}
