--- a/internal/core/leader/admin.go
+++ b/internal/core/leader/admin.go
@@ -94,43 +94,43 @@
 }
 
 // gauges counts.
-func (c *Leader) gauges() Gauges {
-	g := Gauges{Leading: c.ready, Records: len(c.jobs), Unfinished: len(c.active), Writing: c.writing, Takeovers: c.takeovers, Looked: c.survey.lookedAt,
+func (l *Leader) gauges() Gauges {
+	g := Gauges{Leading: l.ready, Records: len(l.jobs), Unfinished: len(l.active), Writing: l.writing, Takeovers: l.takeovers, Looked: l.survey.lookedAt,
 		Waiting: map[string]int{}, Machines: map[string]int{}}
-	for _, j := range c.active {
+	for _, j := range l.active {
 		g.Placements += j.Open
 	}
-	if !c.ready {
+	if !l.ready {
 		return g
 	}
-	for j := range c.survey.wanting {
+	for j := range l.survey.wanting {
 		class := j.Rec.Spec.Class
 		if _, had := g.Waiting[class]; !had && len(g.Waiting) >= maxClasses {
 			class = "" // users choose the names: whoever reads this must not drown in them
 		}
 		g.Waiting[class]++
 	}
-	for _, m := range c.owner.Roster().All() {
-		g.Machines[c.stateOf(m)]++
+	for _, m := range l.owner.Roster().All() {
+		g.Machines[l.stateOf(m)]++
 	}
-	if c.learning.model != nil {
-		g.EstimateRuns = c.learning.model.Observed()
+	if l.learning.model != nil {
+		g.EstimateRuns = l.learning.model.Observed()
 	}
 	return g
 }
 
 // Admin answers an operator.
-func (c *Leader) Admin(x msg.AdminIn) {
+func (l *Leader) Admin(x msg.AdminIn) {
 	if x.What == msg.AskGauges {
-		c.box.Answer(x.Req, http.StatusOK, c.gauges())
+		l.box.Answer(x.Req, http.StatusOK, l.gauges())
 		return
 	}
-	if !c.ready {
-		c.box.Emit(msg.Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", c.claim.Holder().Node}, RetryAfter: 1})
+	if !l.ready {
+		l.box.Emit(msg.Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", l.claim.Holder().Node}, RetryAfter: 1})
 		return
 	}
-	if c.learning.model == nil {
-		c.box.Answer(x.Req, http.StatusNotFound, AdminError{Error: "run times are not learnt: see the setting estimates"})
+	if l.learning.model == nil {
+		l.box.Answer(x.Req, http.StatusNotFound, AdminError{Error: "run times are not learnt: see the setting estimates"})
 		return
 	}
 	most := maxListed
@@ -139,21 +139,21 @@
 	}
 	switch x.What {
 	case msg.AskEstimates:
-		c.box.Answer(x.Req, http.StatusOK, c.listEstimates(most))
+		l.box.Answer(x.Req, http.StatusOK, l.listEstimates(most))
 	case msg.AskRuns:
-		c.box.Answer(x.Req, http.StatusOK, c.listRuns(x.From, most))
+		l.box.Answer(x.Req, http.StatusOK, l.listRuns(x.From, most))
 	case msg.AskJob:
-		j := c.jobs[x.ID]
+		j := l.jobs[x.ID]
 		if j == nil || j.Version == 0 {
-			c.box.Answer(x.Req, http.StatusNotFound, AdminError{Error: "no such job"})
+			l.box.Answer(x.Req, http.StatusNotFound, AdminError{Error: "no such job"})
 			return
 		}
-		c.box.Answer(x.Req, http.StatusOK, c.jobOutlook(j))
+		l.box.Answer(x.Req, http.StatusOK, l.jobOutlook(j))
 	}
 }
 
-func (c *Leader) listEstimates(most int) Estimates {
-	m := c.learning.model
+func (l *Leader) listEstimates(most int) Estimates {
+	m := l.learning.model
 	out := Estimates{Runs: m.Observed(), Changes: m.Changes(), Kinds: []EstimateRow{}, Machines: []SlowMachine{}}
 	m.Kinds(func(f estimate.Features) bool {
 		if out.More = len(out.Kinds) == most; out.More {
@@ -165,7 +165,7 @@
 		out.Kinds = append(out.Kinds, row)
 		return true
 	})
-	m.Slow(c.cfg.Settings.SlowTimes, func(machine string) {
+	m.Slow(l.cfg.Settings.SlowTimes, func(machine string) {
 		if len(out.Machines) < most {
 			out.Machines = append(out.Machines, SlowMachine{machine, round(m.Slowness(machine))})
 		}
@@ -189,24 +189,24 @@
 	return row
 }
 
-func (c *Leader) listRuns(from uint64, most int) Runs {
-	l := &c.learning
-	first := l.runsEnd - uint64(len(l.runs))
+func (l *Leader) listRuns(from uint64, most int) Runs {
+	learnt := &l.learning
+	first := learnt.runsEnd - uint64(len(learnt.runs))
 	out := Runs{Runs: []history.Line{}}
-	if from > l.runsEnd { // another leader's count
+	if from > learnt.runsEnd { // another leader's count
 		from = 0
 	}
 	if from < first {
 		out.Missed, from = first-from, first
 	}
-	for ; from < l.runsEnd && len(out.Runs) < most; from++ {
-		out.Runs = append(out.Runs, l.runs[from%keptRuns])
+	for ; from < learnt.runsEnd && len(out.Runs) < most; from++ {
+		out.Runs = append(out.Runs, learnt.runs[from%keptRuns])
 	}
 	out.Next = from
 	return out
 }
 
-func (c *Leader) jobOutlook(j *Job) JobOutlook {
+func (l *Leader) jobOutlook(j *Job) JobOutlook {
 	st := front.Status(j.Job)
 	out := JobOutlook{Job: JobState{ID: st.ID, Status: st.Status, Done: *st.Done, Running: *st.Running}}
 	spec := j.Rec.Spec
@@ -217,21 +217,21 @@
 	if spec.Shape == wire.Service {
 		return out
 	}
-	f := c.features(j, "")
-	a := c.learning.model.Estimate(&f)
+	f := l.features(j, "")
+	a := l.learning.model.Estimate(&f)
 	if a.Level != estimate.Unknown {
 		row := rowOf(&a)
 		out.Estimate = &row
 	}
-	if s, ok := c.outlook(j, 0); ok && !j.Rec.Final() {
+	if s, ok := l.outlook(j, 0); ok && !j.Rec.Final() {
 		left := round(s.mean)
 		out.LeftS = &left
 	}
 	if spec.DeadlineS != nil {
-		due := round(float64(j.Rec.Created-c.wallAhead-c.box.Now())/1e6 + *spec.DeadlineS)
+		due := round(float64(j.Rec.Created-l.wallAhead-l.box.Now())/1e6 + *spec.DeadlineS)
 		out.DueInS = &due
 	}
-	if v, chance := c.judge(j); v != "" {
+	if v, chance := l.judge(j); v != "" {
 		out.Verdict = v
 		if chance >= 0 {
 			chance = round(chance)
@@ -239,7 +239,7 @@
 		}
 	}
 	j.EachOpen(func(p job.Placement) {
-		if _, runs := j.started[p.Task]; runs && len(out.Overdue) < maxListed && a.Overdue(c.worked(j, &p)) {
+		if _, runs := j.started[p.Task]; runs && len(out.Overdue) < maxListed && a.Overdue(l.worked(j, &p)) {
 			out.Overdue = append(out.Overdue, wire.TaskName(j.ID, p.Task))
 		}
 	})
--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -34,86 +34,86 @@
 )
 
 // flushJobs commits what has been learnt or decided about jobs.
-func (c *Leader) flushJobs() {
-	if len(c.dirty) == 0 {
+func (l *Leader) flushJobs() {
+	if len(l.dirty) == 0 {
 		return
 	}
-	ids := slices.Sorted(maps.Keys(c.dirty))
-	clear(c.dirty)
+	ids := slices.Sorted(maps.Keys(l.dirty))
+	clear(l.dirty)
 	for _, id := range ids {
-		if !c.flush(c.jobs[id]) {
-			c.delayed[id] = true
+		if !l.flush(l.jobs[id]) {
+			l.delayed[id] = true
 		}
 	}
 }
 
 // wakeJobs has another look at the jobs that could not be committed before.
-func (c *Leader) wakeJobs() {
-	for id := range c.delayed {
-		c.dirty[id] = true
+func (l *Leader) wakeJobs() {
+	for id := range l.delayed {
+		l.dirty[id] = true
 	}
-	clear(c.delayed)
+	clear(l.delayed)
 }
 
 // flush commits a job's next state; it returns false if there is more to do
 // after the transaction in flight, or later.
-func (c *Leader) flush(j *Job) bool {
-	if t := j.txn; t != nil && t.resendAt != 0 && c.box.Now() >= t.resendAt {
+func (l *Leader) flush(j *Job) bool {
+	if t := j.txn; t != nil && t.resendAt != 0 && l.box.Now() >= t.resendAt {
 		t.resendAt = 0
-		c.send(j, t)
+		l.send(j, t)
 	}
 	if j.Version == 0 {
 		return true // its record has not come yet
 	}
-	if j.txn != nil || c.box.Now() < j.retryAt || c.claim.Raising() {
+	if j.txn != nil || l.box.Now() < j.retryAt || l.claim.Raising() {
 		return false
 	}
-	c.assure(j)
-	t, more := c.fitting(j)
+	l.assure(j)
+	t, more := l.fitting(j)
 	if t == nil {
 		// A cancellation waits for workers to be heard: look again.
 		return !j.Rec.Cancel || j.Rec.Final()
 	}
 	if t.ends {
-		c.note(j, t.closes)
+		l.note(j, t.closes)
 		return !more
 	}
-	if len(j.plan) == 0 && !j.Rec.Cancel && !j.Doomed() && j.AwaitedBy() == 0 && c.writing >= c.mostWriting() {
+	if len(j.plan) == 0 && !j.Rec.Cancel && !j.Doomed() && j.AwaitedBy() == 0 && l.writing >= l.mostWriting() {
 		return false
 	}
 	t.placed = j.plan
 	j.txn = t
-	c.send(j, t)
+	l.send(j, t)
 	return !more
 }
 
 // fitting returns a job's next transaction, made so small that every value of it
 // may be put: a plan is cut down, and ends go by the log.
-func (c *Leader) fitting(j *Job) (*txn, bool) {
+func (l *Leader) fitting(j *Job) (*txn, bool) {
 	for {
-		t, more := c.next(j)
-		if t == nil || t.ends || c.putable(&t.commit) {
+		t, more := l.next(j)
+		if t == nil || t.ends || l.putable(&t.commit) {
 			return t, more
 		}
 		if !j.tooLarge {
 			j.tooLarge = true
-			c.box.Log("record too large to be written whole", "job", j.ID, "limit", c.form.Room())
+			l.box.Log("record too large to be written whole", "job", j.ID, "limit", l.form.Room())
 		}
 		switch {
-		case j.Rec.Spec != nil && c.book.Shorten(j.Job, c.catalog.Slim(j.Rec.Spec)):
-		case c.canPart(j):
+		case j.Rec.Spec != nil && l.book.Shorten(j.Job, l.catalog.Slim(j.Rec.Spec)):
+		case l.canPart(j):
 			j.parting = true
 		case len(j.plan) > 1 && j.Rec.Spec.Shape != wire.Gang:
-			c.setPlan(j, j.plan[:len(j.plan)/2])
+			l.setPlan(j, j.plan[:len(j.plan)/2])
 		case len(j.plan) > 0:
-			c.setPlan(j, nil)
-			j.holdUntil = c.box.Now() + 10*config.Second
+			l.setPlan(j, nil)
+			j.holdUntil = l.box.Now() + 10*config.Second
 		case len(t.closes) > 0 && !j.Rec.Final():
 			t.ends = true
 			return t, more
 		default:
 			j.mergeNow = false
-			j.retryAt = c.box.Now() + 10*config.Second
+			j.retryAt = l.box.Now() + 10*config.Second
 			return nil, false
 		}
 	}
@@ -121,17 +121,17 @@
 
 // canPart tells whether the tasks can be moved out of a job's record in one
 // transaction: if they are all in it.
-func (c *Leader) canPart(j *Job) bool {
-	if j.parting || j.Rec.Apart || c.form.Format < job.Grouped {
+func (l *Leader) canPart(j *Job) bool {
+	if j.parting || j.Rec.Apart || l.form.Format < job.Grouped {
 		return false
 	}
 	return !slices.ContainsFunc(j.Parts, func(p records.Part) bool { return p.Version != 0 })
 }
 
 // putable tells whether every value of a transaction may be put.
-func (c *Leader) putable(t *wire.Commit) bool {
+func (l *Leader) putable(t *wire.Commit) bool {
 	for i := range t.Changes {
-		if t.Changes[i].Put != "" && !c.form.Fits(t.Changes[i].Value) {
+		if t.Changes[i].Put != "" && !l.form.Fits(t.Changes[i].Value) {
 			return false
 		}
 	}
@@ -139,16 +139,16 @@
 }
 
 // next builds the transaction that brings a job's record up to what is known.
-func (c *Leader) next(j *Job) (*txn, bool) {
+func (l *Leader) next(j *Job) (*txn, bool) {
 	if j.Rec.Spec == nil {
-		return c.leftover(j)
+		return l.leftover(j)
 	}
-	if t := c.finish(j); t != nil {
+	if t := l.finish(j); t != nil {
 		return t, true
 	}
 	rec := j.Rec.Clone()
-	t := &txn{token: c.claim.Token(), parts: map[int]job.Part{}}
-	room := c.form.Ops() - 1
+	t := &txn{token: l.claim.Token(), parts: map[int]job.Part{}}
+	room := l.form.Ops() - 1
 	more, changed := false, false
 	if j.parting && !rec.Apart {
 		rec.Apart, t.whole, changed = true, true, true
@@ -243,9 +243,9 @@
 	}
 	if rec.Final() && open == 0 { // with the first format alone: finish does it otherwise
 		t.ends, t.whole = false, true
-		if n := c.dropParts(j, t, room); n > 0 {
+		if n := l.dropParts(j, t, room); n > 0 {
 			more, changed = true, true
-			j.retryAt = c.box.Now() + dropPause
+			j.retryAt = l.box.Now() + dropPause
 		} else {
 			rec.Shrink()
 			changed = true
@@ -259,8 +259,8 @@
 		return t, more
 	}
 	rec.Count = max(rec.Count, done)
-	if err := c.fill(j, t, &rec); err != nil {
-		c.box.Log("record not written", "job", j.ID, "error", err.Error())
+	if err := l.fill(j, t, &rec); err != nil {
+		l.box.Log("record not written", "job", j.ID, "error", err.Error())
 		return nil, false
 	}
 	return t, more
@@ -270,8 +270,8 @@
 // and nothing of it stays open: its record shrinks at once, whichever tasks are
 // in how many parts. The parts are void from then on and deleted at leisure. With
 // the first format, whose readers take a part at its word, they go before.
-func (c *Leader) finish(j *Job) *txn {
-	if c.form.Format < job.Grouped {
+func (l *Leader) finish(j *Job) *txn {
+	if l.form.Format < job.Grouped {
 		return nil
 	}
 	done, open := j.Done, j.Open
@@ -297,28 +297,28 @@
 	default:
 		return nil
 	}
-	t := &txn{token: c.claim.Token(), closes: slices.Clone(j.closes), whole: true}
-	if err := c.fill(j, t, rec); err != nil {
-		c.box.Log("record not written", "job", j.ID, "error", err.Error())
+	t := &txn{token: l.claim.Token(), closes: slices.Clone(j.closes), whole: true}
+	if err := l.fill(j, t, rec); err != nil {
+		l.box.Log("record not written", "job", j.ID, "error", err.Error())
 		return nil
 	}
 	return t
 }
 
 // leftover returns the deletion of what parts are left of a job that is over.
-func (c *Leader) leftover(j *Job) (*txn, bool) {
-	t := &txn{token: c.claim.Token()}
-	if !j.Over() || c.dropParts(j, t, c.form.Ops()) == 0 {
+func (l *Leader) leftover(j *Job) (*txn, bool) {
+	t := &txn{token: l.claim.Token()}
+	if !j.Over() || l.dropParts(j, t, l.form.Ops()) == 0 {
 		return nil, false
 	}
-	t.commit.Guards = append(t.commit.Guards, c.claim.Guard())
-	j.retryAt = c.box.Now() + dropPause
+	t.commit.Guards = append(t.commit.Guards, l.claim.Guard())
+	j.retryAt = l.box.Now() + dropPause
 	return t, true
 }
 
 // dropParts puts the deletion of parts into t, as many as there is room for.
 // It returns how many are left or dropped; 0 means that none existed.
-func (c *Leader) dropParts(j *Job, t *txn, room int) int {
+func (l *Leader) dropParts(j *Job, t *txn, room int) int {
 	n := 0
 	t.parts = map[int]job.Part{}
 	for i := range j.Parts {
@@ -336,13 +336,13 @@
 }
 
 // fill turns the new values into guards and changes.
-func (c *Leader) fill(j *Job, t *txn, rec *job.Record) error {
+func (l *Leader) fill(j *Job, t *txn, rec *job.Record) error {
 	key := job.RecordKey(j.ID)
-	t.commit.Guards = append(t.commit.Guards, c.claim.Guard(), wire.Guard{Key: key, Version: j.Version})
+	t.commit.Guards = append(t.commit.Guards, l.claim.Guard(), wire.Guard{Key: key, Version: j.Version})
 	// A record that says nothing new is guarded and not written. In the first
 	// format it always is.
-	if t.whole || c.form.Format < job.Grouped {
-		value, err := job.EncodeRecord(rec, c.form.Format)
+	if t.whole || l.form.Format < job.Grouped {
+		value, err := job.EncodeRecord(rec, l.form.Format)
 		if err != nil {
 			return err
 		}
@@ -352,7 +352,7 @@
 	nums := slices.Sorted(maps.Keys(t.parts))
 	for _, n := range nums {
 		p := t.parts[n]
-		value, err := job.EncodePart(&p, c.form.Format)
+		value, err := job.EncodePart(&p, l.form.Format)
 		if err != nil {
 			return err
 		}
@@ -366,62 +366,62 @@
 // mostWriting is how many changes to jobs may be on their way at a time: what
 // the state service takes in about half a second. More would wait in a line that
 // knows no ranks.
-func (c *Leader) mostWriting() int {
-	return max(c.form.Ops(), int(c.cfg.Cluster.State.LeastWriteRPS()/2))
+func (l *Leader) mostWriting() int {
+	return max(l.form.Ops(), int(l.cfg.Cluster.State.LeastWriteRPS()/2))
 }
 
-func (c *Leader) send(j *Job, t *txn) {
-	reign := c.reigns
-	c.writing += len(t.commit.Changes)
+func (l *Leader) send(j *Job, t *txn) {
+	reign := l.reigns
+	l.writing += len(t.commit.Changes)
 	// An end that others wait for doesn't give way, nor does a cancellation that
 	// a job before this one has brought.
 	first := t.rec != nil && t.rec.Final() && (j.AwaitedBy() > 0 || j.Doomed())
-	c.box.Transact(t.commit, !first, func(d msg.CommitDone) {
-		if reign == c.reigns {
-			c.writing -= len(t.commit.Changes)
+	l.box.Transact(t.commit, !first, func(d msg.CommitDone) {
+		if reign == l.reigns {
+			l.writing -= len(t.commit.Changes)
 		}
-		if !c.claim.Held() || j.txn != t {
+		if !l.claim.Held() || j.txn != t {
 			return
 		}
-		c.dirty[j.ID] = true
+		l.dirty[j.ID] = true
 		switch d.Outcome {
 		case msg.OK:
 			j.txn = nil
-			c.setPlan(j, nil)
-			c.passDue = true
-			c.committed(j, t, d.Revision)
+			l.setPlan(j, nil)
+			l.passDue = true
+			l.committed(j, t, d.Revision)
 		case msg.Unknown:
 			// It may be applied later. The same transaction again: either it
 			// or the late one fails by its guards, and until then what it
 			// places is counted.
-			t.unsure, t.resendAt = true, c.box.Now()+commitPause
+			t.unsure, t.resendAt = true, l.box.Now()+commitPause
 		case msg.Conflict:
 			j.txn = nil
-			c.setPlan(j, nil)
-			c.passDue = true
-			c.conflict(j, t, d.Failed)
+			l.setPlan(j, nil)
+			l.passDue = true
+			l.conflict(j, t, d.Failed)
 		case msg.Invalid:
 			// Whether an earlier sending was applied is to be read: the same bytes
 			// will not be from now on.
 			j.txn = nil
-			c.setPlan(j, nil)
-			c.passDue = true
+			l.setPlan(j, nil)
+			l.passDue = true
 			var keys []string
 			for _, g := range t.commit.Guards {
-				if g.Key != c.claim.Key() {
+				if g.Key != l.claim.Key() {
 					keys = append(keys, g.Key)
 				}
 			}
-			c.conflict(j, t, keys)
+			l.conflict(j, t, keys)
 		default:
 			if t.unsure { // this sending was refused; an earlier one may still be applied
-				t.resendAt = c.box.Now() + commitPause
+				t.resendAt = l.box.Now() + commitPause
 				return
 			}
 			j.txn = nil
-			c.setPlan(j, nil)
-			j.retryAt = c.box.Now() + commitPause
-			c.passDue = true
+			l.setPlan(j, nil)
+			j.retryAt = l.box.Now() + commitPause
+			l.passDue = true
 		}
 	})
 }
@@ -434,48 +434,48 @@
 }
 
 // committed takes over what a transaction has written.
-func (c *Leader) committed(j *Job, t *txn, revision uint64) {
+func (l *Leader) committed(j *Job, t *txn, revision uint64) {
 	j.forget(t.closes)
 	j.mergeNow, j.parting = false, false
 	if t.rec != nil && j.Version < revision { // first: tasks may have moved out of it
-		c.book.SetRecord(j.ID, *t.rec, revision)
+		l.book.SetRecord(j.ID, *t.rec, revision)
 	}
 	nums := slices.Sorted(maps.Keys(t.parts))
 	for _, n := range nums {
 		if _, v := j.Part(n); v < revision {
-			c.book.SetPart(j.Job, n, t.parts[n], revision)
+			l.book.SetPart(j.Job, n, t.parts[n], revision)
 		}
 	}
 	for _, ch := range t.commit.Changes {
 		if _, n, ok := job.ParseKey(ch.Delete); ok && n > 0 && n <= len(j.Parts) {
-			c.book.SetPart(j.Job, n, job.Part{}, 0)
+			l.book.SetPart(j.Job, n, job.Part{}, 0)
 		}
 	}
-	c.noteMine(j, t.placed)
+	l.noteMine(j, t.placed)
 }
 
 // conflict reads what has changed under us.
-func (c *Leader) conflict(j *Job, t *txn, failed []string) {
+func (l *Leader) conflict(j *Job, t *txn, failed []string) {
 	for _, key := range failed {
-		if key == c.claim.Key() {
-			if t.token == c.claim.Token() && !c.claim.Raising() {
-				c.claim.Resign("claim lost")
+		if key == l.claim.Key() {
+			if t.token == l.claim.Token() && !l.claim.Raising() {
+				l.claim.Resign("claim lost")
 				return
 			}
 			continue
 		}
-		j.retryAt = c.box.Now() + config.Second // unless the answer comes sooner
-		c.box.Read(key, func(d msg.ReadDone) {
-			if d.Outcome != msg.OK || !c.claim.Held() {
+		j.retryAt = l.box.Now() + config.Second // unless the answer comes sooner
+		l.box.Read(key, func(d msg.ReadDone) {
+			if d.Outcome != msg.OK || !l.claim.Held() {
 				return
 			}
-			j.retryAt = c.box.Now()
+			j.retryAt = l.box.Now()
 			if d.Item.Version != 0 {
-				c.take(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
+				l.take(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
 			} else if _, n, ok := job.ParseKey(key); ok && n > 0 {
-				c.book.SetPart(j.Job, n, job.Part{}, 0)
+				l.book.SetPart(j.Job, n, job.Part{}, 0)
 			}
-			c.dirty[j.ID] = true
+			l.dirty[j.ID] = true
 		})
 	}
 }
@@ -484,22 +484,22 @@
 // open placement must be on a worker that follows us, so that we will stop the
 // task or the worker's lease ends, and no start may still be on its way that
 // could take effect after that.
-func (c *Leader) assure(j *Job) {
+func (l *Leader) assure(j *Job) {
 	if !j.Rec.Cancel || j.Rec.Final() {
 		j.cancelling = false
 		return
 	}
 	sure := true
 	j.EachOpen(func(p job.Placement) {
-		m := c.owner.Roster().Get(p.Machine)
-		if m == nil || m.Token < c.claim.Base() {
+		m := l.owner.Roster().Get(p.Machine)
+		if m == nil || m.Token < l.claim.Base() {
 			sure = false
 			return
 		}
 		if _, seen := m.Tasks[p.Key(j.ID)]; !seen && (m.DirectStart || m.Token <= m.Ambiguous) {
 			sure = false
 			if !m.DirectStart {
-				c.claim.WantRaise()
+				l.claim.WantRaise()
 			}
 		}
 	})
@@ -514,15 +514,15 @@
 }
 
 // close notes proof that a placement is over.
-func (c *Leader) close(key job.Key, machine string, done bool) {
-	j := c.jobs[key.Job]
+func (l *Leader) close(key job.Key, machine string, done bool) {
+	j := l.jobs[key.Job]
 	if j == nil {
 		return
 	}
 	if j.isClosing(key, machine) {
 		return
 	}
-	c.learnRun(j, key, machine, done)
+	l.learnRun(j, key, machine, done)
 	j.closes = append(j.closes, closing{key: key, machine: machine, done: done})
 	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang {
 		if j.left == nil {
@@ -530,6 +530,6 @@
 		}
 		j.left[machine] = key.Attempt
 	}
-	c.owner.Over(key)
-	c.dirty[key.Job] = true
+	l.owner.Over(key)
+	l.dirty[key.Job] = true
 }
--- a/internal/core/leader/counters.go
+++ b/internal/core/leader/counters.go
@@ -29,7 +29,7 @@
 	leaving = "leaving"
 )
 
-func (c *Leader) stateOf(m *zone.Machine) string {
+func (l *Leader) stateOf(m *zone.Machine) string {
 	switch {
 	case m.Releasing || m.Failed || m.NoticeAt != 0:
 		return leaving
@@ -39,28 +39,28 @@
 		return sick
 	case m.Mailed:
 		return mailed
-	case c.box.Now()-m.Spoke > c.suspectAfter():
+	case l.box.Now()-m.Spoke > l.suspectAfter():
 		return quiet
 	}
 	return usable
 }
 
 // count writes the line when it is due.
-func (c *Leader) count() {
-	if c.box.Now()-c.counters.at < countEvery {
+func (l *Leader) count() {
+	if l.box.Now()-l.counters.at < countEvery {
 		return
 	}
 	states := map[string]int{}
-	for _, m := range c.owner.Roster().All() {
-		states[c.stateOf(m)]++
+	for _, m := range l.owner.Roster().All() {
+		states[l.stateOf(m)]++
 	}
 	closing := 0
-	for _, j := range c.active {
+	for _, j := range l.active {
 		closing += len(j.closes)
 	}
-	n := &c.counters
-	c.box.Debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held,
-		"writing", c.writing, "waiting", len(c.dirty)+len(c.delayed), "closing", closing, "log", len(c.ended.fresh),
+	n := &l.counters
+	l.box.Debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held,
+		"writing", l.writing, "waiting", len(l.dirty)+len(l.delayed), "closing", closing, "log", len(l.ended.fresh),
 		usable, states[usable], quiet, states[quiet], mailed, states[mailed], sick, states[sick], booting, states[booting], leaving, states[leaving])
-	c.counters = counters{at: c.box.Now()}
+	l.counters = counters{at: l.box.Now()}
 }
--- a/internal/core/leader/ended.go
+++ b/internal/core/leader/ended.go
@@ -42,12 +42,12 @@
 }
 
 // note hands closings to the log.
-func (c *Leader) note(j *Job, closes []closing) {
+func (l *Leader) note(j *Job, closes []closing) {
 	for _, cl := range closes {
 		for i := range j.closes {
 			if o := &j.closes[i]; o.key == cl.key && o.machine == cl.machine && !o.noted {
 				o.noted = true
-				c.ended.fresh = append(c.ended.fresh, records.Ended{Job: cl.key.Job, Task: cl.key.Task, Attempt: cl.key.Attempt,
+				l.ended.fresh = append(l.ended.fresh, records.Ended{Job: cl.key.Job, Task: cl.key.Task, Attempt: cl.key.Attempt,
 					Machine: cl.machine, Done: cl.done})
 			}
 		}
@@ -55,13 +55,13 @@
 }
 
 // writeEnded commits what has been noted, a page at a time.
-func (c *Leader) writeEnded() {
-	e := &c.ended
-	if c.claim.Raising() || e.out || c.box.Now() < e.writeAt {
+func (l *Leader) writeEnded() {
+	e := &l.ended
+	if l.claim.Raising() || e.out || l.box.Now() < e.writeAt {
 		return
 	}
 	if e.txn != nil { // without an answer: it may be applied later, so the same again
-		c.sendEnded(e.txn)
+		l.sendEnded(e.txn)
 		return
 	}
 	if len(e.fresh) == 0 {
@@ -69,66 +69,66 @@
 	}
 	var lines []records.Ended
 	version := uint64(0)
-	if p := c.book.Page(e.current); p != nil {
+	if p := l.book.Page(e.current); p != nil {
 		version = p.Version
 		for _, f := range p.Facts {
 			lines = append(lines, f.Ended)
 		}
 	}
-	value := c.fitEnded(lines)
+	value := l.fitEnded(lines)
 	if version == 0 || value == nil { // the first page, or the next
 		e.begun++
-		e.current, version = c.claim.Base()<<pageBits|e.begun, 0
-		if value = c.fitEnded(nil); value == nil {
+		e.current, version = l.claim.Base()<<pageBits|e.begun, 0
+		if value = l.fitEnded(nil); value == nil {
 			return
 		}
 	}
-	e.writeAt = c.box.Now() + c.form.Pause(endedShare)
+	e.writeAt = l.box.Now() + l.form.Pause(endedShare)
 	key := records.PageKey(e.current)
 	e.txn = &wire.Commit{
-		Guards:  []wire.Guard{c.claim.Guard(), {Key: key, Version: version}},
+		Guards:  []wire.Guard{l.claim.Guard(), {Key: key, Version: version}},
 		Changes: []wire.Change{{Put: key, Value: value}},
 	}
-	c.sendEnded(e.txn)
+	l.sendEnded(e.txn)
 }
 
 // fitEnded adds as many fresh lines to a page as it has room for; nil: none.
-func (c *Leader) fitEnded(lines []records.Ended) []byte {
-	for n := len(c.ended.fresh); n > 0; n /= 2 {
-		value, err := job.Encode(append(lines[:len(lines):len(lines)], c.ended.fresh[:n]...))
-		if err == nil && c.form.Fits(value) {
+func (l *Leader) fitEnded(lines []records.Ended) []byte {
+	for n := len(l.ended.fresh); n > 0; n /= 2 {
+		value, err := job.Encode(append(lines[:len(lines):len(lines)], l.ended.fresh[:n]...))
+		if err == nil && l.form.Fits(value) {
 			return value
 		}
 	}
 	return nil
 }
 
-func (c *Leader) sendEnded(t *wire.Commit) {
-	c.ended.out = true
-	c.box.CommitLater(*t, func(d msg.CommitDone) {
-		e := &c.ended
-		if !c.claim.Held() || e.txn != t {
+func (l *Leader) sendEnded(t *wire.Commit) {
+	l.ended.out = true
+	l.box.CommitLater(*t, func(d msg.CommitDone) {
+		e := &l.ended
+		if !l.claim.Held() || e.txn != t {
 			return
 		}
 		e.out = false
 		key := t.Changes[0].Put
 		switch d.Outcome {
 		case msg.Unknown:
-			e.writeAt = c.box.Now() + commitPause
+			e.writeAt = l.box.Now() + commitPause
 			return
 		case msg.OK:
-			c.take(&wire.Change{Put: key, Value: t.Changes[0].Value, Version: d.Revision})
+			l.take(&wire.Change{Put: key, Value: t.Changes[0].Value, Version: d.Revision})
 		case msg.Conflict:
-			if slices.Contains(d.Failed, c.claim.Key()) && t.Guards[0].Version == c.claim.Token() && !c.claim.Raising() {
-				c.claim.Resign("claim lost")
+			if slices.Contains(d.Failed, l.claim.Key()) && t.Guards[0].Version == l.claim.Token() && !l.claim.Raising() {
+				l.claim.Resign("claim lost")
 				return
 			}
 			if slices.Contains(d.Failed, key) { // an earlier sending has been applied after all
-				e.writeAt = c.box.Now() + commitPause
-				c.box.Read(key, func(d msg.ReadDone) {
+				e.writeAt = l.box.Now() + commitPause
+				l.box.Read(key, func(d msg.ReadDone) {
 					if d.Outcome == msg.OK && d.Item.Version != 0 {
-						c.take(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
-						c.logged()
+						l.take(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
+						l.logged()
 					}
 				})
 			}
@@ -136,33 +136,33 @@
 			// An earlier sending may have been applied: the watch tells. What isn't in
 			// the log by then goes into a new page.
 			e.current = 0
-			e.writeAt = c.box.Now() + config.Second
+			e.writeAt = l.box.Now() + config.Second
 		default:
-			e.writeAt = c.box.Now() + commitPause
+			e.writeAt = l.box.Now() + commitPause
 		}
 		e.txn = nil
-		c.logged()
+		l.logged()
 	})
 }
 
 // logged drops what pages or records say by now from what is to be written.
-func (c *Leader) logged() {
-	e := &c.ended
+func (l *Leader) logged() {
+	e := &l.ended
 	left := e.fresh[:0]
-	for _, l := range e.fresh {
-		j := c.jobs[l.Job]
+	for _, line := range e.fresh {
+		j := l.jobs[line.Job]
 		if j != nil && j.Rec.Spec != nil {
-			if p, _ := j.Part(j.Rec.PartOf(l.Task)); p.IsOpen(l.Task, l.Attempt, l.Machine) {
-				left = append(left, l)
+			if p, _ := j.Part(j.Rec.PartOf(line.Task)); p.IsOpen(line.Task, line.Attempt, line.Machine) {
+				left = append(left, line)
 				continue
 			}
 		}
 		if j != nil {
 			j.closes = slices.DeleteFunc(j.closes, func(cl closing) bool {
-				return cl.noted && cl.key.Task == l.Task && cl.key.Attempt == l.Attempt && cl.machine == l.Machine
+				return cl.noted && cl.key.Task == line.Task && cl.key.Attempt == line.Attempt && cl.machine == line.Machine
 			})
-			c.dirty[j.ID] = true
-			c.passDue = true
+			l.dirty[j.ID] = true
+			l.passDue = true
 		}
 	}
 	e.fresh = left
@@ -170,38 +170,38 @@
 
 // tidyEnded deletes pages that no record needs any more, and has jobs written
 // for the sake of the oldest page when there are many.
-func (c *Leader) tidyEnded() {
-	pages := c.book.Pages()
+func (l *Leader) tidyEnded() {
+	pages := l.book.Pages()
 	for i, n := range pages {
-		p := c.book.Page(n)
-		if n == c.ended.current || c.ended.leaving[n] {
+		p := l.book.Page(n)
+		if n == l.ended.current || l.ended.leaving[n] {
 			continue
 		}
 		needed := false
 		for _, f := range p.Facts {
-			j := c.jobs[f.Job]
+			j := l.jobs[f.Job]
 			if f.Merged || j == nil || j.Rec.Spec == nil {
 				continue
 			}
 			needed = true
-			if i == 0 && len(pages)*c.form.Room() > maxLogBytes && !j.mergeNow {
+			if i == 0 && len(pages)*l.form.Room() > maxLogBytes && !j.mergeNow {
 				j.mergeNow = true
-				c.dirty[j.ID] = true
+				l.dirty[j.ID] = true
 			}
 		}
 		if needed {
 			continue
 		}
-		leaving := c.ended.leaving
+		leaving := l.ended.leaving
 		leaving[n] = true
 		key := records.PageKey(n)
-		c.box.CommitLater(wire.Commit{
-			Guards:  []wire.Guard{c.claim.Guard(), {Key: key, Version: p.Version}},
+		l.box.CommitLater(wire.Commit{
+			Guards:  []wire.Guard{l.claim.Guard(), {Key: key, Version: p.Version}},
 			Changes: []wire.Change{{Delete: key}},
 		}, func(d msg.CommitDone) {
 			delete(leaving, n)
-			if d.Outcome == msg.OK && c.book.Page(n) == p {
-				c.book.Forget(n)
+			if d.Outcome == msg.OK && l.book.Page(n) == p {
+				l.book.Forget(n)
 			}
 		})
 		return // one at a time
--- a/internal/core/leader/hints.go
+++ b/internal/core/leader/hints.go
@@ -51,16 +51,16 @@
 }
 
 // noteMachine has a machine's hint written in its turn.
-func (c *Leader) noteMachine(name string) { c.pages[pageOf(name)].changed = true }
+func (l *Leader) noteMachine(name string) { l.pages[pageOf(name)].changed = true }
 
 // writeHints writes one page, now and then.
-func (c *Leader) writeHints() {
-	if c.box.Now() < c.pageAt {
+func (l *Leader) writeHints() {
+	if l.box.Now() < l.pageAt {
 		return
 	}
 	n := -1
 	for i := range hintPages {
-		if k := (c.pageNext + i) % hintPages; c.pages[k].changed {
+		if k := (l.pageNext + i) % hintPages; l.pages[k].changed {
 			n = k
 			break
 		}
@@ -69,27 +69,27 @@
 		return
 	}
 	var hints []Hint
-	for _, m := range c.owner.Roster().All() {
+	for _, m := range l.owner.Roster().All() {
 		if pageOf(m.Name) == n && !m.Releasing {
 			hints = append(hints, Hint{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 				Images: slices.Sorted(maps.Keys(m.Images))})
 		}
 	}
-	p := &c.pages[n]
-	p.changed, c.pageNext, c.pageAt = false, n+1, c.box.Now()+c.form.Pause(hintShare)
-	value := c.fitHints(hints)
+	p := &l.pages[n]
+	p.changed, l.pageNext, l.pageAt = false, n+1, l.box.Now()+l.form.Pause(hintShare)
+	value := l.fitHints(hints)
 	if value == nil {
 		return
 	}
-	c.box.CommitLater(wire.Commit{
-		Guards:  []wire.Guard{c.claim.Guard()},
+	l.box.CommitLater(wire.Commit{
+		Guards:  []wire.Guard{l.claim.Guard()},
 		Changes: []wire.Change{{Put: hintPrefix + strconv.Itoa(n), Value: value}},
 	}, func(d msg.CommitDone) { p.changed = p.changed || d.Outcome != msg.OK })
 }
 
 // fitHints encodes hints so that they fit a value: images go first, then the
 // youngest machines.
-func (c *Leader) fitHints(hints []Hint) []byte {
+func (l *Leader) fitHints(hints []Hint) []byte {
 	for most := maxImages; ; most /= 2 {
 		for i := range hints {
 			hints[i].Images = hints[i].Images[:min(len(hints[i].Images), most)]
@@ -98,7 +98,7 @@
 		switch {
 		case err != nil:
 			return nil
-		case c.form.Fits(value):
+		case l.form.Fits(value):
 			return value
 		case most == 0:
 			hints = hints[:len(hints)*7/8]
@@ -108,12 +108,12 @@
 
 // hintsIn takes a page. A leader that has begun knows better than what was
 // written before.
-func (c *Leader) hintsIn(name string, ev *wire.Change) {
+func (l *Leader) hintsIn(name string, ev *wire.Change) {
 	n, err := strconv.Atoi(name)
-	if err != nil || n < 0 || n >= hintPages || c.ready || ev.Version <= c.pages[n].version {
+	if err != nil || n < 0 || n >= hintPages || l.ready || ev.Version <= l.pages[n].version {
 		return
 	}
-	p := &c.pages[n]
+	p := &l.pages[n]
 	var hints []Hint
 	if ev.Put != "" && job.Decode(ev.Value, &hints) != nil {
 		return
@@ -123,7 +123,7 @@
 	for i := range hints {
 		h := &hints[i]
 		p.names = append(p.names, h.Name)
-		m := c.owner.Machine(h.Name)
+		m := l.owner.Machine(h.Name)
 		for _, image := range h.Images {
 			m.Images[image] = true
 		}
@@ -131,7 +131,7 @@
 	}
 	for _, gone := range old {
 		if !slices.Contains(p.names, gone) {
-			c.owner.Roster().Remove(gone)
+			l.owner.Roster().Remove(gone)
 		}
 	}
 }
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -78,112 +78,112 @@
 }
 
 // Use gives the leader the rooms that it commands and goes by.
-func (c *Leader) Use(book *records.Book, owner *owner.Owner, keeper *fleet.Keeper) {
-	c.book, c.owner, c.keeper = book, owner, keeper
-	c.reset()
+func (l *Leader) Use(book *records.Book, owner *owner.Owner, keeper *fleet.Keeper) {
+	l.book, l.owner, l.keeper = book, owner, keeper
+	l.reset()
 }
 
 // Ready tells whether this node leads and has read the records since its claim.
-func (c *Leader) Ready() bool { return c.ready }
+func (l *Leader) Ready() bool { return l.ready }
 
 // SetWall tells the time of day.
-func (c *Leader) SetWall(wall Micros) { c.wallAhead = wall - c.box.Now() }
+func (l *Leader) SetWall(wall Micros) { l.wallAhead = wall - l.box.Now() }
 
 // Won begins a reign. Nothing is commanded before the records have been read
 // after the claim: only then are all placements of predecessors known.
-func (c *Leader) Won() {
-	c.reset()
-	c.since = c.box.Now()
-	c.takeovers++
-	c.box.Log("leading", "token", c.claim.Token())
-	c.box.Emit(msg.Relist{})
+func (l *Leader) Won() {
+	l.reset()
+	l.since = l.box.Now()
+	l.takeovers++
+	l.box.Log("leading", "token", l.claim.Token())
+	l.box.Emit(msg.Relist{})
 }
 
 // Lost ends a reign. The leader forgets what it needs no more; a later
 // reign starts from the records.
-func (c *Leader) Lost(why string, token uint64) {
-	c.box.Log("no longer leading", "why", why, "token", token)
-	c.reset()
-	c.box.Emit(msg.Relist{})
+func (l *Leader) Lost(why string, token uint64) {
+	l.box.Log("no longer leading", "why", why, "token", token)
+	l.reset()
+	l.box.Emit(msg.Relist{})
 }
 
 // Wake has a pass come soon.
-func (c *Leader) Wake() { c.passDue = true }
+func (l *Leader) Wake() { l.passDue = true }
 
 // CatalogChanged has everything looked at again by the new machine types.
-func (c *Leader) CatalogChanged() {
-	c.survey.whole = true
-	for _, j := range c.active {
+func (l *Leader) CatalogChanged() {
+	l.survey.whole = true
+	for _, j := range l.active {
 		j.types = typeSet{}
 	}
-	c.passDue = true
+	l.passDue = true
 }
 
 // Apply takes a change of a key that only leaders read. It returns false for others.
-func (c *Leader) Apply(key string, ev *wire.Change) bool {
+func (l *Leader) Apply(key string, ev *wire.Change) bool {
 	if name, ok := strings.CutPrefix(key, hintPrefix); ok {
-		c.hintsIn(name, ev)
+		l.hintsIn(name, ev)
 		return true
 	}
 	if num, ok := strings.CutPrefix(key, learntPrefix); ok {
-		c.learntIn(num, ev)
+		l.learntIn(num, ev)
 		return true
 	}
 	if strings.HasPrefix(key, home.MailPrefix) {
-		c.mailIn(ev)
+		l.mailIn(ev)
 		return true
 	}
 	return false
 }
 
 // take takes a change of a job's record or of the log.
-func (c *Leader) take(ev *wire.Change) {
-	if _, err := c.book.Apply(ev); err != nil {
-		c.box.Log("unreadable", "error", err.Error())
+func (l *Leader) take(ev *wire.Change) {
+	if _, err := l.book.Apply(ev); err != nil {
+		l.box.Log("unreadable", "error", err.Error())
 	}
 }
 
 // Tick does what the leader does by time alone.
-func (c *Leader) Tick() {
-	c.wakeJobs()
-	c.writeHints()
-	c.tidyEnded()
-	c.count()
-	c.keepLearnt()
-	c.owner.Announce()
-	c.owner.Probe()
-	c.claim.RaiseIfWanted()
-	c.keeper.Tick()
-	if c.box.Now()-c.lastPass >= config.FromSeconds(c.cfg.Settings.ScanPeriodS) || c.passAt != 0 && c.box.Now() >= c.passAt {
-		c.passDue = true
+func (l *Leader) Tick() {
+	l.wakeJobs()
+	l.writeHints()
+	l.tidyEnded()
+	l.count()
+	l.keepLearnt()
+	l.owner.Announce()
+	l.owner.Probe()
+	l.claim.RaiseIfWanted()
+	l.keeper.Tick()
+	if l.box.Now()-l.lastPass >= config.FromSeconds(l.cfg.Settings.ScanPeriodS) || l.passAt != 0 && l.box.Now() >= l.passAt {
+		l.passDue = true
 	}
 }
 
 // Settle does what follows from a step: it writes, passes and commands.
-func (c *Leader) Settle() {
-	c.flushJobs()
-	c.writeEnded()
-	if c.passDue && c.box.Now()-c.lastPass >= config.FromMillis(c.cfg.Settings.PassIntervalMS) {
-		c.pass()
-		c.flushJobs()
+func (l *Leader) Settle() {
+	l.flushJobs()
+	l.writeEnded()
+	if l.passDue && l.box.Now()-l.lastPass >= config.FromMillis(l.cfg.Settings.PassIntervalMS) {
+		l.pass()
+		l.flushJobs()
 	}
-	c.refreshMachines()
-	c.owner.SendUrgent()
+	l.refreshMachines()
+	l.owner.SendUrgent()
 }
 
 // Read completes a takeover: all records as of a revision have been read.
-func (c *Leader) Read(revision uint64) {
-	if !c.claim.Held() || c.ready || revision < c.claim.Token() {
+func (l *Leader) Read(revision uint64) {
+	if !l.claim.Held() || l.ready || revision < l.claim.Token() {
 		return
 	}
-	c.ready = true
+	l.ready = true
 	open := 0
-	for _, id := range c.sortedJobs() {
-		j := c.jobs[id]
+	for _, id := range l.sortedJobs() {
+		j := l.jobs[id]
 		j.closes, j.plan, j.txn = nil, nil, nil
-		c.placed(j, nil, j.Rec.Open)
+		l.placed(j, nil, j.Rec.Open)
 		for i := range j.Parts {
-			c.placed(j, nil, j.Parts[i].Open)
+			l.placed(j, nil, j.Parts[i].Open)
 		}
 		open += j.Open
 		if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang && j.Open > 0 && j.Open < j.Rec.Spec.Tasks {
@@ -192,36 +192,36 @@
 			j.deadGang = max(j.deadGang, j.Rec.Attempt)
 		}
 		if !j.Over() || len(j.Parts) > 0 {
-			c.dirty[id] = true
+			l.dirty[id] = true
 		}
 	}
-	c.keeper.Begin()
-	c.owner.Begin()
-	for _, m := range c.owner.Roster().All() {
-		c.watch(m)
+	l.keeper.Begin()
+	l.owner.Begin()
+	for _, m := range l.owner.Roster().All() {
+		l.watch(m)
 	}
-	c.startLearning()
-	c.passDue = true
-	c.box.Log("records read", "open_placements", open, "machines", c.owner.Roster().Len(), "after_ms", (c.box.Now()-c.since)/1000)
+	l.startLearning()
+	l.passDue = true
+	l.box.Log("records read", "open_placements", open, "machines", l.owner.Roster().Len(), "after_ms", (l.box.Now()-l.since)/1000)
 }
 
-func (c *Leader) reset() {
-	for _, j := range c.jobs {
+func (l *Leader) reset() {
+	for _, j := range l.jobs {
 		j.closes, j.plan, j.txn, j.reserved, j.mergeNow = nil, nil, nil, nil, false
 		j.standing, j.runs = standing{}, runs{}
 	}
-	c.ready = false
-	looked := c.survey.lookedAt
-	c.survey = newSurvey(c.cfg.Cluster.Zones)
-	c.survey.lookedAt = looked
-	c.owner.Reset()
-	c.keeper.Reset()
-	c.reigns++
-	c.writing = 0
-	c.ended = endedLog{writeAt: c.ended.writeAt, leaving: map[uint64]bool{}}
-	c.dirty, c.delayed = map[string]bool{}, map[string]bool{}
-	c.usage = queue.NewUsage(config.FromSeconds(c.cfg.Settings.UsageWindowS))
-	c.learning = learning{stored: c.learning.stored}
+	l.ready = false
+	looked := l.survey.lookedAt
+	l.survey = newSurvey(l.cfg.Cluster.Zones)
+	l.survey.lookedAt = looked
+	l.owner.Reset()
+	l.keeper.Reset()
+	l.reigns++
+	l.writing = 0
+	l.ended = endedLog{writeAt: l.ended.writeAt, leaving: map[uint64]bool{}}
+	l.dirty, l.delayed = map[string]bool{}, map[string]bool{}
+	l.usage = queue.NewUsage(config.FromSeconds(l.cfg.Settings.UsageWindowS))
+	l.learning = learning{stored: l.learning.stored}
 }
 
 // Job is a job as this node knows it.
@@ -263,54 +263,54 @@
 	noted   bool // on its way into the log of ended attempts
 }
 
-func (c *Leader) sortedJobs() []string {
-	return slices.Sorted(maps.Keys(c.jobs))
+func (l *Leader) sortedJobs() []string {
+	return slices.Sorted(maps.Keys(l.jobs))
 }
 
 // setActive puts a job into the list of active ones or takes it out.
-func (c *Leader) setActive(j *Job, active bool) {
+func (l *Leader) setActive(j *Job, active bool) {
 	if active == j.active {
 		return
 	}
 	if active {
 		j.created = j.Rec.Created
 	}
-	i, _ := slices.BinarySearchFunc(c.active, j, func(a, b *Job) int {
+	i, _ := slices.BinarySearchFunc(l.active, j, func(a, b *Job) int {
 		return cmp.Or(cmp.Compare(a.created, b.created), cmp.Compare(a.ID, b.ID))
 	})
 	if j.active = active; active {
-		c.active = slices.Insert(c.active, i, j)
+		l.active = slices.Insert(l.active, i, j)
 	} else {
-		c.active = slices.Delete(c.active, i, i+1)
+		l.active = slices.Delete(l.active, i, i+1)
 	}
 }
 
 // outdatePlan drops a plan that was made for an older record. A transaction
 // that had no answer may have placed the same tasks after all: placed once more
 // they would run twice. What is in flight keeps its plan, for its places count.
-func (c *Leader) outdatePlan(j *Job) {
+func (l *Leader) outdatePlan(j *Job) {
 	if j.txn == nil {
-		c.setPlan(j, nil)
+		l.setPlan(j, nil)
 	}
 }
 
 // placed has the machines looked at on which something was placed or closed.
-func (c *Leader) placed(j *Job, old, now []job.Placement) {
+func (l *Leader) placed(j *Job, old, now []job.Placement) {
 	for _, p := range old {
 		if !slices.Contains(now, p) {
 			delete(j.started, p.Task)
 			delete(j.mine, p.Task)
 		}
-		if m := c.owner.Roster().Get(p.Machine); m != nil {
-			c.touch(m)
+		if m := l.owner.Roster().Get(p.Machine); m != nil {
+			l.touch(m)
 		}
 	}
 	for _, p := range now {
-		if m := c.owner.Roster().Get(p.Machine); m != nil {
-			c.touch(m)
+		if m := l.owner.Roster().Get(p.Machine); m != nil {
+			l.touch(m)
 		}
 	}
-	if !c.ready {
+	if !l.ready {
 		return
 	}
 	had := make(map[job.Key]bool, len(old))
@@ -321,73 +321,73 @@
 		if had[p.Key(j.ID)] {
 			continue
 		}
-		if m := c.owner.Roster().Get(p.Machine); m != nil {
-			c.owner.Hurry(m)
-		} else if c.keeper.Gone(p.Machine) {
+		if m := l.owner.Roster().Get(p.Machine); m != nil {
+			l.owner.Hurry(m)
+		} else if l.keeper.Gone(p.Machine) {
 			// Deleted while the transaction was under way: nobody else would
 			// ever close the placement.
-			c.close(p.Key(j.ID), p.Machine, false)
+			l.close(p.Key(j.ID), p.Machine, false)
 		}
 	}
 }
 
 // revise has a pass and the writing of records look at a job.
-func (c *Leader) revise(j *Job) {
-	c.passDue = true
-	if c.ready {
-		c.dirty[j.ID] = true
+func (l *Leader) revise(j *Job) {
+	l.passDue = true
+	if l.ready {
+		l.dirty[j.ID] = true
 	}
 }
 
 // What follows hears of the records.
 
 // Born hears of a job that nothing was known of.
-func (c *Leader) Born(r *records.Job) { c.jobs[r.ID] = &Job{Job: r, arrived: c.box.Now()} }
+func (l *Leader) Born(r *records.Job) { l.jobs[r.ID] = &Job{Job: r, arrived: l.box.Now()} }
 
 // Placed hears what is open of one part of a job.
-func (c *Leader) Placed(r *records.Job, old, now []job.Placement) { c.placed(c.jobs[r.ID], old, now) }
+func (l *Leader) Placed(r *records.Job, old, now []job.Placement) { l.placed(l.jobs[r.ID], old, now) }
 
 // Stored hears that plans for a job are out of date.
-func (c *Leader) Stored(r *records.Job) { c.outdatePlan(c.jobs[r.ID]) }
+func (l *Leader) Stored(r *records.Job) { l.outdatePlan(l.jobs[r.ID]) }
 
 // Recorded hears of a newer record of a job.
-func (c *Leader) Recorded(r *records.Job) {
-	j := c.jobs[r.ID]
-	c.setActive(j, r.Rec.Spec != nil)
-	if r.Rec.Created > 0 && c.wallAhead > 0 && !r.NeedsOthers() {
-		j.arrived = min(c.box.Now(), r.Rec.Created-c.wallAhead)
+func (l *Leader) Recorded(r *records.Job) {
+	j := l.jobs[r.ID]
+	l.setActive(j, r.Rec.Spec != nil)
+	if r.Rec.Created > 0 && l.wallAhead > 0 && !r.NeedsOthers() {
+		j.arrived = min(l.box.Now(), r.Rec.Created-l.wallAhead)
 	}
 }
 
 // Ended hears that a job's phase is final.
-func (c *Leader) Ended(r *records.Job) {
+func (l *Leader) Ended(r *records.Job) {
 	if r.Rec.Spec == nil {
-		j := c.jobs[r.ID]
+		j := l.jobs[r.ID]
 		j.started, j.failedOn, j.closes, j.reserved = nil, nil, nil, nil
 		j.runs = runs{}
-		c.owner.OverAll(r.ID)
+		l.owner.OverAll(r.ID)
 	}
 }
 
 // Changed hears that something about a job has changed.
-func (c *Leader) Changed(r *records.Job) {
-	j := c.jobs[r.ID]
-	c.changed(j)
-	c.revise(j)
+func (l *Leader) Changed(r *records.Job) {
+	j := l.jobs[r.ID]
+	l.changed(j)
+	l.revise(j)
 }
 
 // Freed hears that a job waits for no other any more.
-func (c *Leader) Freed(r *records.Job) {
-	j := c.jobs[r.ID]
-	j.arrived = c.box.Now() // its times count from now on
-	c.changed(j)
-	c.passDue = true
+func (l *Leader) Freed(r *records.Job) {
+	j := l.jobs[r.ID]
+	j.arrived = l.box.Now() // its times count from now on
+	l.changed(j)
+	l.passDue = true
 }
 
 // Doomed hears that a job is as good as cancelled.
-func (c *Leader) Doomed(r *records.Job) {
-	c.changed(c.jobs[r.ID])
-	if c.ready {
-		c.dirty[r.ID] = true
+func (l *Leader) Doomed(r *records.Job) {
+	l.changed(l.jobs[r.ID])
+	if l.ready {
+		l.dirty[r.ID] = true
 	}
 }
--- a/internal/core/leader/learning.go
+++ b/internal/core/leader/learning.go
@@ -70,12 +70,12 @@
 }
 
 // learntIn takes a stored value. Nobody but the leader reads it.
-func (c *Leader) learntIn(num string, ev *wire.Change) {
+func (l *Leader) learntIn(num string, ev *wire.Change) {
 	n, err := strconv.Atoi(num)
-	if err != nil || n < 0 || n >= estimate.Chunks || ev.Version <= c.learning.stored[n].version {
+	if err != nil || n < 0 || n >= estimate.Chunks || ev.Version <= l.learning.stored[n].version {
 		return
 	}
-	v := &c.learning.stored[n]
+	v := &l.learning.stored[n]
 	v.version, v.raw = ev.Version, nil
 	if ev.Put != "" {
 		v.raw = slices.Clone(ev.Value)
@@ -83,13 +83,13 @@
 }
 
 // startLearning takes over what earlier leaders have learnt.
-func (c *Leader) startLearning() {
-	if !c.cfg.Settings.Estimates {
+func (l *Leader) startLearning() {
+	if !l.cfg.Settings.Estimates {
 		return
 	}
 	var chunks []*estimate.Chunk
-	for n := range c.learning.stored {
-		v := &c.learning.stored[n]
+	for n := range l.learning.stored {
+		v := &l.learning.stored[n]
 		v.aside, v.at, v.out = false, 0, false
 		if len(v.raw) == 0 {
 			continue
@@ -97,37 +97,37 @@
 		chunk, err := estimate.Decode(v.raw)
 		if err != nil {
 			v.aside = errors.Is(err, estimate.ErrVersion)
-			c.box.Log("learnt run times set aside", "key", learntPrefix+strconv.Itoa(n), "error", err.Error())
+			l.box.Log("learnt run times set aside", "key", learntPrefix+strconv.Itoa(n), "error", err.Error())
 			continue
 		}
 		chunks = append(chunks, chunk)
 	}
 	s := estimate.DefaultSettings()
-	s.Groups = c.cfg.Settings.EstimateGroups
-	c.learning.model = estimate.Restore(s, c.claim.Base(), chunks...)
-	c.learning.waits = map[string]*wait{}
-	for _, j := range c.active {
+	s.Groups = l.cfg.Settings.EstimateGroups
+	l.learning.model = estimate.Restore(s, l.claim.Base(), chunks...)
+	l.learning.waits = map[string]*wait{}
+	for _, j := range l.active {
 		j.inherited = j.Rec.Attempt > 0
 	}
 }
 
 // keepLearnt writes a value of what was learnt, when nothing else wants changes.
-func (c *Leader) keepLearnt() {
-	l := &c.learning
-	if l.model == nil || c.claim.Raising() || c.box.Now() < l.writeAt || c.writing > 0 || len(c.ended.fresh) > 0 || c.counters.held > 0 {
+func (l *Leader) keepLearnt() {
+	learnt := &l.learning
+	if learnt.model == nil || l.claim.Raising() || l.box.Now() < learnt.writeAt || l.writing > 0 || len(l.ended.fresh) > 0 || l.counters.held > 0 {
 		return
 	}
 	for i := range estimate.Chunks {
-		n := (l.next + i) % estimate.Chunks
-		v := &l.stored[n]
-		if v.aside || v.out || v.at == l.model.Observed() {
+		n := (learnt.next + i) % estimate.Chunks
+		v := &learnt.stored[n]
+		if v.aside || v.out || v.at == learnt.model.Observed() {
 			continue
 		}
-		l.next, l.writeAt = n+1, c.box.Now()+learntEvery
-		value, err := l.model.Encode(n, func(raw []byte) bool { return wire.JSONSize(raw) <= int(float64(c.form.Room())*learntPart) })
-		observed := l.model.Observed()
+		learnt.next, learnt.writeAt = n+1, l.box.Now()+learntEvery
+		value, err := learnt.model.Encode(n, func(raw []byte) bool { return wire.JSONSize(raw) <= int(float64(l.form.Room())*learntPart) })
+		observed := learnt.model.Observed()
 		if err != nil {
-			c.box.Log("learnt run times not written", "error", err.Error())
+			l.box.Log("learnt run times not written", "error", err.Error())
 			return
 		}
 		if value == nil {
@@ -136,8 +136,8 @@
 		}
 		v.out = true
 		key := learntPrefix + strconv.Itoa(n)
-		c.box.CommitLater(wire.Commit{
-			Guards:  []wire.Guard{c.claim.Guard(), {Key: key, Version: v.version}},
+		l.box.CommitLater(wire.Commit{
+			Guards:  []wire.Guard{l.claim.Guard(), {Key: key, Version: v.version}},
 			Changes: []wire.Change{{Put: key, Value: value}},
 		}, func(d msg.CommitDone) {
 			v.out = false
@@ -149,36 +149,36 @@
 	}
 }
 
-func (c *Leader) features(j *Job, machine string) estimate.Features {
+func (l *Leader) features(j *Job, machine string) estimate.Features {
 	s := j.Rec.Spec
 	return estimate.Features{Image: s.Image, Shape: wire.ShapeName(s.Shape), Class: s.Class, Team: s.Team, Expect: config.FromSeconds(s.EstimateS), Machine: machine}
 }
 
 // placedFirst learns how long a job has waited for its first place.
-func (c *Leader) placedFirst(j *Job) {
-	if c.learning.model == nil || j.Rec.Spec == nil {
+func (l *Leader) placedFirst(j *Job) {
+	if l.learning.model == nil || j.Rec.Spec == nil {
 		return
 	}
-	w := c.learning.waits[j.Rec.Spec.Class]
+	w := l.learning.waits[j.Rec.Spec.Class]
 	if w == nil {
-		if len(c.learning.waits) >= c.cfg.Settings.EstimateGroups {
+		if len(l.learning.waits) >= l.cfg.Settings.EstimateGroups {
 			return
 		}
 		w = &wait{}
-		c.learning.waits[j.Rec.Spec.Class] = w
+		l.learning.waits[j.Rec.Spec.Class] = w
 	}
-	w.add(c.box.Now() - j.arrived)
+	w.add(l.box.Now() - j.arrived)
 }
 
 // noteMine remembers what this leader has placed itself.
-func (c *Leader) noteMine(j *Job, placed []job.Placement) {
-	if c.learning.model == nil || len(placed) == 0 {
+func (l *Leader) noteMine(j *Job, placed []job.Placement) {
+	if l.learning.model == nil || len(placed) == 0 {
 		return
 	}
 	if j.mine == nil {
 		j.mine = map[int]uint64{}
 		if !j.inherited {
-			c.placedFirst(j)
+			l.placedFirst(j)
 		}
 	}
 	for _, p := range placed {
@@ -188,9 +188,9 @@
 
 // learnRun learns from the end of a run, whatever its proof. It is asked before the
 // placement is closed.
-func (c *Leader) learnRun(j *Job, key job.Key, machine string, done bool) {
+func (l *Leader) learnRun(j *Job, key job.Key, machine string, done bool) {
 	spec := j.Rec.Spec
-	m := c.learning.model
+	m := l.learning.model
 	if m == nil || spec == nil || spec.Shape == wire.Service {
 		return
 	}
@@ -209,10 +209,10 @@
 		}
 	}
 	kept := j.kept[task]
-	work := kept + c.box.Now() - began
+	work := kept + l.box.Now() - began
 	whole := done && j.mine[key.Task] == key.Attempt && (!j.inherited || spec.CheckpointS == 0)
-	m.Observe(&estimate.Evidence{Features: c.features(j, machine), Ran: work, Done: whole})
-	c.recordRun(j, key, machine, began, done)
+	m.Observe(&estimate.Evidence{Features: l.features(j, machine), Ran: work, Done: whole})
+	l.recordRun(j, key, machine, began, done)
 	if done || spec.CheckpointS == 0 {
 		return
 	}
@@ -221,20 +221,20 @@
 	}
 	every := config.FromSeconds(spec.CheckpointS)
 	j.kept[task] = max(kept, work/every*every)
-	if m := c.owner.Roster().Get(on); m != nil && m.Tasks[key].Saved {
+	if m := l.owner.Roster().Get(on); m != nil && m.Tasks[key].Saved {
 		j.kept[task] = work
 	}
 }
 
 // recordRun keeps a run for those who record histories.
-func (c *Leader) recordRun(j *Job, key job.Key, machine string, began Micros, done bool) {
-	if !c.cfg.Settings.Admin {
+func (l *Leader) recordRun(j *Job, key job.Key, machine string, began Micros, done bool) {
+	if !l.cfg.Settings.Admin {
 		return
 	}
-	spec, l := j.Rec.Spec, &c.learning
-	seconds := func(at Micros) float64 { return float64(at+c.wallAhead) / 1e6 }
+	spec, learnt := j.Rec.Spec, &l.learning
+	seconds := func(at Micros) float64 { return float64(at+l.wallAhead) / 1e6 }
 	outcome := history.Lost
-	switch m := c.owner.Roster().Get(machine); {
+	switch m := l.owner.Roster().Get(machine); {
 	case done:
 		outcome = history.Done
 	case j.Rec.Cancel:
@@ -249,63 +249,63 @@
 	}
 	line := history.Line{Ref: j.ID, Class: spec.Class, Team: spec.Team, Shape: wire.ShapeName(spec.Shape), Tasks: spec.Tasks, CPUs: spec.CPUs, GPUs: spec.GPUs,
 		MemoryGB: spec.MemoryGB, Image: spec.Image, ExpectS: spec.EstimateS, Submitted: float64(j.Rec.Created) / 1e6,
-		Started: seconds(began), Ended: seconds(c.box.Now()), Outcome: outcome, Machine: machine}
+		Started: seconds(began), Ended: seconds(l.box.Now()), Outcome: outcome, Machine: machine}
 	if spec.Shape == wire.Array {
 		line.Ref, line.Tasks = wire.TaskName(j.ID, key.Task), 1
 	}
-	if m := c.owner.Roster().Get(machine); m != nil {
+	if m := l.owner.Roster().Get(machine); m != nil {
 		line.Type = m.Type
 	}
-	if len(l.runs) < keptRuns {
-		l.runs = append(l.runs, line)
+	if len(learnt.runs) < keptRuns {
+		learnt.runs = append(learnt.runs, line)
 	} else {
-		l.runs[l.runsEnd%keptRuns] = line
+		learnt.runs[learnt.runsEnd%keptRuns] = line
 	}
-	l.runsEnd++
+	learnt.runsEnd++
 }
 
 // taskLeft estimates what remains of a task that runs.
-func (c *Leader) taskLeft(j *Job, p *job.Placement) (estimate.Answer, bool) {
-	if c.learning.model == nil {
+func (l *Leader) taskLeft(j *Job, p *job.Placement) (estimate.Answer, bool) {
+	if l.learning.model == nil {
 		return estimate.Answer{}, false
 	}
-	f := c.features(j, p.Machine)
-	a := c.learning.model.Estimate(&f)
+	f := l.features(j, p.Machine)
+	a := l.learning.model.Estimate(&f)
 	if a.Level == estimate.Unknown {
 		return a, false
 	}
-	return a.Left(c.worked(j, p)), true
+	return a.Left(l.worked(j, p)), true
 }
 
 // worked is how long a placed task, or its gang, has worked: what is safe of earlier
 // runs and this one.
-func (c *Leader) worked(j *Job, p *job.Placement) Micros {
+func (l *Leader) worked(j *Job, p *job.Placement) Micros {
 	task := p.Task
 	if j.Rec.Spec.Shape == wire.Gang {
 		task = -1
 	}
 	work := j.kept[task]
 	if began, ok := j.started[p.Task]; ok {
-		work += c.box.Now() - began
+		work += l.box.Now() - began
 	}
 	return work
 }
 
 // avoidSlow adds the machines that are known to be slow to those that a gang avoids: it
 // would run as slowly as the slowest.
-func (c *Leader) avoidSlow(avoid map[string]Micros) map[string]Micros {
-	if c.learning.model == nil {
+func (l *Leader) avoidSlow(avoid map[string]Micros) map[string]Micros {
+	if l.learning.model == nil {
 		return avoid
 	}
 	var out map[string]Micros
-	c.learning.model.Slow(c.cfg.Settings.SlowTimes, func(machine string) {
+	l.learning.model.Slow(l.cfg.Settings.SlowTimes, func(machine string) {
 		if out == nil {
 			out = make(map[string]Micros, len(avoid)+1)
 			for name, until := range avoid {
 				out[name] = until
 			}
 		}
-		out[machine] = c.box.Now() + config.Second
+		out[machine] = l.box.Now() + config.Second
 	})
 	if out == nil {
 		return avoid
@@ -361,21 +361,21 @@
 
 // ownStretch is how long a job takes from when its turn has come; false if nothing is
 // known of such work.
-func (c *Leader) ownStretch(j *Job) (stretch, bool) {
+func (l *Leader) ownStretch(j *Job) (stretch, bool) {
 	spec := j.Rec.Spec
-	f := c.features(j, "")
-	a := c.learning.model.Estimate(&f)
+	f := l.features(j, "")
+	a := l.learning.model.Estimate(&f)
 	if a.Level == estimate.Unknown {
 		return stretch{}, false
 	}
 	left := spec.Tasks - j.Done
 	var out stretch
 	if j.Open == 0 {
-		if w := c.learning.waits[spec.Class]; w != nil {
+		if w := l.learning.waits[spec.Class]; w != nil {
 			out = stretch{w.mean, w.mean * w.mean}
 		}
 		at := left
-		if t := c.teams[spec.Team]; t != nil && t.GPUsMax > 0 && spec.GPUs > 0 {
+		if t := l.teams[spec.Team]; t != nil && t.GPUsMax > 0 && spec.GPUs > 0 {
 			at = min(at, max(1, int(t.GPUsMax/spec.GPUs)))
 		}
 		return out.plus(inTurns(&a, left, at, spec.Shape)), true
@@ -383,7 +383,7 @@
 	// What runs is through when its longest task is, and the rest takes its places.
 	var latest stretch
 	j.EachOpen(func(p job.Placement) {
-		if x, ok := c.taskLeft(j, &p); ok {
+		if x, ok := l.taskLeft(j, &p); ok {
 			if s := largest(&x, 1); s.mean > latest.mean {
 				latest = s
 			}
@@ -407,14 +407,14 @@
 }
 
 // outlook is how long a job takes along the longest way through what it needs.
-func (c *Leader) outlook(j *Job, depth int) (stretch, bool) {
-	own, ok := c.ownStretch(j)
+func (l *Leader) outlook(j *Job, depth int) (stretch, bool) {
+	own, ok := l.ownStretch(j)
 	if !ok || depth >= longestPath {
 		return own, ok
 	}
 	var before stretch
 	for _, id := range j.UndoneNeeds() {
-		s, known := c.outlook(c.jobs[id], depth+1)
+		s, known := l.outlook(l.jobs[id], depth+1)
 		if !known {
 			return stretch{}, false
 		}
@@ -427,16 +427,16 @@
 
 // judge tells how likely a job meets its deadline; a negative chance means that it
 // can't be told.
-func (c *Leader) judge(j *Job) (verdict string, chance float64) {
+func (l *Leader) judge(j *Job) (verdict string, chance float64) {
 	spec := j.Rec.Spec
-	if c.learning.model == nil || spec == nil || spec.DeadlineS == nil || j.Rec.Final() || j.Rec.Cancel || j.Doomed() {
+	if l.learning.model == nil || spec == nil || spec.DeadlineS == nil || j.Rec.Final() || j.Rec.Cancel || j.Doomed() {
 		return "", -1
 	}
-	due := float64(j.Rec.Created-c.wallAhead-c.box.Now())/1e6 + *spec.DeadlineS
+	due := float64(j.Rec.Created-l.wallAhead-l.box.Now())/1e6 + *spec.DeadlineS
 	if due <= 0 {
 		return verdictLost, 0
 	}
-	s, ok := c.outlook(j, 0)
+	s, ok := l.outlook(j, 0)
 	if !ok {
 		return verdictUnknown, -1
 	}
@@ -450,17 +450,17 @@
 }
 
 // judgeDeadlines tells of deadlines that have become at risk, lost or safe again.
-func (c *Leader) judgeDeadlines() {
-	if c.learning.model == nil {
+func (l *Leader) judgeDeadlines() {
+	if l.learning.model == nil {
 		return
 	}
-	for _, j := range c.active {
-		v, chance := c.judge(j)
+	for _, j := range l.active {
+		v, chance := l.judge(j)
 		if v == j.verdict || v == "" {
 			continue
 		}
 		if j.verdict != "" || v != verdictSafe {
-			c.box.Debug("deadline", "job", j.ID, "class", j.Rec.Spec.Class, "is", v, "was", j.verdict, "chance", math.Round(chance*100)/100)
+			l.box.Debug("deadline", "job", j.ID, "class", j.Rec.Spec.Class, "is", v, "was", j.verdict, "chance", math.Round(chance*100)/100)
 		}
 		j.verdict, j.chance = v, chance
 	}
@@ -468,12 +468,12 @@
 
 // rankWithin orders jobs of one level before their credit does, as the settings have
 // it; smaller goes first.
-func (c *Leader) rankWithin(j *Job) float64 {
-	rank := c.cfg.Settings.Rank
-	if c.learning.model == nil || rank == config.RankCredit {
+func (l *Leader) rankWithin(j *Job) float64 {
+	rank := l.cfg.Settings.Rank
+	if l.learning.model == nil || rank == config.RankCredit {
 		return 0
 	}
-	s, ok := c.ownStretch(j)
+	s, ok := l.ownStretch(j)
 	if !ok {
 		return math.MaxFloat32
 	}
@@ -481,30 +481,30 @@
 		return s.mean
 	}
 	if d := j.Rec.Spec.DeadlineS; d != nil {
-		return float64(j.Rec.Created-c.wallAhead-c.box.Now())/1e6 + *d - s.mean
+		return float64(j.Rec.Created-l.wallAhead-l.box.Now())/1e6 + *d - s.mean
 	}
 	return math.MaxFloat32
 }
 
 // soonFree is how much of the work without room the ends of running tasks will make
 // room for before a machine that is rented now has booted. A half is reckoned with.
-func (c *Leader) soonFree(s *scan) {
-	if !c.cfg.Settings.RentAgainstBoot || c.learning.model == nil {
+func (l *Leader) soonFree(s *scan) {
+	if !l.cfg.Settings.RentAgainstBoot || l.learning.model == nil {
 		return
 	}
 	boot := 0.0
-	for _, t := range c.catalog.Types {
+	for _, t := range l.catalog.Types {
 		if boot == 0 || t.BootS < boot {
 			boot = t.BootS
 		}
 	}
 	free := 0.0
-	for _, j := range c.active {
+	for _, j := range l.active {
 		if j.Rec.Spec.Shape == wire.Service || j.Open == 0 {
 			continue
 		}
 		j.EachOpen(func(p job.Placement) {
-			if a, ok := c.taskLeft(j, &p); ok {
+			if a, ok := l.taskLeft(j, &p); ok {
 				free += 0.5 * a.Within(config.FromSeconds(boot)) * taskRes(j.Rec.Spec).Weight()
 			}
 		})
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -45,46 +45,46 @@
 
 // pass ranks the pending jobs and places what it can. A job that finds no
 // place waits; the next is tried.
-func (c *Leader) pass() {
-	c.passDue, c.lastPass, c.passAt = false, c.box.Now(), 0
-	if !c.catalog.Known() || c.claim.Raising() {
+func (l *Leader) pass() {
+	l.passDue, l.lastPass, l.passAt = false, l.box.Now(), 0
+	if !l.catalog.Known() || l.claim.Raising() {
 		return
 	}
-	s := c.surveyAll()
-	c.usage.Observe(c.box.Now(), s.used)
-	entries := c.pending()
+	s := l.surveyAll()
+	l.usage.Observe(l.box.Now(), s.used)
+	entries := l.pending()
 	queue.Rank(entries)
-	c.counters.passes++
-	c.counters.pending, c.counters.without, c.counters.held = len(entries), 0, 0
+	l.counters.passes++
+	l.counters.pending, l.counters.without, l.counters.held = len(entries), 0, 0
 	for i := range entries {
-		c.place(s, &entries[i])
+		l.place(s, &entries[i])
 	}
-	c.rent(s)
-	if c.survey.judgeDue {
-		c.survey.judgeDue = false
-		c.judgeDeadlines()
+	l.rent(s)
+	if l.survey.judgeDue {
+		l.survey.judgeDue = false
+		l.judgeDeadlines()
 	}
 }
 
 // surveyAll brings what passes go by up to date. Everything open counts, whatever the
 // workers last said of it, and so does what is being committed.
-func (c *Leader) surveyAll() *scan {
-	c.refresh()
-	s := &scan{zones: c.survey.zones, used: maps.Clone(c.survey.used), barred: map[string]bool{}, budget: c.mostWriting() - c.writing}
+func (l *Leader) surveyAll() *scan {
+	l.refresh()
+	s := &scan{zones: l.survey.zones, used: maps.Clone(l.survey.used), barred: map[string]bool{}, budget: l.mostWriting() - l.writing}
 	for _, z := range s.zones {
-		z.Victims = func() []*zone.Victim { return c.victims(s, z.Name) }
+		z.Victims = func() []*zone.Victim { return l.victims(s, z.Name) }
 	}
 	return s
 }
 
 // victims lists the work of a zone that could be stopped. Most passes find room
 // without, so it is put together only when a job asks.
-func (c *Leader) victims(s *scan, name string) []*zone.Victim {
+func (l *Leader) victims(s *scan, name string) []*zone.Victim {
 	if s.victims == nil {
 		s.victims = map[string][]*zone.Victim{}
-		for _, j := range c.active {
+		for _, j := range l.active {
 			if !j.Rec.Final() && !j.Rec.Cancel {
-				c.couldStop(s, j)
+				l.couldStop(s, j)
 			}
 		}
 		for _, vs := range s.victims {
@@ -95,30 +95,30 @@
 }
 
 // couldStop lists what could be stopped of a job.
-func (c *Leader) couldStop(s *scan, j *Job) {
+func (l *Leader) couldStop(s *scan, j *Job) {
 	spec := j.Rec.Spec
 	needs := taskRes(spec)
-	level := queue.Level(j.Priority(), c.within(j))
+	level := queue.Level(j.Priority(), l.within(j))
 	var gang *zone.Victim // the same one in every zone that it is in
 	listed := map[string]bool{}
 	j.EachOpen(func(p job.Placement) {
-		m := c.owner.Roster().Get(p.Machine)
-		if c.owner.Stopping(p.Key(j.ID)) || m == nil || m.Room == nil {
+		m := l.owner.Roster().Get(p.Machine)
+		if l.owner.Stopping(p.Key(j.ID)) || m == nil || m.Room == nil {
 			return
 		}
 		since, ran := j.started[p.Task]
 		if !ran {
-			since = c.box.Now()
+			since = l.box.Now()
 		}
 		left := Micros(0)
-		if c.cfg.Settings.VictimsByLeft && spec.Shape != wire.Service {
-			if a, ok := c.taskLeft(j, &p); ok {
+		if l.cfg.Settings.VictimsByLeft && spec.Shape != wire.Service {
+			if a, ok := l.taskLeft(j, &p); ok {
 				left = a.Median
 			}
 		}
 		loss := Micros(0)
 		if spec.Shape != wire.Service && spec.CheckpointS == 0 {
-			loss = c.box.Now() - since
+			loss = l.box.Now() - since
 		}
 		take := zone.Take{Room: m.Room, Res: needs}
 		if spec.Shape != wire.Gang {
@@ -138,23 +138,23 @@
 }
 
 // pending lists the jobs that want places.
-func (c *Leader) pending() []queue.Entry {
-	out := make([]queue.Entry, 0, len(c.survey.wanting))
-	shares := c.usage.Shares()
-	for j := range c.survey.wanting { // in any order: ranking knows no ties
+func (l *Leader) pending() []queue.Entry {
+	out := make([]queue.Entry, 0, len(l.survey.wanting))
+	shares := l.usage.Shares()
+	for j := range l.survey.wanting { // in any order: ranking knows no ties
 		spec := j.Rec.Spec
 		if j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 {
 			continue
 		}
-		if at := max(j.holdUntil, j.retryAt); c.box.Now() < at {
+		if at := max(j.holdUntil, j.retryAt); l.box.Now() < at {
 			// When its time has come it should not wait for an event or a scan as well.
-			if c.passAt == 0 || at < c.passAt {
-				c.passAt = at
+			if l.passAt == 0 || at < l.passAt {
+				l.passAt = at
 			}
 			continue
 		}
-		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.Priority(), c.within(j)), Within: c.rankWithin(j), Created: j.Rec.Created,
-			Credit: queue.Credit(&c.cfg.Settings, c.box.Now()-j.arrived, shares[spec.Team])})
+		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.Priority(), l.within(j)), Within: l.rankWithin(j), Created: j.Rec.Created,
+			Credit: queue.Credit(&l.cfg.Settings, l.box.Now()-j.arrived, shares[spec.Team])})
 	}
 	return out
 }
@@ -162,13 +162,13 @@
 // missing lists the tasks that have no place, at most as many as one transaction
 // can hold. A gang needs room for all: what its transaction can't hold is placed
 // in the next pass, under the same attempt.
-func (c *Leader) missing(j *Job) []int {
+func (l *Leader) missing(j *Job) []int {
 	most := job.PartTasks
 	switch {
 	case j.Rec.Spec.Shape == wire.Gang:
 		most = j.Rec.Spec.Tasks
-	case c.form.Format >= job.Grouped:
-		most = job.PartTasks * (c.form.Ops() - 1)
+	case l.form.Format >= job.Grouped:
+		most = job.PartTasks * (l.form.Ops() - 1)
 	}
 	tasks := j.Rec.Spec.Tasks
 	var out []int
@@ -185,21 +185,21 @@
 }
 
 // place finds machines for a job's missing tasks.
-func (c *Leader) place(s *scan, e *queue.Entry) {
-	j := c.jobs[e.ID]
+func (l *Leader) place(s *scan, e *queue.Entry) {
+	j := l.jobs[e.ID]
 	spec := j.Rec.Spec
-	team := c.teams[spec.Team]
+	team := l.teams[spec.Team]
 	gang := spec.Shape == wire.Gang
 	if !gang && !queue.UnderLimit(team, s.used[spec.Team].Plus(taskAmount(spec), 1)) {
 		j.preempted, j.reserved = 0, nil
 		return // as most of a long queue may
 	}
-	tasks := c.missing(j)
+	tasks := l.missing(j)
 	attempt := j.Rec.Attempt + 1
 	if gang && j.Open > 0 {
 		// A gang that hasn't started takes a replacement under its number; one
 		// that has, or that is going, starts again once all of it has left.
-		if j.Rec.Attempt <= j.deadGang || j.Rec.Attempt <= j.gangRan || c.owner.StopsAny(j.ID) {
+		if j.Rec.Attempt <= j.deadGang || j.Rec.Attempt <= j.gangRan || l.owner.StopsAny(j.ID) {
 			return
 		}
 		attempt = j.Rec.Attempt
@@ -213,9 +213,9 @@
 			break
 		}
 	}
-	q := c.request(j, e)
-	if gang && c.cfg.Settings.GangsAvoidSlow {
-		q.Avoid = c.avoidSlow(q.Avoid)
+	q := l.request(j, e)
+	if gang && l.cfg.Settings.GangsAvoidSlow {
+		q.Avoid = l.avoidSlow(q.Avoid)
 	}
 	if gang && j.Open > 0 {
 		// An attempt must not come to a machine that it has left: what the worker
@@ -226,7 +226,7 @@
 		}
 		for name, left := range j.left {
 			if left == attempt {
-				q.Avoid[name] = c.box.Now() + config.Second
+				q.Avoid[name] = l.box.Now() + config.Second
 			}
 		}
 	}
@@ -237,13 +237,13 @@
 	// nothing ranking lower takes them and machines are rented for what is left.
 	commit := s.budget > 0
 	for len(tasks) > 0 {
-		bid := c.auction(s, j, e, q, tasks, inZone)
+		bid := l.auction(s, j, e, q, tasks, inZone)
 		if bid == nil {
 			break
 		}
 		if len(bid.Victims) > 0 {
 			if commit {
-				c.evict(j, bid)
+				l.evict(j, bid)
 			}
 			return
 		}
@@ -251,8 +251,8 @@
 			s.budget-- // its record is written
 		}
 		for i, r := range bid.Rooms {
-			c.survey.byName[r.Zone].Use(r, q.Needs)
-			c.touch(r.Machine)
+			l.survey.byName[r.Zone].Use(r, q.Needs)
+			l.touch(r.Machine)
 			inZone[bid.Zone]++
 			if !commit {
 				continue
@@ -260,18 +260,18 @@
 			if tasks[i] >= job.PartTasks && tasks[i]%job.PartTasks == 0 {
 				s.budget-- // another value is written
 			}
-			c.addPlan(j, job.Placement{Task: tasks[i], Attempt: attempt, Machine: r.Machine.Name,
+			l.addPlan(j, job.Placement{Task: tasks[i], Attempt: attempt, Machine: r.Machine.Name,
 				Session: r.Machine.Session, Zone: r.Machine.Zone})
 		}
 		if commit {
-			c.box.Debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Rooms), "warm", bid.Warm, "zone", bid.Zone,
-				"age_ms", (c.box.Now()-j.arrived)/1000, "level", e.Level)
-			c.dirty[j.ID] = true
+			l.box.Debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Rooms), "warm", bid.Warm, "zone", bid.Zone,
+				"age_ms", (l.box.Now()-j.arrived)/1000, "level", e.Level)
+			l.dirty[j.ID] = true
 		}
 		if commit {
-			c.counters.placed += len(bid.Rooms)
+			l.counters.placed += len(bid.Rooms)
 		} else {
-			c.counters.held++
+			l.counters.held++
 		}
 		s.used[spec.Team] = s.used[spec.Team].Plus(taskAmount(spec), float64(len(bid.Rooms)))
 		tasks = tasks[len(bid.Rooms):]
@@ -280,24 +280,24 @@
 		j.preempted, j.reserved = 0, nil
 		return
 	}
-	c.counters.without++
+	l.counters.without++
 	s.needs = append(s.needs, fleet.Need{Task: q.Needs, Count: len(tasks), Types: q.Types, Zone: spec.Zone, Spot: spec.Spot})
-	if c.box.Now() < j.preempted {
+	if l.box.Now() < j.preempted {
 		for name := range j.reserved {
-			if m := c.owner.Roster().Get(name); m != nil && m.Room != nil {
+			if m := l.owner.Roster().Get(name); m != nil && m.Room != nil {
 				m.Room.Barred = true
-				c.touch(m)
+				l.touch(m)
 			}
 		}
 	}
-	if c.box.Now()-j.arrived > config.FromSeconds(c.cfg.Settings.AgeCapS) && len(s.barred) == 0 {
-		if z := c.roomiest(s, spec); z != "" {
+	if l.box.Now()-j.arrived > config.FromSeconds(l.cfg.Settings.AgeCapS) && len(s.barred) == 0 {
+		if z := l.roomiest(s, spec); z != "" {
 			s.barred[z] = true
 		}
 	}
 }
 
-func (c *Leader) roomiest(s *scan, spec *wire.Job) string {
+func (l *Leader) roomiest(s *scan, spec *wire.Job) string {
 	best, most := "", -1.0
 	for _, z := range s.zones {
 		if spec.Zone != "" && spec.Zone != z.Name {
@@ -310,11 +310,11 @@
 	return best
 }
 
-func (c *Leader) request(j *Job, e *queue.Entry) *zone.Request {
+func (l *Leader) request(j *Job, e *queue.Entry) *zone.Request {
 	spec := j.Rec.Spec
 	if j.types.set == nil {
 		j.types.set = map[string]bool{}
-		for name, t := range c.catalog.Types {
+		for name, t := range l.catalog.Types {
 			if zone.Allows(spec, t) {
 				j.types.set[name] = true
 			}
@@ -323,15 +323,15 @@
 	}
 	q := &zone.Request{Job: j.ID, Needs: taskRes(spec), Whole: spec.Shape == wire.Gang, Spot: spec.Spot,
 		Types: j.types.set, TypeKey: j.types.text, Image: spec.Image, Avoid: j.failedOn}
-	if c.box.Now() < j.preempted {
+	if l.box.Now() < j.preempted {
 		q.Keep = j.reserved
 		return q
 	}
 	own := queue.Level(j.Priority(), true)
 	q.May = func(v *zone.Victim) bool {
-		of := c.jobs[v.Job]
+		of := l.jobs[v.Job]
 		victim := of.Rec.Spec
-		if victim.Team != spec.Team && !c.within(of) && c.within(j) && queue.HasGuarantee(c.teams[spec.Team]) {
+		if victim.Team != spec.Team && !l.within(of) && l.within(j) && queue.HasGuarantee(l.teams[spec.Team]) {
 			return true // what another team has borrowed
 		}
 		return queue.Level(of.Priority(), true) < own && v.Level < e.Level
@@ -340,7 +340,7 @@
 }
 
 // auction asks every zone for a bid and returns the best.
-func (c *Leader) auction(s *scan, j *Job, e *queue.Entry, q *zone.Request, tasks []int, inZone map[string]int) *zone.Bid {
+func (l *Leader) auction(s *scan, j *Job, e *queue.Entry, q *zone.Request, tasks []int, inZone map[string]int) *zone.Bid {
 	spec := j.Rec.Spec
 	var best *zone.Bid
 	fewest := -1
@@ -367,7 +367,7 @@
 		if s.cached(z, &r, e.Level) {
 			continue
 		}
-		bid := of.Plan(c.box.Now(), &r)
+		bid := of.Plan(l.box.Now(), &r)
 		if bid == nil {
 			s.failed = append(s.failed, failure{z, r.Needs, r.Spot, r.TypeKey, e.Level, need(&r)})
 			continue
@@ -377,14 +377,14 @@
 			best, fewest = bid, inZone[z]
 		}
 	}
-	if best == nil && q.Whole && !spec.OneZone && len(c.cfg.Cluster.Zones) > 1 {
-		return c.acrossZones(s, spec, q, tasks, inZone)
+	if best == nil && q.Whole && !spec.OneZone && len(l.cfg.Cluster.Zones) > 1 {
+		return l.acrossZones(s, spec, q, tasks, inZone)
 	}
 	return best
 }
 
 // acrossZones places a gang that fits no zone alone but may be split.
-func (c *Leader) acrossZones(s *scan, spec *wire.Job, q *zone.Request, tasks []int, inZone map[string]int) *zone.Bid {
+func (l *Leader) acrossZones(s *scan, spec *wire.Job, q *zone.Request, tasks []int, inZone map[string]int) *zone.Bid {
 	whole := &zone.Bid{}
 	for _, of := range s.zones {
 		z := of.Name
@@ -400,7 +400,7 @@
 		if r.Count <= 0 {
 			continue
 		}
-		if bid := of.Plan(c.box.Now(), &r); bid != nil {
+		if bid := of.Plan(l.box.Now(), &r); bid != nil {
 			whole.Rooms = append(whole.Rooms, bid.Rooms...)
 		}
 	}
@@ -433,38 +433,38 @@
 }
 
 // evict stops a bid's victims and keeps their machines for the job.
-func (c *Leader) evict(j *Job, bid *zone.Bid) {
+func (l *Leader) evict(j *Job, bid *zone.Bid) {
 	j.reserved = map[string]bool{}
 	for _, r := range bid.Rooms {
 		j.reserved[r.Machine.Name] = true
 		r.Barred = true
-		c.touch(r.Machine)
+		l.touch(r.Machine)
 	}
 	wait := 5 * config.Second
 	for _, v := range bid.Victims {
 		v.Gone = true
-		victim := c.jobs[v.Job]
+		victim := l.jobs[v.Job]
 		only := map[job.Key]bool{}
 		victim.EachOpen(func(p job.Placement) {
 			if p.Task == v.Task {
 				only[p.Key(v.Job)] = true
 			}
 		})
-		c.owner.Stop(victim.Job, only, "preempted by "+j.ID)
+		l.owner.Stop(victim.Job, only, "preempted by "+j.ID)
 		wait = max(wait, config.FromSeconds(victim.Rec.Spec.SaveS)+6*config.Second)
 	}
-	j.preempted = c.box.Now() + wait
+	j.preempted = l.box.Now() + wait
 }
 
 // rent asks for the machines that the unplaced work calls for.
-func (c *Leader) rent(s *scan) {
-	if c.claim.InDoubt() || len(s.needs) == 0 {
+func (l *Leader) rent(s *scan) {
+	if l.claim.InDoubt() || len(s.needs) == 0 {
 		return
 	}
-	c.soonFree(s)
+	l.soonFree(s)
 	for i := range s.needs { // more of the same arrives while the machines boot
 		n := &s.needs[i]
-		n.Count += int(math.Ceil(float64(n.Count) * c.cfg.Settings.RentSurplus))
+		n.Count += int(math.Ceil(float64(n.Count) * l.cfg.Settings.RentSurplus))
 	}
-	c.keeper.Rent(s.needs)
+	l.keeper.Rent(s.needs)
 }
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -38,7 +38,7 @@
 type Looked struct{ Passes, Machines, Jobs int }
 
 // Looked tells what this node's passes have looked at.
-func (c *Leader) Looked() Looked { return c.survey.lookedAt }
+func (l *Leader) Looked() Looked { return l.survey.lookedAt }
 
 func newSurvey(zones []string) survey {
 	s := survey{whole: true, byName: map[string]*zone.Zone{}, used: map[string]queue.Amount{}, lines: map[string]*queue.Line{},
@@ -61,116 +61,116 @@
 }
 
 // touch has a machine looked at again.
-func (c *Leader) touch(m *zone.Machine) {
-	if !c.ready {
+func (l *Leader) touch(m *zone.Machine) {
+	if !l.ready {
 		return // a new leader looks at everything
 	}
 	if !m.Stale {
 		m.Stale = true
-		c.survey.machines = append(c.survey.machines, m)
+		l.survey.machines = append(l.survey.machines, m)
 	}
-	c.watch(m)
+	l.watch(m)
 }
 
 // reconsider has a machine looked at again if what it can offer at all may have
 // changed.
-func (c *Leader) reconsider(m *zone.Machine) {
-	if c.offers(m) != (m.Room != nil) {
-		c.touch(m)
+func (l *Leader) reconsider(m *zone.Machine) {
+	if l.offers(m) != (m.Room != nil) {
+		l.touch(m)
 	}
 }
 
 // changed has a job looked at again.
-func (c *Leader) changed(j *Job) {
-	if c.ready && !j.listed {
+func (l *Leader) changed(j *Job) {
+	if l.ready && !j.listed {
 		j.listed = true
-		c.survey.jobs = append(c.survey.jobs, j)
+		l.survey.jobs = append(l.survey.jobs, j)
 	}
 }
 
 // setPlan replaces what is about to be placed of a job. It counts as placed from
 // now on.
-func (c *Leader) setPlan(j *Job, plan []job.Placement) {
+func (l *Leader) setPlan(j *Job, plan []job.Placement) {
 	if len(j.plan) == 0 && len(plan) == 0 {
 		return
 	}
 	for _, p := range j.plan {
-		c.promise(j, p.Machine, -1)
+		l.promise(j, p.Machine, -1)
 	}
 	j.plan = plan
 	for _, p := range plan {
-		c.promise(j, p.Machine, 1)
+		l.promise(j, p.Machine, 1)
 	}
-	c.changed(j)
+	l.changed(j)
 }
 
 // addPlan has one more task of a job placed.
-func (c *Leader) addPlan(j *Job, p job.Placement) {
+func (l *Leader) addPlan(j *Job, p job.Placement) {
 	j.plan = append(j.plan, p)
-	c.promise(j, p.Machine, 1)
-	c.changed(j)
+	l.promise(j, p.Machine, 1)
+	l.changed(j)
 }
 
-func (c *Leader) promise(j *Job, machine string, n int) {
-	on := c.survey.plans[machine]
+func (l *Leader) promise(j *Job, machine string, n int) {
+	on := l.survey.plans[machine]
 	if on == nil {
 		on = map[*Job]int{}
-		c.survey.plans[machine] = on
+		l.survey.plans[machine] = on
 	}
 	if on[j] += n; on[j] <= 0 {
 		delete(on, j)
 	}
 	if len(on) == 0 {
-		delete(c.survey.plans, machine)
+		delete(l.survey.plans, machine)
 	}
-	if m := c.owner.Roster().Get(machine); m != nil {
-		c.touch(m)
+	if m := l.owner.Roster().Get(machine); m != nil {
+		l.touch(m)
 	}
 }
 
 // offers tells whether a machine may be given work at all.
-func (c *Leader) offers(m *zone.Machine) bool {
-	return c.survey.byName[m.Zone] != nil && c.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= c.claim.Base() && !m.Releasing &&
-		!m.Failed && m.NoticeAt == 0 && !m.Sick() && c.box.Now()-m.Spoke <= c.suspectAfter()
+func (l *Leader) offers(m *zone.Machine) bool {
+	return l.survey.byName[m.Zone] != nil && l.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= l.claim.Base() && !m.Releasing &&
+		!m.Failed && m.NoticeAt == 0 && !m.Sick() && l.box.Now()-m.Spoke <= l.suspectAfter()
 }
 
 // suspectAfter is how long a worker may say nothing before it gets no more work.
-func (c *Leader) suspectAfter() Micros {
-	return config.FromSeconds(c.cfg.Cluster.Workers.ReportS*1.25) + 2*config.Second
+func (l *Leader) suspectAfter() Micros {
+	return config.FromSeconds(l.cfg.Cluster.Workers.ReportS*1.25) + 2*config.Second
 }
 
 // watch keeps the list of machines that may have to go back: all but those that
 // work. It notes since when a machine is idle.
-func (c *Leader) watch(m *zone.Machine) {
-	c.keeper.Watch(m, len(c.book.OpenOn(m.Name)) > 0 || len(c.survey.plans[m.Name]) > 0)
+func (l *Leader) watch(m *zone.Machine) {
+	l.keeper.Watch(m, len(l.book.OpenOn(m.Name)) > 0 || len(l.survey.plans[m.Name]) > 0)
 }
 
 // refresh looks at what has changed since the last pass.
-func (c *Leader) refresh() {
-	s := &c.survey
-	if c.box.Now()-s.wholeAt >= config.FromSeconds(c.cfg.Settings.ScanPeriodS) {
+func (l *Leader) refresh() {
+	s := &l.survey
+	if l.box.Now()-s.wholeAt >= config.FromSeconds(l.cfg.Settings.ScanPeriodS) {
 		s.whole = true
 	}
 	if s.whole {
-		c.renew()
+		l.renew()
 	}
-	c.owner.Roster().Silent(c.box.Now()-c.suspectAfter(), c.reconsider)
+	l.owner.Roster().Silent(l.box.Now()-l.suspectAfter(), l.reconsider)
 	s.lookedAt.Passes++
 	s.lookedAt.Jobs += len(s.jobs)
-	c.refreshMachines()
+	l.refreshMachines()
 	for _, j := range s.jobs {
-		c.refreshJob(j)
+		l.refreshJob(j)
 	}
 	s.jobs = s.jobs[:0]
 }
 
 // renew puts everything on the lists and adds up from nothing, which also removes
 // what rounding has left in sums.
-func (c *Leader) renew() {
-	s := &c.survey
-	s.whole, s.wholeAt, s.judgeDue = false, c.box.Now(), true
-	for _, m := range c.owner.Roster().All() {
-		c.touch(m)
+func (l *Leader) renew() {
+	s := &l.survey
+	s.whole, s.wholeAt, s.judgeDue = false, l.box.Now(), true
+	for _, m := range l.owner.Roster().All() {
+		l.touch(m)
 	}
 	clear(s.used)
 	clear(s.lines)
@@ -179,41 +179,41 @@
 		j.standing = standing{}
 	}
 	s.jobs = s.jobs[:0]
-	for _, j := range c.active {
+	for _, j := range l.active {
 		j.standing = standing{}
-		c.changed(j)
+		l.changed(j)
 	}
 }
 
 // refreshMachines looks at the machines that have changed. It is asked after every
 // input, when what is looked at is at hand, and not in the pass that follows.
-func (c *Leader) refreshMachines() {
-	s := &c.survey
+func (l *Leader) refreshMachines() {
+	s := &l.survey
 	s.lookedAt.Machines += len(s.machines)
 	for _, m := range s.machines {
-		c.refreshMachine(m)
+		l.refreshMachine(m)
 	}
 	s.machines = s.machines[:0]
 }
 
-func (c *Leader) refreshMachine(m *zone.Machine) {
-	s := &c.survey
+func (l *Leader) refreshMachine(m *zone.Machine) {
+	s := &l.survey
 	m.Stale = false
 	if m.Room != nil {
 		s.byName[m.Room.Zone].Drop(m.Room)
 		m.Room = nil
 	}
 	if !m.Known() {
-		c.keeper.Forget(m)
+		l.keeper.Forget(m)
 		return
 	}
-	open, plans := c.book.OpenOn(m.Name), s.plans[m.Name]
-	c.keeper.Count(m, len(open) == 0, len(open)+len(plans) > 0)
-	if !c.offers(m) {
+	open, plans := l.book.OpenOn(m.Name), s.plans[m.Name]
+	l.keeper.Count(m, len(open) == 0, len(open)+len(plans) > 0)
+	if !l.offers(m) {
 		return
 	}
-	c.addUp(m, open, plans)
-	t := c.catalog.Types[m.Type]
+	l.addUp(m, open, plans)
+	t := l.catalog.Types[m.Type]
 	m.Room = &zone.Room{Machine: m, Zone: m.Zone, Idle: len(open) == 0,
 		Free: zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}.Plus(m.Used, -1)}
 	s.byName[m.Zone].Put(m.Room)
@@ -222,7 +222,7 @@
 // addUp adds up what is placed on a machine or about to be. Everything open counts,
 // whatever the worker last said of it. Whole millionths add up to the same in any order,
 // so nothing has to be sorted.
-func (c *Leader) addUp(m *zone.Machine, open map[job.Key]job.Placement, plans map[*Job]int) {
+func (l *Leader) addUp(m *zone.Machine, open map[job.Key]job.Placement, plans map[*Job]int) {
 	var cpus, gpus, memory int64
 	add := func(s *wire.Job, n int) {
 		cpus += millionths(s.CPUs) * int64(n)
@@ -230,7 +230,7 @@
 		memory += millionths(s.MemoryGB) * int64(n)
 	}
 	for key := range open {
-		if j := c.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
+		if j := l.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
 			add(j.Rec.Spec, 1)
 		}
 	}
@@ -244,8 +244,8 @@
 
 func millionths(amount float64) int64 { return int64(math.Round(amount * 1e6)) }
 
-func (c *Leader) refreshJob(j *Job) {
-	s := &c.survey
+func (l *Leader) refreshJob(j *Job) {
+	s := &l.survey
 	j.listed = false
 	spec := j.Rec.Spec
 	use, team := queue.Amount{}, ""
@@ -262,8 +262,8 @@
 		}
 		j.use, j.team = use, team
 	}
-	c.refreshLine(j)
-	if spec != nil && j.active && !j.Held() && j.Done+j.Open < spec.Tasks && !j.Rec.Final() && !j.Rec.Cancel && c.teams[spec.Team] != nil {
+	l.refreshLine(j)
+	if spec != nil && j.active && !j.Held() && j.Done+j.Open < spec.Tasks && !j.Rec.Final() && !j.Rec.Cancel && l.teams[spec.Team] != nil {
 		s.wanting[j] = true
 	} else {
 		delete(s.wanting, j)
@@ -271,36 +271,36 @@
 }
 
 // refreshLine keeps a job's place in the line of its team, for the guarantee.
-func (c *Leader) refreshLine(j *Job) {
+func (l *Leader) refreshLine(j *Job) {
 	spec := j.Rec.Spec
 	if spec == nil { // it has left its team's line before or does now
-		if l := c.survey.lines[j.lineOf]; l != nil {
-			l.Leave(&j.member)
+		if line := l.survey.lines[j.lineOf]; line != nil {
+			line.Leave(&j.member)
 		}
 		return
 	}
-	team := c.teams[spec.Team]
+	team := l.teams[spec.Team]
 	if team == nil || !queue.HasGuarantee(team) {
 		return
 	}
-	l := c.survey.lines[spec.Team]
-	if l == nil {
-		l = queue.NewLine(team)
-		c.survey.lines[spec.Team] = l
+	line := l.survey.lines[spec.Team]
+	if line == nil {
+		line = queue.NewLine(team)
+		l.survey.lines[spec.Team] = line
 	}
 	if !j.active || j.Rec.Final() || j.Held() {
-		l.Leave(&j.member)
+		line.Leave(&j.member)
 		return
 	}
 	j.lineOf = spec.Team
 	j.member.Created, j.member.ID = j.created, j.ID
-	l.Set(&j.member, queue.Amount{}.Plus(taskAmount(spec), float64(spec.Tasks-j.Done)))
+	line.Set(&j.member, queue.Amount{}.Plus(taskAmount(spec), float64(spec.Tasks-j.Done)))
 }
 
 // within tells whether a job fits into its team's guarantee together with the
 // team's earlier unfinished jobs, as of the last pass.
-func (c *Leader) within(j *Job) bool {
-	team := c.teams[j.Rec.Spec.Team]
+func (l *Leader) within(j *Job) bool {
+	team := l.teams[j.Rec.Spec.Team]
 	if team == nil || j.Rec.Final() || j.Held() {
 		return false
 	}
