Stand-ins by the leader's word: homes keep their workers through a long cut

A home cut off with its zone stopped answering after cancel_s less a lease and 4 s (16 s), since a cancellation may have been told that it didn't know of, and its zone's work ended with the leases. Now homes tell with their beats how much of the records they know, the leader answers for how long they may stand in (stand_in_s, 60), and tells no cancellation of a job with open placements meanwhile that they haven't confirmed.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -140,6 +140,7 @@
 	ScanPeriodS     float64 `json:"scan_period_s"`
 	PassIntervalMS  float64 `json:"pass_interval_ms"`
 	LeaderLeaseMS   float64 `json:"leader_lease_ms"`
+	StandInS        float64 `json:"stand_in_s"`
 	IdleReturnS     float64 `json:"idle_return_s"`
 	SilentReleaseS  float64 `json:"silent_release_s"`
 	MemoryShare     float64 `json:"memory_share"`
@@ -177,7 +178,7 @@
 func Defaults() Settings {
 	return Settings{
 		AgeWeight: 1, ShareWeight: 1, AgeCapS: 300, UsageWindowS: 60, ScanPeriodS: 10,
-		PassIntervalMS: 100, LeaderLeaseMS: 3000, IdleReturnS: 0, SilentReleaseS: 0,
+		PassIntervalMS: 100, LeaderLeaseMS: 3000, StandInS: 60, IdleReturnS: 0, SilentReleaseS: 0,
 		MemoryShare: 0.6, BootGiveUpTimes: 3, RentSurplus: 0.5,
 		Estimates: true, EstimateGroups: 512, Rank: RankCredit, SlowTimes: 1.3,
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,6 +69,7 @@
 	c.front = front.New(cfg, c.box, c.book, c.form, c.catalog, house{c})
 	hears.front = c.front
 	c.home = home.New(cfg, c.box, c.book, c.form, c.claim)
+	hears.home = c.home
 	c.owner = owner.New(cfg, c.box, c.book, c.claim, c.leader.Desk())
 	c.keeper = fleet.NewKeeper(cfg, c.box, c.book, c.catalog, c.claim, c.owner, c.leader.Desk())
 	c.leader.Use(c.book, c.owner, c.keeper)
@@ -88,6 +89,7 @@
 	case msg.Changed:
 		for i := range x.Events {
 			c.apply(&x.Events[i])
+			c.book.Upto(x.Events[i].Version)
 		}
 		c.book.Current(now - x.Age)
 	case msg.ForwardDone:
@@ -167,6 +169,7 @@
 		c.claim.Listed(s.Revision)
 	}
 	c.book.Listed(s.Revision, listed)
+	c.book.Upto(s.Revision)
 	c.loaded = true
 	c.leader.Read(s.Revision)
 }
--- a/internal/core/home/home.go
+++ b/internal/core/home/home.go
@@ -49,6 +49,7 @@
 	taken  map[string]taken // by machine
 	beats  []msg.Heard      // workers answered for the leader since the last beat
 	beatAt Micros
+	grant  grant
 
 	mailbox map[string]Line // for the leader, by way of the state service
 	mailed  map[string]Line // what was sent last
@@ -81,6 +82,14 @@
 	clear(h.mailed) // a new leader has not read it
 }
 
+// grant is a leader's word that this node may stand in for it, though its copy of the
+// records gets old: the leader tells no cancellation that this node has not confirmed to
+// know of as long as the grant lasts.
+type grant struct {
+	claim uint64 // under which it was given
+	until Micros
+}
+
 // taken is a report that a leader has taken with nothing to say to it.
 type taken struct {
 	leader  uint64 // version of its claim
@@ -128,6 +137,9 @@
 // beatEvery is how often the leader hears of the workers answered for it.
 const beatEvery = 400 * 1000
 
+// grantEvery is how often the leader hears of this node though there is nothing to tell.
+const grantEvery = config.Second
+
 // takenFor is how long a home answers for the leader before it hands on a report
 // though it says nothing new.
 const takenFor = 10 * config.Second
@@ -218,10 +230,16 @@
 // fresh tells whether this node's copy of the records is recent enough to answer
 // workers by. What it doesn't know may be that a job was cancelled and its user
 // told so, after its copy was current. So it stops answering early enough for the
-// lease of such a worker to end within the time that a cancellation has.
+// lease of such a worker to end within the time that a cancellation has, unless the
+// leader has given its word to tell of none.
 func (h *Home) fresh() bool {
 	w := &h.cfg.Cluster.Workers
-	return h.box.Now()-h.book.CurrentAt() < config.FromSeconds(w.CancelS-w.LeaseS)-4*config.Second
+	return h.box.Now()-h.book.CurrentAt() < config.FromSeconds(w.CancelS-w.LeaseS)-4*config.Second || h.granted()
+}
+
+// granted tells whether the leader's word holds.
+func (h *Home) granted() bool {
+	return h.grant.claim == h.leader.Holder().Version && h.box.Now() < h.grant.until
 }
 
 // quiet tells whether a report says only what the leader has taken before, and
@@ -246,22 +264,38 @@
 	return true
 }
 
-// sendBeat tells the leader of the workers answered for it.
+// sendBeat tells the leader of the workers answered for it, and how much of the records
+// this node knows.
 func (h *Home) sendBeat(leads bool) {
-	if len(h.beats) == 0 || h.box.Now() < h.beatAt {
+	if h.box.Now() < h.beatAt || len(h.beats) == 0 && h.box.Now() < h.beatAt+grantEvery-beatEvery {
 		return
 	}
 	h.beatAt = h.box.Now() + beatEvery
 	if !leads && h.leader.Elsewhere() != "" {
-		h.box.Emit(msg.Beat{Node: h.leader.Holder().Node, Heard: h.beats})
+		h.box.Emit(msg.Beat{Node: h.leader.Holder().Node, Claim: h.leader.Holder().Version, Sent: h.box.Now(), Revision: h.book.Revision(), Heard: h.beats})
 	}
 	h.beats = nil
 }
 
+// Marked hears that a job is to be cancelled. The leader may wait for word that this node
+// knows.
+func (h *Home) Marked() {
+	if h.granted() {
+		h.beatAt = h.box.Now() - grantEvery
+	}
+}
+
+// BeatDone hears what the leader says to a beat.
 func (h *Home) BeatDone(x msg.BeatDone) {
 	for _, name := range x.Wanted {
 		delete(h.taken, name)
 	}
+	if x.StandIn > 0 && x.Beat.Claim == h.leader.Holder().Version {
+		if h.grant.claim != x.Beat.Claim {
+			h.grant = grant{claim: x.Beat.Claim}
+		}
+		h.grant.until = max(h.grant.until, x.Beat.Sent+x.StandIn) // answers may overtake each other
+	}
 }
 
 // ForwardDone passes on the leader's answer, or stands in for it.
--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -489,7 +489,7 @@
 		j.cancelling = false
 		return
 	}
-	sure := true
+	sure := j.Open == 0 || l.known(j.Version) // else one could keep a task of it alive
 	j.EachOpen(func(p job.Placement) {
 		m := l.owner.Roster().Get(p.Machine)
 		if m == nil || m.Token < l.claim.Base() {
@@ -505,6 +505,9 @@
 	})
 	if sure {
 		j.cancelling = true
+		if j.Open > 0 {
+			l.assured = max(l.assured, j.Version)
+		}
 	}
 }
 
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -64,6 +64,8 @@
 	delayed  map[string]bool // those that can't be committed before the next tick
 	writing  int             // changes to jobs on their way
 	counters counters
+	standIns map[string]standIn // by node
+	assured  uint64             // the last version of a record by which a cancellation was told
 }
 
 // New returns the leader that a node may become. Who owns zones and rents machines
@@ -217,6 +219,7 @@
 	l.owner.Reset()
 	l.keeper.Reset()
 	l.reigns++
+	l.standIns, l.assured = map[string]standIn{}, 0
 	l.writing = 0
 	l.ended = endedLog{writeAt: l.ended.writeAt, leaving: map[uint64]bool{}}
 	l.dirty, l.delayed = map[string]bool{}, map[string]bool{}
--- a/internal/core/leader/workers.go
+++ b/internal/core/leader/workers.go
@@ -78,6 +78,35 @@
 	}
 }
 
+// standIn is what another node may do for this leader.
+type standIn struct {
+	until    Micros // it may stand in, however old its copy of the records gets
+	revision uint64 // up to which that copy is known to go
+}
+
+// allow has a node stand in for this one for a while from now on, and notes what it knows.
+// It counts from when it sent the beat, which was earlier. One that doesn't know of every
+// cancellation that was told gets no such word.
+func (l *Leader) allow(x msg.BeatIn) Micros {
+	length := config.FromSeconds(l.cfg.Settings.StandInS)
+	if length <= 0 || x.Node == "" || x.Revision < l.assured {
+		return 0
+	}
+	s := l.standIns[x.Node]
+	l.standIns[x.Node] = standIn{l.box.Now() + length, max(s.revision, x.Revision)}
+	return length
+}
+
+// known tells whether every node that may stand in for this one knows of a change.
+func (l *Leader) known(revision uint64) bool {
+	for _, s := range l.standIns {
+		if l.box.Now() < s.until && s.revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // BeatIn hears, as the leader, of workers that their homes have answered. It
 // answers with those whose next report it wants to see.
 func (l *Leader) BeatIn(x msg.BeatIn) {
@@ -96,7 +125,7 @@
 			l.reconsider(m)
 		}
 	}
-	l.box.Answer(x.Req, http.StatusOK, wanted)
+	l.box.Answer(x.Req, http.StatusOK, msg.BeatAnswer{Wanted: wanted, StandIn: l.allow(x)})
 }
 
 // mailIn takes a deputy's mail.
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -127,13 +127,23 @@
 		Session, Seq uint64
 	}
 	// BeatIn tells the leader of workers that their homes have answered; its
-	// answer's body lists those whose next report the leader wants.
+	// answer's body is a BeatAnswer.
 	BeatIn struct {
-		Req   uint64
-		Heard []Heard
+		Req      uint64
+		Node     string // who sends it; "": a version that didn't say
+		Revision uint64 // its copy of the records holds all changes up to this one
+		Heard    []Heard
 	}
 	// BeatDone answers Beat.
-	BeatDone struct{ Wanted []string }
+	BeatDone struct {
+		Beat Beat
+		BeatAnswer
+	}
+	// BeatAnswer is what the leader says to a Beat.
+	BeatAnswer struct {
+		Wanted  []string // workers whose next report it wants
+		StandIn Micros   // how long the sender may stand in for it, from when it sent the Beat
+	}
 	// PeerHeard tells that a peer has answered.
 	PeerHeard struct{ Node string }
 	// Hint is a peer's copy of a key that it has just written.
@@ -215,8 +225,11 @@
 	}
 	// Beat tells the leader of workers that this node has answered for it.
 	Beat struct {
-		Node  string
-		Heard []Heard
+		Node     string
+		Claim    uint64 // the version that it is sent under
+		Sent     Micros
+		Revision uint64
+		Heard    []Heard
 	}
 	// Retire tells that this node can't serve: the records are of a later version.
 	Retire struct{}
--- a/internal/core/records/records.go
+++ b/internal/core/records/records.go
@@ -58,6 +58,7 @@
 	open  map[string]map[job.Key]job.Placement // by machine
 
 	currentAt Micros
+	revision  uint64
 }
 
 // New returns a Book that knows nothing yet.
@@ -225,6 +226,12 @@
 // Current notes a moment as of which the copy was current.
 func (b *Book) Current(at Micros) { b.currentAt = max(b.currentAt, at) }
 
+// Upto notes that the copy holds all changes up to a revision.
+func (b *Book) Upto(revision uint64) { b.revision = max(b.revision, revision) }
+
+// Revision is the last one up to which the copy holds all changes.
+func (b *Book) Revision() uint64 { return b.revision }
+
 // CurrentAt is the last such moment.
 func (b *Book) CurrentAt() Micros { return b.currentAt }
 
--- a/internal/core/rooms.go
+++ b/internal/core/rooms.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"coralhub/internal/core/front"
+	"coralhub/internal/core/home"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/leader"
 	"coralhub/internal/core/msg"
@@ -15,6 +16,15 @@
 type listener struct {
 	*leader.Leader
 	front *front.Front
+	home  *home.Home
+}
+
+// Recorded has the home tell the leader soon that it knows of a cancellation.
+func (l listener) Recorded(r *records.Job) {
+	l.Leader.Recorded(r)
+	if r.Rec.Cancel && !r.Rec.Final() {
+		l.home.Marked()
+	}
 }
 
 // Ended has the front answer who waits for a job to be over as well.
--- a/internal/node/httpapi/httpapi.go
+++ b/internal/node/httpapi/httpapi.go
@@ -159,8 +159,11 @@
 }
 
 // Beat answers a home that has answered workers for this node.
-func (a *API) Beat(heard []msg.Heard) msg.Answer {
-	return a.ask(nil, func(req uint64) msg.Input { return msg.BeatIn{Req: req, Heard: heard} })
+func (a *API) Beat(x msg.BeatIn) msg.Answer {
+	return a.ask(nil, func(req uint64) msg.Input {
+		x.Req = req
+		return x
+	})
 }
 
 func (a *API) forget(req uint64) {
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -34,10 +34,18 @@
 type ReportAnswer struct{ Body []byte }
 
 // Beat tells of workers that the caller has answered for the leader.
-type Beat struct{ Heard []msg.Heard }
+type Beat struct {
+	Node     string
+	Revision uint64
+	Heard    []msg.Heard
+}
 
-// BeatAnswer lists the workers whose next report the leader wants.
-type BeatAnswer struct{ Wanted []string }
+// BeatAnswer is what the leader says to a Beat: the workers whose next report it wants, and
+// for how long the caller may stand in for it.
+type BeatAnswer struct {
+	Wanted  []string
+	StandIn int64
+}
 
 // Status is how a peer is doing.
 type Status struct{ StateOK bool }
@@ -52,7 +60,7 @@
 // Answerer has the core answer what peers ask.
 type Answerer interface {
 	Report(wire.Report) msg.Answer
-	Beat([]msg.Heard) msg.Answer
+	Beat(msg.BeatIn) msg.Answer
 }
 
 // Report has the node answer a worker's report as the leader.
@@ -72,7 +80,9 @@
 
 // Beat takes word of workers that the caller has answered for this node.
 func (s *Service) Beat(q *Beat, a *BeatAnswer) error {
-	a.Wanted, _ = s.answer.Beat(q.Heard).Body.([]string)
+	if said, ok := s.answer.Beat(msg.BeatIn{Node: q.Node, Revision: q.Revision, Heard: q.Heard}).Body.(msg.BeatAnswer); ok {
+		a.Wanted, a.StandIn = said.Wanted, said.StandIn
+	}
 	return nil
 }
 
@@ -90,6 +100,7 @@
 
 // Peers holds the connections to the other nodes.
 type Peers struct {
+	self  string
 	post  func(msg.Input)
 	mu    sync.Mutex
 	addrs map[string]string
@@ -113,7 +124,7 @@
 
 // New returns the peers of a node.
 func New(cfg *config.Config, post func(msg.Input)) *Peers {
-	p := &Peers{post: post, addrs: map[string]string{}, conns: map[string]*rpc.Client{}, sem: make(chan struct{}, maxCalls)}
+	p := &Peers{self: cfg.Node, post: post, addrs: map[string]string{}, conns: map[string]*rpc.Client{}, sem: make(chan struct{}, maxCalls)}
 	for _, n := range cfg.Peers {
 		p.addrs[n.Node] = n.Address
 	}
@@ -156,8 +167,8 @@
 	case msg.Beat:
 		p.limited(func() {
 			var out BeatAnswer
-			if p.call(x.Node, "Peer.Beat", &Beat{x.Heard}, &out) == nil && len(out.Wanted) > 0 {
-				p.post(msg.BeatDone{Wanted: out.Wanted})
+			if p.call(x.Node, "Peer.Beat", &Beat{p.self, x.Revision, x.Heard}, &out) == nil {
+				p.post(msg.BeatDone{Beat: x, BeatAnswer: msg.BeatAnswer{Wanted: out.Wanted, StandIn: out.StandIn}})
 			}
 		}, func() {})
 	default:
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -302,12 +302,12 @@
 	case msg.Beat:
 		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
 			s.req++
-			for _, e := range s.step(to, msg.BeatIn{Req: s.req, Heard: x.Heard}) {
+			for _, e := range s.step(to, msg.BeatIn{Req: s.req, Node: n.name, Revision: x.Revision, Heard: x.Heard}) {
 				s.carry(to, e)
 			}
-			wanted, _ := to.answers[s.req].Body.([]string)
+			said, _ := to.answers[s.req].Body.(msg.BeatAnswer)
 			delete(to.answers, s.req)
-			s.post(n, msg.BeatDone{Wanted: wanted})
+			s.post(n, msg.BeatDone{Beat: x, BeatAnswer: said})
 		}
 	case msg.Tell:
 		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
