Core read once more: dead state, second copies and work done twice

- zone: the list of all rooms was kept and read by nobody since bids go by shelves.
- roster: its order of silence is container/list, not links of its own.
- one piece each for a lost claim (claim.Failed; commits and the log asked the same), for whether orders hold a start, counts of machines by state, teams by name, a change of the records (Leader.Apply), an answer for later with a body of its own.
- the core kept a second clock beside the outbox's, and serving a second copy of refusal.
- what a transaction that is settled sets back stood four times in send.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -313,3 +313,12 @@
 	w := &c.Cluster.Workers
 	return max(FromSeconds(w.LeaseS)/2, FromSeconds(2.5*w.ReportS)+2*Second)
 }
+
+// TeamsByName are the teams by their names.
+func (c *Cluster) TeamsByName() map[string]*Team {
+	out := make(map[string]*Team, len(c.Teams))
+	for i := range c.Teams {
+		out[c.Teams[i].Name] = &c.Teams[i]
+	}
+	return out
+}
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -4,6 +4,8 @@
 package claim
 
 import (
+	"slices"
+
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
@@ -104,6 +106,16 @@
 // one that is known here, whoever's it is.
 func (c *Claim) HoldersGuard() wire.Guard { return wire.Guard{Key: c.key, Version: c.holder.Version} }
 
+// Failed hears which guards of a transaction have failed that was guarded by a version of our
+// claim. If that is the one in force, the claim is lost: it returns true.
+func (c *Claim) Failed(version uint64, guards []string) bool {
+	if version != c.token || c.raising || !slices.Contains(guards, c.key) {
+		return false
+	}
+	c.Resign("claim lost")
+	return true
+}
+
 // Tick does what is due by time alone: it keeps the lease, and claims what is free.
 func (c *Claim) Tick() {
 	c.letGo()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,7 +37,6 @@
 // Core is one node's state.
 type Core struct {
 	cfg *config.Config
-	now Micros
 
 	box     *outbox.Box
 	form    *records.Form
@@ -78,7 +77,6 @@
 
 // Step handles one input.
 func (c *Core) Step(now Micros, in msg.Input) []msg.Effect {
-	c.now = now
 	c.box.Begin(now)
 	switch x := in.(type) {
 	case msg.Tick:
@@ -146,8 +144,8 @@
 	}
 	// Without the machine types no job can be accepted: a node whose records don't have
 	// them asks at once.
-	if !c.catalog.Known() && c.loaded && (c.catalogAsked == 0 || c.now-c.catalogAsked > config.Second) || c.leader.Ready() && c.now-c.catalogAsked > 30*config.Second {
-		c.catalogAsked = c.now
+	if !c.catalog.Known() && c.loaded && (c.catalogAsked == 0 || c.box.Now()-c.catalogAsked > config.Second) || c.leader.Ready() && c.box.Now()-c.catalogAsked > 30*config.Second {
+		c.catalogAsked = c.box.Now()
 		c.box.Emit(msg.FetchCatalog{})
 	}
 	if c.leader.Ready() {
@@ -199,12 +197,7 @@
 		c.announcementIn(name, ev)
 		return
 	}
-	if c.leader.Apply(key, ev) {
-		return
-	}
-	if _, err := c.book.Apply(ev); err != nil {
-		c.box.Log("unreadable", "error", err.Error())
-	}
+	c.leader.Apply(key, ev)
 }
 
 func (c *Core) setCatalog(cat *wire.Catalog) {
--- a/internal/core/fleet/keeper.go
+++ b/internal/core/fleet/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"sort"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/claim"
@@ -92,12 +91,15 @@
 
 // Rent asks for the machines that needs call for.
 func (k *Keeper) Rent(needs []Need) {
-	booting, count := k.sorted()
+	var booting []Kind
+	for _, m := range slices.SortedFunc(maps.Keys(k.booting), zone.ByName) {
+		booting = append(booting, k.kinds[m])
+	}
 	types := make([]*wire.MachineType, 0, len(k.catalog.Types))
 	for _, name := range slices.Sorted(maps.Keys(k.catalog.Types)) {
 		types = append(types, k.catalog.Types[name])
 	}
-	k.fleet.Ask(k.claim.Token(), k.fleet.Plan(k.box.Now(), needs, booting, count, types))
+	k.fleet.Ask(k.claim.Token(), k.fleet.Plan(k.box.Now(), needs, booting, k.count, types))
 	k.ask()
 }
 
@@ -141,6 +143,7 @@
 	return max(config.FromSeconds(k.cfg.Cluster.Cloud.ListLagS)/2, 2*config.Second)
 }
 
+// ListDone takes a list of the cloud's machines.
 func (k *Keeper) ListDone(x msg.ListDone) {
 	k.listing = false
 	if !k.ready || x.Outcome != msg.OK {
@@ -150,7 +153,7 @@
 	for i := range x.Machines {
 		l := &x.Machines[i]
 		listed[l.Name] = true
-		if _, gone := k.deleted[l.Name]; gone {
+		if k.Gone(l.Name) {
 			continue
 		}
 		had := k.owner.Roster().Get(l.Name) != nil
@@ -171,6 +174,7 @@
 	}
 }
 
+// RentDone hears what was rented.
 func (k *Keeper) RentDone(x msg.RentDone) {
 	if !k.ready {
 		return
@@ -307,6 +311,7 @@
 	return config.FromSeconds(boot*k.cfg.Settings.BootGiveUpTimes) + 5*config.Second
 }
 
+// ReleaseDone hears what came of giving machines back.
 func (k *Keeper) ReleaseDone(x msg.ReleaseDone) {
 	if !k.ready {
 		return
@@ -323,9 +328,7 @@
 		}
 		return
 	}
-	gone := append([]string(nil), x.Machines...)
-	sort.Strings(gone)
-	for _, name := range gone {
+	for _, name := range slices.Sorted(slices.Values(x.Machines)) {
 		for _, key := range job.SortedKeys(k.book.OpenOn(name)) {
 			k.to.Close(key, name, false)
 		}
@@ -339,14 +342,6 @@
 	k.to.Changed()
 }
 
-// sorted sorts the machines for the fleet's planning, the booting ones by name.
-func (k *Keeper) sorted() (booting []Kind, count map[Kind]int) {
-	for _, m := range slices.SortedFunc(maps.Keys(k.booting), zone.ByName) {
-		booting = append(booting, k.kinds[m])
-	}
-	return booting, k.count
-}
-
 // Watch keeps the list of machines that may have to go back: all but those that
 // work. It notes since when a machine is idle.
 func (k *Keeper) Watch(m *zone.Machine, used bool) {
--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -65,13 +65,8 @@
 
 // New returns the front of a node.
 func New(cfg *config.Config, box *outbox.Box, book *records.Book, form *records.Form, catalog *zone.Catalog, node Node) *Front {
-	f := &Front{cfg: cfg, teams: map[string]*config.Team{}, box: box, book: book, form: form, catalog: catalog, node: node,
+	return &Front{cfg: cfg, teams: cfg.Cluster.TeamsByName(), box: box, book: book, form: form, catalog: catalog, node: node,
 		waiting: map[string][]waiter{}}
-	for i := range cfg.Cluster.Teams {
-		t := &cfg.Cluster.Teams[i]
-		f.teams[t.Name] = t
-	}
-	return f
 }
 
 type poll struct {
--- a/internal/core/home/home.go
+++ b/internal/core/home/home.go
@@ -147,6 +147,7 @@
 // stay is how long a worker that can't reach its home is served elsewhere.
 const stay = 20 * config.Second
 
+// PeerHeard notes that a peer has answered.
 func (h *Home) PeerHeard(x msg.PeerHeard) { h.heard[x.Node] = h.box.Now() }
 
 // alive tells whether a node has been heard lately.
@@ -308,7 +309,7 @@
 		h.box.Answer(x.Req, http.StatusOK, *x.Answer)
 		return
 	}
-	if h.leader.Held() || h.leader.Holder().Node == "" || h.leader.Holder().Node == h.cfg.Node || r.Token > h.leader.Holder().Version {
+	if h.leader.Held() || h.leader.Elsewhere() == "" || r.Token > h.leader.Holder().Version {
 		h.box.Later(x.Req, "no leader")
 		return
 	}
--- a/internal/core/leader/admin.go
+++ b/internal/core/leader/admin.go
@@ -110,9 +110,7 @@
 		}
 		g.Waiting[class]++
 	}
-	for _, m := range l.owner.Roster().All() {
-		g.Machines[l.stateOf(m)]++
-	}
+	g.Machines = l.states()
 	if l.learning.model != nil {
 		g.EstimateRuns = l.learning.model.Observed()
 	}
@@ -126,7 +124,7 @@
 		return
 	}
 	if !l.ready {
-		l.box.Emit(msg.Answer{Req: x.Req, Status: http.StatusServiceUnavailable, Body: AdminError{"not the leader", l.claim.Holder().Node}, RetryAfter: 1})
+		l.box.LaterWith(x.Req, AdminError{"not the leader", l.claim.Holder().Node})
 		return
 	}
 	if l.learning.model == nil {
--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -384,11 +384,14 @@
 			return
 		}
 		l.dirty[j.ID] = true
-		switch d.Outcome {
-		case msg.OK:
+		settled := func() {
 			j.txn = nil
 			l.setPlan(j, nil)
 			l.passDue = true
+		}
+		switch d.Outcome {
+		case msg.OK:
+			settled()
 			l.committed(j, t, d.Revision)
 		case msg.Unknown:
 			// It may be applied later. The same transaction again: either it
@@ -396,16 +399,12 @@
 			// places is counted.
 			t.unsure, t.resendAt = true, l.box.Now()+commitPause
 		case msg.Conflict:
-			j.txn = nil
-			l.setPlan(j, nil)
-			l.passDue = true
+			settled()
 			l.conflict(j, t, d.Failed)
 		case msg.Invalid:
 			// Whether an earlier sending was applied is to be read: the same bytes
 			// will not be from now on.
-			j.txn = nil
-			l.setPlan(j, nil)
-			l.passDue = true
+			settled()
 			var keys []string
 			for _, g := range t.commit.Guards {
 				if g.Key != l.claim.Key() {
@@ -418,10 +417,8 @@
 				t.resendAt = l.box.Now() + commitPause
 				return
 			}
-			j.txn = nil
-			l.setPlan(j, nil)
+			settled()
 			j.retryAt = l.box.Now() + commitPause
-			l.passDue = true
 		}
 	})
 }
@@ -456,12 +453,11 @@
 
 // conflict reads what has changed under us.
 func (l *Leader) conflict(j *Job, t *txn, failed []string) {
+	if l.claim.Failed(t.token, failed) {
+		return
+	}
 	for _, key := range failed {
 		if key == l.claim.Key() {
-			if t.token == l.claim.Token() && !l.claim.Raising() {
-				l.claim.Resign("claim lost")
-				return
-			}
 			continue
 		}
 		j.retryAt = l.box.Now() + config.Second // unless the answer comes sooner
--- a/internal/core/leader/counters.go
+++ b/internal/core/leader/counters.go
@@ -45,15 +45,21 @@
 	return usable
 }
 
+// states counts the machines.
+func (l *Leader) states() map[string]int {
+	out := map[string]int{}
+	for _, m := range l.owner.Roster().All() {
+		out[l.stateOf(m)]++
+	}
+	return out
+}
+
 // count writes the line when it is due.
 func (l *Leader) count() {
 	if l.box.Now()-l.counters.at < countEvery {
 		return
 	}
-	states := map[string]int{}
-	for _, m := range l.owner.Roster().All() {
-		states[l.stateOf(m)]++
-	}
+	states := l.states()
 	closing := 0
 	for _, j := range l.active {
 		closing += len(j.closes)
--- a/internal/core/leader/desk.go
+++ b/internal/core/leader/desk.go
@@ -24,8 +24,8 @@
 // MayOffer hears that what a machine can offer at all may have changed.
 func (d Desk) MayOffer(m *zone.Machine) { d.l.reconsider(m) }
 
-// Cached hears of an image that a machine has.
-func (d Desk) Cached(m *zone.Machine, _ string) {
+// Cached hears that a machine has another image.
+func (d Desk) Cached(m *zone.Machine) {
 	d.l.noteMachine(m.Name)
 	d.l.touch(m) // its zone finds it by its images
 }
--- a/internal/core/leader/ended.go
+++ b/internal/core/leader/ended.go
@@ -119,8 +119,7 @@
 		case msg.OK:
 			l.take(&wire.Change{Put: key, Value: t.Changes[0].Value, Version: d.Revision})
 		case msg.Conflict:
-			if slices.Contains(d.Failed, l.claim.Key()) && t.Guards[0].Version == l.claim.Token() && !l.claim.Raising() {
-				l.claim.Resign("claim lost")
+			if l.claim.Failed(t.Guards[0].Version, d.Failed) {
 				return
 			}
 			if slices.Contains(d.Failed, key) { // an earlier sending has been applied after all
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -71,12 +71,7 @@
 // New returns the leader that a node may become. Who owns zones and rents machines
 // hears from it and tells it, see Use.
 func New(cfg *config.Config, box *outbox.Box, form *records.Form, catalog *zone.Catalog, claim *claim.Claim) *Leader {
-	c := &Leader{cfg: cfg, box: box, form: form, catalog: catalog, claim: claim, jobs: map[string]*Job{}, teams: map[string]*config.Team{}}
-	for i := range cfg.Cluster.Teams {
-		t := &cfg.Cluster.Teams[i]
-		c.teams[t.Name] = t
-	}
-	return c
+	return &Leader{cfg: cfg, box: box, form: form, catalog: catalog, claim: claim, jobs: map[string]*Job{}, teams: cfg.Cluster.TeamsByName()}
 }
 
 // Use gives the leader the rooms that it commands and goes by.
@@ -121,21 +116,21 @@
 	l.passDue = true
 }
 
-// Apply takes a change of a key that only leaders read. It returns false for others.
-func (l *Leader) Apply(key string, ev *wire.Change) bool {
+// Apply takes a change of a key that only leaders read, or of the records.
+func (l *Leader) Apply(key string, ev *wire.Change) {
 	if name, ok := strings.CutPrefix(key, hintPrefix); ok {
 		l.hintsIn(name, ev)
-		return true
+		return
 	}
 	if num, ok := strings.CutPrefix(key, learntPrefix); ok {
 		l.learntIn(num, ev)
-		return true
+		return
 	}
 	if strings.HasPrefix(key, home.MailPrefix) {
 		l.mailIn(ev)
-		return true
+		return
 	}
-	return false
+	l.take(ev)
 }
 
 // take takes a change of a job's record or of the log.
@@ -180,7 +175,7 @@
 	}
 	l.ready = true
 	open := 0
-	for _, id := range l.sortedJobs() {
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
 		j := l.jobs[id]
 		j.closes, j.plan, j.txn = nil, nil, nil
 		l.placed(j, nil, j.Rec.Open)
@@ -266,10 +261,6 @@
 	noted   bool // on its way into the log of ended attempts
 }
 
-func (l *Leader) sortedJobs() []string {
-	return slices.Sorted(maps.Keys(l.jobs))
-}
-
 // setActive puts a job into the list of active ones or takes it out.
 func (l *Leader) setActive(j *Job, active bool) {
 	if active == j.active {
--- a/internal/core/outbox/outbox.go
+++ b/internal/core/outbox/outbox.go
@@ -56,8 +56,11 @@
 }
 
 // Later answers a request that can't be taken now.
-func (b *Box) Later(req uint64, why string) {
-	b.Emit(msg.Answer{Req: req, Status: http.StatusServiceUnavailable, Body: wire.Error{Error: why}, RetryAfter: retryAfter})
+func (b *Box) Later(req uint64, why string) { b.LaterWith(req, wire.Error{Error: why}) }
+
+// LaterWith does the same with more to say than why.
+func (b *Box) LaterWith(req uint64, body any) {
+	b.Emit(msg.Answer{Req: req, Status: http.StatusServiceUnavailable, Body: body, RetryAfter: retryAfter})
 }
 
 // NextID numbers what is asked for.
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -28,7 +28,7 @@
 	Joined(*zone.Machine)                              // its worker has said its first word
 	Looks(*zone.Machine)                               // something about it has changed
 	MayOffer(*zone.Machine)                            // what it can offer at all may have changed
-	Cached(m *zone.Machine, image string)              // it is known to have an image from now on
+	Cached(*zone.Machine)                              // it is known to have another image from now on
 	Running(key job.Key)                               // a task runs
 	Exited(m *zone.Machine, key job.Key, t *zone.Task) // a task has ended, by its worker's word
 	Close(key job.Key, machine string, done bool)      // proof that a placement is over
@@ -136,11 +136,8 @@
 		return
 	}
 	orders := o.orders(m, true)
-	for _, o := range orders {
-		if o.Verb == wire.Start {
-			m.SentByReply()
-			break
-		}
+	if starts(orders) {
+		m.SentByReply()
 	}
 	o.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: o.claim.Token(), Orders: orders})
 }
@@ -182,7 +179,7 @@
 		if j != nil && j.Rec.Spec != nil && t.State != wire.Fetching && t.State != wire.Exited {
 			if image := j.Rec.Spec.Image; !m.Images[image] {
 				m.Images[image] = true
-				o.to.Cached(m, image)
+				o.to.Cached(m)
 			}
 		}
 		p, ok := expected[key]
@@ -335,16 +332,18 @@
 	}
 }
 
+// starts tells whether any order is a start.
+func starts(orders []wire.Order) bool {
+	return slices.ContainsFunc(orders, func(x wire.Order) bool { return x.Verb == wire.Start })
+}
+
 func (o *Owner) direct(m *zone.Machine, orders []wire.Order) {
-	start := false
-	for _, o := range orders {
-		start = start || o.Verb == wire.Start
-	}
 	id := o.box.NextID()
-	m.SentDirect(o.box.Now(), id, o.claim.Token(), start)
+	m.SentDirect(o.box.Now(), id, o.claim.Token(), starts(orders))
 	o.box.Emit(msg.Command{ID: id, Machine: m.Name, Addr: m.Addr, Commands: wire.Commands{Token: o.claim.Token(), Session: max(m.Session, 1), Orders: orders}})
 }
 
+// CommandDone hears how a direct call went.
 func (o *Owner) CommandDone(x msg.CommandDone) {
 	m := o.roster.Get(x.Machine)
 	if !o.ready || m == nil {
@@ -360,9 +359,7 @@
 			o.claim.Resign("a worker has seen a higher token")
 			return
 		}
-		if o.ingest(m, r, false) && x.Outcome == msg.OK {
-			return
-		}
+		o.ingest(m, r, false)
 	}
 }
 
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		panic(err) // a struct of a number always encodes
 	}
-	c.formatAt = c.now + formatPause
+	c.formatAt = c.box.Now() + formatPause
 	c.box.Commit(wire.Commit{Guards: guards, Changes: []wire.Change{{Put: key, Value: value}}}, func(d msg.CommitDone) {
 		if d.Outcome == msg.OK {
 			c.apply(&wire.Change{Put: key, Value: value, Version: d.Revision})
@@ -72,7 +72,7 @@
 
 // announceFormat tells for good that this node reads the newest format.
 func (c *Core) announceFormat() {
-	if !c.loaded || c.foreign || c.cfg.Settings.HoldFormat || c.announced[c.cfg.Node] >= job.Newest || c.now < c.formatAt {
+	if !c.serving() || c.cfg.Settings.HoldFormat || c.announced[c.cfg.Node] >= job.Newest || c.box.Now() < c.formatAt {
 		return
 	}
 	c.putFormat(announcePrefix+c.cfg.Node, job.Newest, nil, func(msg.CommitDone) {
@@ -82,7 +82,7 @@
 
 // raiseFormat raises the format if every node reads a later one.
 func (c *Core) raiseFormat() {
-	if c.form.Format >= job.Newest || c.claim.Raising() || c.now < c.formatAt {
+	if c.form.Format >= job.Newest || c.claim.Raising() || c.box.Now() < c.formatAt {
 		return
 	}
 	least := c.announced[c.cfg.Node]
@@ -99,4 +99,4 @@
 }
 
 // serving tells whether this node may answer users and workers.
-func (c *Core) serving() bool { return c.loaded && !c.foreign }
+func (c *Core) serving() bool { return c.refusal() == "" }
--- a/internal/core/zone/bid.go
+++ b/internal/core/zone/bid.go
@@ -42,7 +42,6 @@
 // change are put anew.
 type Zone struct {
 	Name    string
-	rooms   []*Room
 	shelves []*shelf                  // in a set order
 	plans   uint64                    // counts the plans that took victims
 	warm    map[string]map[*Room]bool // rooms by the images that their machines had when they were put
@@ -59,7 +58,6 @@
 	Barred  bool // kept for a job that ranks higher
 	Idle    bool // nothing is placed there
 
-	at      int // where its zone lists it
 	shelf   *shelf
 	images  []string // by which its zone finds it
 	offered bool     // scratch of one Plan: it is among the offers
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"container/list"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
@@ -64,9 +65,8 @@
 	FullUntil  Micros
 	Errors     map[string]Micros // jobs that failed here since the last success
 
-	known        bool // in a roster
-	listed       bool // in its order of silence
-	older, newer *Machine
+	known bool          // in a roster
+	place *list.Element // in its order of silence; nil: none
 }
 
 // New returns a machine that has said nothing yet.
--- a/internal/core/zone/shelf.go
+++ b/internal/core/zone/shelf.go
@@ -73,8 +73,6 @@
 
 // Put takes a room that is not in the zone.
 func (z *Zone) Put(r *Room) {
-	r.at = len(z.rooms)
-	z.rooms = append(z.rooms, r)
 	z.shelve(r)
 	if z.warm == nil {
 		z.warm = map[string]map[*Room]bool{}
@@ -90,10 +88,6 @@
 
 // Drop gives up a room that is in the zone.
 func (z *Zone) Drop(r *Room) {
-	last := z.rooms[len(z.rooms)-1]
-	z.rooms[r.at], last.at = last, r.at
-	z.rooms[len(z.rooms)-1] = nil
-	z.rooms = z.rooms[:len(z.rooms)-1]
 	r.unshelve()
 	for _, image := range r.images {
 		if delete(z.warm[image], r); len(z.warm[image]) == 0 {
