Kit and adapters read once more: one piece each for waiting, quantiles, shapes

- wait.For and wait.Every in the place of three sleeps and seven tickers of the same shape; quantile.Times in the place of two; wire.ParseShape in the place of two switches; one makeRoom for what an estimate forgets; one way to serve in a cluster.
- An experiment's folder had the fault that a run's had: two that began in one second shared it.
Both take runFolder now.
- Dead: four times of users that package user has; a shutdown hook that Close never calls.
- The terminal view put every job's tasks into a map twice a second.

--- a/cmd/coralhub/experiment.go
+++ b/cmd/coralhub/experiment.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -35,7 +34,11 @@
 			}
 			out := cmd.OutOrStdout()
 			return runUntilSignal(cmd.Context(), func(ctx context.Context) error {
-				opt := rehearse.Options{Program: program, Log: "info", Dir: filepath.Join(dir, e.Name+"-"+time.Now().Format("20060102-150405"))}
+				folder, err := runFolder(dir, e.Name)
+				if err != nil {
+					return err
+				}
+				opt := rehearse.Options{Program: program, Log: "info", Dir: folder}
 				opt.Say = func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) }
 				t, err := e.Play(ctx, opt)
 				if err != nil {
--- a/cmd/coralhub/load.go
+++ b/cmd/coralhub/load.go
@@ -23,14 +23,8 @@
 		Example: "  coralhub load --to 127.0.0.1:8080 --jobs 200 --rate 20 --tasks 4 --expect 5 --wait",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			switch shape {
-			case "array":
-				opt.Spec.Shape = wire.Array
-			case "gang":
-				opt.Spec.Shape = wire.Gang
-			case "service":
-				opt.Spec.Shape = wire.Service
-			default:
+			var ok bool
+			if opt.Spec.Shape, ok = wire.ParseShape(shape); !ok {
 				return fmt.Errorf("--shape %q: neither array, gang nor service", shape)
 			}
 			return runUntilSignal(cmd.Context(), func(ctx context.Context) error {
--- a/cmd/coralhub/rehearse.go
+++ b/cmd/coralhub/rehearse.go
@@ -189,7 +189,7 @@
 	cmd := &cobra.Command{
 		Use:     "report RUN",
 		Short:   "Write the result of a run as a page of HTML that needs nothing else",
-		Example: "  coralhub rehearse report /tmp/coralhub-runs/surge-20261201-101500.000 --out surge.html",
+		Example: "  coralhub rehearse report /tmp/coralhub-runs/surge-20261201-101500-123456789 --out surge.html",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			res, err := rehearse.Open(args[0])
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,6 +26,7 @@
 	"coralhub/internal/faults"
 	"coralhub/internal/judge"
 	"coralhub/internal/standin"
+	"coralhub/internal/wait"
 	"coralhub/wire"
 )
 
@@ -107,15 +108,15 @@
 	w.Types, w.Capacity, w.Model, w.Boot, w.Watch = opt.Types, opt.Capacity, opt.Model, opt.Boot, opt.Watch
 	w.Lease, w.GangWait = config.FromSeconds(cl.Workers.LeaseS), config.FromSeconds(cl.Workers.GangWaitS)
 	w.CancelIn, w.ReportEvery = config.FromSeconds(cl.Workers.CancelS), config.FromSeconds(cl.Workers.ReportS)
-	state, err := c.serve(s.StateHandler())
+	state, err := c.serve(ownPort, s.StateHandler())
 	if err != nil {
 		return nil, err
 	}
-	cloud, err := c.serve(s.CloudHandler())
+	cloud, err := c.serve(ownPort, s.CloudHandler())
 	if err != nil {
 		return nil, err
 	}
-	workers, err := c.serve(s.WorkerHandler())
+	workers, err := c.serve(ownPort, s.WorkerHandler())
 	if err != nil {
 		return nil, err
 	}
@@ -140,9 +141,12 @@
 	return c, nil
 }
 
-// serve serves a stand-in on a port of its own.
-func (c *Cluster) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// ownPort has a stand-in served on a port of its own.
+const ownPort = "127.0.0.1:0"
+
+// serve serves h until the cluster closes, and returns the address that it got.
+func (c *Cluster) serve(addr string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return "", err
 	}
@@ -285,11 +289,7 @@
 		case <-ctx.Done():
 			return
 		}
-		t := time.NewTimer(c.opt.RestartAfter)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !wait.For(ctx, c.opt.RestartAfter) {
 			return
 		}
 		n.mu.Lock()
@@ -342,14 +342,7 @@
 
 // measure follows how much memory the nodes hold.
 func (c *Cluster) measure(ctx context.Context) {
-	t := time.NewTicker(500 * time.Millisecond)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	wait.Every(ctx, 500*time.Millisecond, func() {
 		for _, n := range c.Nodes {
 			n.mu.Lock()
 			if n.cmd != nil {
@@ -357,7 +350,7 @@
 			}
 			n.mu.Unlock()
 		}
-	}
+	})
 }
 
 // processMB is the memory that a process holds; 0 if that can't be told.
--- a/internal/cluster/door.go
+++ b/internal/cluster/door.go
@@ -6,13 +6,13 @@
 	"io"
 	"math"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"coralhub/internal/config"
 	"coralhub/internal/standin"
+	"coralhub/internal/wait"
 	"coralhub/wire"
 )
 
@@ -30,27 +30,21 @@
 // that it got.
 func (c *Cluster) OpenDoor(addr string) (string, error) {
 	d := &Door{c: c, client: &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
-	l, err := net.Listen("tcp", addr)
+	addr, err := c.serve(addr, d)
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: d, ReadHeaderTimeout: 10 * time.Second}
-	c.servers = append(c.servers, server)
-	c.wg.Go(func() { _ = server.Serve(l) }) // ends when it is closed
 	ctx, stop := context.WithCancel(context.Background())
-	server.RegisterOnShutdown(stop)
 	old := c.stop
 	c.stop = func() { stop(); old() }
 	c.wg.Go(func() { d.probe(ctx) })
-	return l.Addr().String(), nil
+	return addr, nil
 }
 
 // probe finds out every second which nodes are ready.
 func (d *Door) probe(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
-	t := time.NewTicker(time.Second)
-	defer t.Stop()
-	for {
+	look := func() {
 		var ready []*Node
 		for _, n := range d.c.Nodes {
 			if n.Ready(ctx, d.client) {
@@ -60,12 +54,9 @@
 		d.mu.Lock()
 		d.ready = ready
 		d.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
 	}
+	look()
+	wait.Every(ctx, time.Second, look)
 }
 
 // tries is how many nodes a request is handed to, if they refuse the connection.
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -392,29 +392,31 @@
 	if g := m.groups[k]; g != nil {
 		return g
 	}
-	if len(m.groups) >= max(m.settings.Groups, int(levels)) {
-		oldest := unused(m.groups, func(g *group) uint64 {
-			if g.level == Everything {
-				return math.MaxUint64 // always of use
-			}
-			return g.used
-		}, compareKeys)
-		delete(m.groups, oldest)
-	}
+	makeRoom(m.groups, max(m.settings.Groups, int(levels)), func(g *group) uint64 {
+		if g.level == Everything {
+			return math.MaxUint64 // always of use
+		}
+		return g.used
+	}, compareKeys)
 	g := &group{level: k.level, class: class, used: m.clock}
 	m.groups[k] = g
 	return g
 }
 
-// unused returns the key of what was used last before all else; of several, the first.
-func unused[K comparable, V any](m map[K]V, used func(V) uint64, compare func(a, b K) int) (oldest K) {
+// makeRoom drops what was used last before all else, of several the first, if there are as
+// many as there may be.
+func makeRoom[K comparable, V any](m map[K]V, most int, used func(V) uint64, compare func(a, b K) int) {
+	if len(m) < most {
+		return
+	}
+	var oldest K
 	least, first := uint64(0), true
 	for k, v := range m {
 		if u := used(v); first || u < least || u == least && compare(k, oldest) < 0 {
 			oldest, least, first = k, u, false
 		}
 	}
-	return oldest
+	delete(m, oldest)
 }
 
 // score notes whether an outcome fell into the intervals stated for it: by how much it
@@ -422,10 +424,7 @@
 func (m *Model) score(class string, off float64, errs *curve) {
 	t := m.trust[class]
 	if t == nil {
-		if len(m.trust) >= m.settings.Groups {
-			oldest := unused(m.trust, func(t *trust) uint64 { return t.used }, strings.Compare)
-			delete(m.trust, oldest)
-		}
+		makeRoom(m.trust, m.settings.Groups, func(t *trust) uint64 { return t.used }, strings.Compare)
 		t = &trust{}
 		m.trust[class] = t
 	}
--- a/internal/estimate/group.go
+++ b/internal/estimate/group.go
@@ -254,10 +254,7 @@
 func (m *Model) learnSpeed(machine string, r, spread float64) {
 	s := m.machines[machine]
 	if s == nil {
-		if len(m.machines) >= m.settings.Machines {
-			oldest := unused(m.machines, func(s *speed) uint64 { return s.used }, strings.Compare)
-			delete(m.machines, oldest)
-		}
+		makeRoom(m.machines, m.settings.Machines, func(s *speed) uint64 { return s.used }, strings.Compare)
 		s = &speed{}
 		m.machines[machine] = s
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -14,7 +14,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"coralhub/internal/quantile"
 	"coralhub/internal/user"
+	"coralhub/internal/wait"
 	"coralhub/wire"
 )
 
@@ -38,16 +40,8 @@
 	Ended    int            `json:"ended"`
 	Missed   int            `json:"missed"` // due while too many were on their way
 	Statuses map[string]int `json:"statuses"`
-	Submit   Times          `json:"submit_s"`
-	End      Times          `json:"end_s"`
-}
-
-// Times are quantiles.
-type Times struct {
-	P50 float64 `json:"p50"`
-	P90 float64 `json:"p90"`
-	P99 float64 `json:"p99"`
-	Max float64 `json:"max"`
+	Submit   quantile.Times `json:"submit_s"`
+	End      quantile.Times `json:"end_s"`
 }
 
 const (
@@ -81,7 +75,7 @@
 	due := time.Now()
 	for i := range opt.Jobs {
 		due = due.Add(time.Duration(rnd.ExpFloat64() / opt.Rate * 1e9))
-		if !user.Sleep(ctx, time.Until(due)) {
+		if !wait.For(ctx, time.Until(due)) {
 			wg.Wait()
 			return nil, ctx.Err()
 		}
@@ -100,18 +94,10 @@
 		})
 	}
 	wg.Wait()
-	g.res.Submit, g.res.End = times(g.submit), times(g.end)
+	g.res.Submit, g.res.End = quantile.Of(g.submit, 1), quantile.Of(g.end, 1)
 	return &g.res, ctx.Err()
 }
 
-func times(h *hdrhistogram.Histogram) Times {
-	if h.TotalCount() == 0 {
-		return Times{}
-	}
-	q := func(p float64) float64 { return float64(h.ValueAtQuantile(p)) / 1e6 }
-	return Times{q(50), q(90), q(99), float64(h.Max()) / 1e6}
-}
-
 func (g *generator) count(f func(*Result)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -137,7 +123,7 @@
 	}
 	g.took(g.submit, due)
 	g.count(func(r *Result) { r.Accepted++ })
-	for g.opt.Wait && j.Shape != wire.Service && user.Sleep(ctx, pollEvery) {
+	for g.opt.Wait && j.Shape != wire.Service && wait.For(ctx, pollEvery) {
 		if a := g.ask.Poll(ctx, j.ID); a.Over() {
 			g.took(g.end, due)
 			g.count(func(r *Result) { r.Ended++ })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"coralhub/internal/node/peer"
 	"coralhub/internal/node/store"
 	"coralhub/internal/node/worker"
+	"coralhub/internal/wait"
 )
 
 const (
@@ -199,14 +200,7 @@
 // then says that it is not ready. If no peer has it either, all stay ready and
 // answer 503 with Retry-After, so that nobody waits for the balancer afterwards.
 func (n *Node) watchPeers(ctx context.Context) {
-	t := time.NewTicker(time.Second)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	wait.Every(ctx, time.Second, func() {
 		anyOK := false
 		for node, st := range n.peers.Ask() {
 			anyOK = anyOK || st.StateOK
@@ -216,5 +210,5 @@
 		if alone != n.isolated.Swap(alone) {
 			slog.Info("state service", "lost_by_this_node_alone", alone)
 		}
-	}
+	})
 }
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -21,6 +21,7 @@
 	"coralhub/internal/core/msg"
 	"coralhub/internal/node/call"
 	"coralhub/internal/node/count"
+	"coralhub/internal/wait"
 	"coralhub/wire"
 )
 
@@ -199,7 +200,7 @@
 		// The quota allows bursts: a moment later there is mostly room again for
 		// what somebody waits for.
 		for try := 0; !x.Later && status == http.StatusTooManyRequests && try < quotaTries; try++ {
-			sleep(ctx, quotaPause)
+			wait.For(ctx, quotaPause)
 			status, err = s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
 		}
 		done.Outcome, done.Revision, done.Failed = outcome(status, err), a.Revision, a.Failed
@@ -342,7 +343,7 @@
 	for ctx.Err() == nil {
 		rev, err := s.list(ctx)
 		if err != nil {
-			sleep(ctx, 300*time.Millisecond)
+			wait.For(ctx, 300*time.Millisecond)
 			continue
 		}
 		s.watch(ctx, rev)
@@ -410,23 +411,11 @@
 		case err == nil && status == http.StatusOK:
 			s.post(msg.Changed{Events: a.Events, Age: time.Since(began).Microseconds()})
 			from = max(from, a.Revision)
-			sleep(ctx, s.pace-time.Since(began))
+			wait.For(ctx, s.pace-time.Since(began))
 		case err == nil && status == http.StatusGone:
 			return
 		default:
-			sleep(ctx, 300*time.Millisecond)
+			wait.For(ctx, 300*time.Millisecond)
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/quantile/quantile.go
@@ -0,0 +1,22 @@
+// Package quantile summarises measured times.
+package quantile
+
+import "github.com/HdrHistogram/hdrhistogram-go"
+
+// Times are the quantiles of a measure.
+type Times struct {
+	P50 float64 `json:"p50"`
+	P90 float64 `json:"p90"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Of reads them from a histogram of microseconds, in parts of a second so many of which
+// make one: 1 for seconds, 1000 for milliseconds.
+func Of(h *hdrhistogram.Histogram, parts float64) Times {
+	if h.TotalCount() == 0 {
+		return Times{}
+	}
+	q := func(p float64) float64 { return float64(h.ValueAtQuantile(p)) / 1e6 * parts }
+	return Times{q(50), q(90), q(99), float64(h.Max()) / 1e6 * parts}
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -13,7 +13,7 @@
 
 	"coralhub/internal/core/leader"
 	"coralhub/internal/node/httpapi"
-	"coralhub/internal/user"
+	"coralhub/internal/wait"
 )
 
 const (
@@ -48,7 +48,7 @@
 				r.Tell(fmt.Sprintf("no node answers as the leader; the last: %v", err))
 			}
 			r.at = (r.at + 1) % len(r.Nodes)
-			user.Sleep(ctx, pause/time.Duration(len(r.Nodes)))
+			wait.For(ctx, pause/time.Duration(len(r.Nodes)))
 			continue
 		}
 		failures = 0
@@ -62,7 +62,7 @@
 		}
 		r.from = page.Next
 		if len(page.Runs) == 0 {
-			user.Sleep(ctx, pause)
+			wait.For(ctx, pause)
 		}
 	}
 	return nil
--- a/internal/rehearse/experiment.go
+++ b/internal/rehearse/experiment.go
@@ -149,10 +149,12 @@
 			if err != nil {
 				return nil, err
 			}
-			if times := e.Scale * max(v.Scale, 0); v.Scale > 0 && times != 1 {
+			times := e.Scale
+			if v.Scale > 0 {
+				times *= v.Scale
+			}
+			if times != 1 {
 				s = s.Scaled(times)
-			} else if e.Scale != 1 {
-				s = s.Scaled(e.Scale)
 			}
 			o := opt
 			o.Seed, o.Dir = seed, filepath.Join(opt.Dir, fmt.Sprintf("%s-%d", v.Name, seed))
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -12,7 +12,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/faults"
 	"coralhub/internal/standin"
-	"coralhub/internal/user"
+	"coralhub/internal/wait"
 )
 
 // strike brings a fault about and returns what ends it; nil if nothing does.
@@ -222,7 +222,7 @@
 	}
 	slices.SortStableFunc(all, func(a, b moment) int { return int(a.at - b.at) })
 	for _, m := range all {
-		if !user.Sleep(ctx, time.Until(began.Add(m.at))) {
+		if !wait.For(ctx, time.Until(began.Add(m.at))) {
 			return
 		}
 		m.do()
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -17,9 +17,11 @@
 
 	"coralhub/internal/cluster"
 	"coralhub/internal/config"
+	"coralhub/internal/core/claim"
 	"coralhub/internal/judge"
+	"coralhub/internal/quantile"
 	"coralhub/internal/standin"
-	"coralhub/internal/user"
+	"coralhub/internal/wait"
 	"coralhub/wire"
 )
 
@@ -58,20 +60,12 @@
 	Started   int            `json:"started"`
 	Done      int            `json:"done"`
 	Cancelled int            `json:"cancelled"`
-	SubmitMS  Quantiles      `json:"submit_ms"`
-	StartS    Quantiles      `json:"start_s"`
-	DoneS     Quantiles      `json:"done_s"`
+	SubmitMS  quantile.Times `json:"submit_ms"`
+	StartS    quantile.Times `json:"start_s"`
+	DoneS     quantile.Times `json:"done_s"`
 	Errors    map[string]int `json:"errors,omitempty"`
 }
 
-// Quantiles of a measure.
-type Quantiles struct {
-	P50 float64 `json:"p50"`
-	P90 float64 `json:"p90"`
-	P99 float64 `json:"p99"`
-	Max float64 `json:"max"`
-}
-
 // Result is what came of a run.
 type Result struct {
 	Scenario string         `json:"scenario"`
@@ -141,15 +135,13 @@
 
 // leader names the node that holds the claim; "" if none does.
 func (r *run) leader() string {
-	var claim struct {
-		Node string `msgpack:"node"`
-	}
+	var holder claim.Value
 	var raw []byte
 	r.cluster.Servers.With(func() { raw = r.cluster.Servers.State.Get("ch/leader").Value })
-	if len(raw) == 0 || msgpack.Unmarshal(raw, &claim) != nil {
+	if len(raw) == 0 || msgpack.Unmarshal(raw, &holder) != nil {
 		return ""
 	}
-	return claim.Node
+	return holder.Node
 }
 
 // deploy is the deployment as the platform describes it.
@@ -256,7 +248,7 @@
 	for i := range r.jobs {
 		p := &r.jobs[i]
 		due := began.Add(p.at)
-		if !user.Sleep(ctx, time.Until(due)) {
+		if !wait.For(ctx, time.Until(due)) {
 			return
 		}
 		follow := &wg
@@ -272,7 +264,7 @@
 		close(ended)
 	}()
 	until := func(s float64) time.Duration { return time.Until(began.Add(time.Duration(s * 1e9))) }
-	if !user.Sleep(ctx, until(r.scenario.DurationS)) { // services are watched until then
+	if !wait.For(ctx, until(r.scenario.DurationS)) { // services are watched until then
 		return
 	}
 	last := time.NewTimer(until(r.scenario.DurationS + r.scenario.SettleS))
@@ -285,16 +277,12 @@
 }
 
 // quantiles are read from a histogram of values in seconds.
-func quantiles(values []float64, unit float64) Quantiles {
-	if len(values) == 0 {
-		return Quantiles{}
-	}
+func quantiles(values []float64, parts float64) quantile.Times {
 	h := hdrhistogram.New(1, 24*3600*1_000_000, 3) // microseconds
 	for _, v := range values {
 		_ = h.RecordValue(min(max(int64(v*1e6), 1), 24*3600*1_000_000)) // within its bounds
 	}
-	q := func(p float64) float64 { return float64(h.ValueAtQuantile(p)) / 1e6 * unit }
-	return Quantiles{q(50), q(90), q(99), float64(h.Max()) / 1e6 * unit}
+	return quantile.Of(h, parts)
 }
 
 // fate is what came of a job, in seconds of the run.
--- a/internal/rehearse/status.go
+++ b/internal/rehearse/status.go
@@ -6,6 +6,7 @@
 
 	"coralhub/internal/judge"
 	"coralhub/internal/standin"
+	"coralhub/internal/wait"
 )
 
 // Status is how a run stands at a moment.
@@ -39,24 +40,15 @@
 
 // watch tells how the run stands until ctx ends.
 func (r *run) watch(ctx context.Context, began time.Time) {
-	t := time.NewTicker(statusEvery)
-	defer t.Stop()
 	w := newWatcher(r)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			r.opt.Watch(w.status(time.Since(began)))
-		}
-	}
+	wait.Every(ctx, statusEvery, func() { r.opt.Watch(w.status(time.Since(began))) })
 }
 
 // watcher follows the history as it grows.
 type watcher struct {
 	r       *run
 	seen    int
-	class   map[string]string // of a job
+	jobs    map[string]*planned
 	counts  map[string]*ClassStatus
 	on      int
 	started map[string]map[int]bool
@@ -65,10 +57,10 @@
 }
 
 func newWatcher(r *run) *watcher {
-	w := &watcher{r: r, class: map[string]string{}, counts: map[string]*ClassStatus{}, started: map[string]map[int]bool{},
+	w := &watcher{r: r, jobs: map[string]*planned{}, counts: map[string]*ClassStatus{}, started: map[string]map[int]bool{},
 		ended: map[string]map[int]bool{}, over: map[string]bool{}}
 	for i := range r.jobs {
-		w.class[r.jobs[i].job.ID] = r.jobs[i].class.Name
+		w.jobs[r.jobs[i].job.ID] = &r.jobs[i]
 	}
 	for i := range r.scenario.Classes {
 		name := r.scenario.Classes[i].Name
@@ -77,11 +69,12 @@
 	return w
 }
 
-func (w *watcher) take(e *judge.Event, tasks int) {
-	c := w.counts[w.class[e.Job]]
-	if c == nil {
+func (w *watcher) take(e *judge.Event) {
+	p := w.jobs[e.Job]
+	if p == nil {
 		return
 	}
+	c, tasks := w.counts[p.class.Name], p.job.Tasks
 	add := func(m map[string]map[int]bool) (whole bool) {
 		if m[e.Job] == nil {
 			m[e.Job] = map[int]bool{}
@@ -118,13 +111,9 @@
 func (w *watcher) status(elapsed time.Duration) Status {
 	r := w.r
 	s := Status{ElapsedS: elapsed.Seconds(), DurationS: r.scenario.DurationS, Leader: r.leader(), Machines: map[string]int{}}
-	tasks := map[string]int{}
-	for i := range r.jobs {
-		tasks[r.jobs[i].job.ID] = r.jobs[i].job.Tasks
-	}
 	r.mu.Lock()
 	for ; w.seen < len(r.events); w.seen++ {
-		w.take(&r.events[w.seen], tasks[r.events[w.seen].Job])
+		w.take(&r.events[w.seen])
 	}
 	s.Marks = append(s.Marks, r.marks...)
 	r.mu.Unlock()
--- a/internal/rehearse/users.go
+++ b/internal/rehearse/users.go
@@ -16,16 +16,13 @@
 	"coralhub/internal/judge"
 	"coralhub/internal/standin"
 	"coralhub/internal/user"
+	"coralhub/internal/wait"
 	"coralhub/wire"
 )
 
 // What users do by the protocol.
 const (
-	submitWait     = 5 * time.Second
-	pollWait       = 2 * time.Second
 	pollEvery      = 5 * time.Second
-	retryFor       = 60 * time.Second
-	longestWait    = 30 * time.Second
 	strangersEvery = 3 * time.Second
 )
 
@@ -101,12 +98,10 @@
 	return out
 }
 
-func wireShape(s string) string {
-	switch s {
-	case "gang":
-		return wire.Gang
-	case "service":
-		return wire.Service
+// wireShape is a class's shape; without one its jobs are arrays.
+func wireShape(name string) string {
+	if shape, ok := wire.ParseShape(name); ok {
+		return shape
 	}
 	return wire.Array
 }
@@ -191,10 +186,8 @@
 	var wg sync.WaitGroup
 	for i, n := range u.c.Nodes {
 		wg.Go(func() {
-			t := time.NewTicker(time.Second)
-			defer t.Stop()
 			bad, good := 0, 1
-			for {
+			probe := func() {
 				if n.Ready(ctx, u.ask.Client) {
 					bad, good = 0, good+1
 				} else {
@@ -207,12 +200,9 @@
 					u.healthy[i] = false
 				}
 				u.mu.Unlock()
-				select {
-				case <-ctx.Done():
-					return
-				case <-t.C:
-				}
 			}
+			probe()
+			wait.Every(ctx, time.Second, probe)
 		})
 	}
 	wg.Wait()
@@ -242,19 +232,12 @@
 
 // strangers asks about jobs that nobody has submitted, until ctx ends.
 func (u *users) strangers(ctx context.Context) {
-	t := time.NewTicker(strangersEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	wait.Every(ctx, strangersEvery, func() {
 		id := fmt.Sprintf("j-9%08d", rand.IntN(1e8))
 		if a := u.ask.Poll(ctx, id); ctx.Err() == nil {
 			u.told(id, judge.ByPoll, &a)
 		}
-	}
+	})
 }
 
 func (u *users) note(class string, f func(*userStats)) {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/time/rate"
 
+	"coralhub/internal/wait"
 	"coralhub/wire"
 )
 
@@ -90,7 +91,7 @@
 		s.Requests++
 		s.mu.Unlock()
 		if delay > 0 {
-			pause(r.Context(), delay)
+			wait.For(r.Context(), delay)
 		}
 		switch {
 		case down && !strings.HasPrefix(r.URL.Path, wire.PathChanges): // open watches stay open
@@ -184,10 +185,10 @@
 func (s *Servers) changes(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
-	wait, _ := strconv.Atoi(q.Get("wait_ms"))
-	end := time.NewTimer(time.Duration(min(max(wait, 0), 60_000)) * time.Millisecond)
+	longest, _ := strconv.Atoi(q.Get("wait_ms"))
+	end := time.NewTimer(time.Duration(min(max(longest, 0), 60_000)) * time.Millisecond)
 	defer end.Stop()
-	for over := wait <= 0; ; {
+	for over := longest <= 0; ; {
 		s.mu.Lock()
 		a := wire.Changes{Revision: s.State.Revision()}
 		down, lost := s.State.Down, s.State.Lost(from)
@@ -209,7 +210,7 @@
 		case <-end.C:
 			over = true
 			if down {
-				pause(r.Context(), 100*time.Millisecond)
+				wait.For(r.Context(), 100*time.Millisecond)
 				end.Reset(0)
 			}
 		case <-r.Context().Done():
@@ -218,15 +219,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // CloudHandler serves the cloud's interface.
 func (s *Servers) CloudHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -315,7 +307,7 @@
 			s.mu.Unlock()
 			// What a hanging machine was told takes effect when it goes on, though the
 			// sender has given up.
-			pause(context.Background(), 100*time.Millisecond)
+			wait.For(context.Background(), 100*time.Millisecond)
 		}
 		defer s.mu.Unlock()
 		m := s.World.Machines[name]
@@ -348,14 +340,7 @@
 	sem := make(chan struct{}, maxReports)
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	tick := time.NewTicker(stepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	wait.Every(ctx, stepEvery, func() {
 		for _, d := range s.due(addr) {
 			select {
 			case sem <- struct{}{}:
@@ -367,7 +352,7 @@
 				s.send(ctx, client, d)
 			})
 		}
-	}
+	})
 }
 
 type due struct {
--- a/internal/user/user.go
+++ b/internal/user/user.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"coralhub/internal/wait"
 	"coralhub/wire"
 )
 
@@ -43,8 +44,8 @@
 }
 
 // Ask makes one request.
-func (u *Asker) Ask(ctx context.Context, wait time.Duration, method, path string, body []byte) (a Answer) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+func (u *Asker) Ask(ctx context.Context, longest time.Duration, method, path string, body []byte) (a Answer) {
+	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.Pick()+path, bytes.NewReader(body))
 	if err != nil {
@@ -78,7 +79,7 @@
 		switch {
 		case a.Taken():
 			return true
-		case a.Refused(), time.Since(began)+pause > TryFor, !Sleep(ctx, pause):
+		case a.Refused(), time.Since(began)+pause > TryFor, !wait.For(ctx, pause):
 			return false
 		}
 	}
@@ -94,15 +95,3 @@
 func (a *Answer) Over() bool {
 	return a.Status == http.StatusOK && (a.Job.Status == wire.Done || a.Job.Status == wire.Cancelled)
 }
-
-// Sleep waits; false if ctx ends first.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,33 @@
+// Package wait waits for time to pass, or for a context to end.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits so long; false if ctx ends first.
+func For(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Every calls f each time that so long has passed, until ctx ends.
+func Every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -133,6 +133,16 @@
 	return shape
 }
 
+// ParseShape is the shape of a name that ShapeName gives; false if there is none.
+func ParseShape(name string) (string, bool) {
+	for _, shape := range []string{Array, Gang, Service} {
+		if ShapeName(shape) == name {
+			return shape, true
+		}
+	}
+	return "", false
+}
+
 // JobStatus answers submissions, polls and cancellations.
 type JobStatus struct {
 	ID      string `msgpack:"ref"`
