--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -16,8 +16,16 @@
 // Micros is a time or a duration in whole microseconds.
 type Micros = config.Micros
 
-// raisePause is the least time between two raises.
-const raisePause = 2 * config.Second
+const (
+	// raisePause is the least time between two raises.
+	raisePause = 2 * config.Second
+	// shortReign is how long a claim is to be held for that its end says nothing against
+	// its holder.
+	shortReign = 30 * config.Second
+	// mostPause is the longest that a node leaves a free claim to others, having lost some
+	// in a row after a short time.
+	mostPause = 4 * config.Second
+)
 
 // Value is what is stored under the key.
 type Value struct {
@@ -59,6 +67,9 @@
 	nonce     uint64 // of the last claim
 	nonceFrom uint64 // of the first one that was made on the present lease
 
+	won    Micros // when it was last won
+	lapses int    // how many in a row ended soon because the lease did
+
 	held      bool
 	token     uint64 // version of our claim; 0 unless held
 	base      uint64 // token of our first claim: older ones are others'
@@ -121,9 +132,9 @@
 	c.letGo()
 	if c.lease != 0 && !c.renewing && c.box.Now()-c.renewSent > c.ttl/4 {
 		c.renewing, c.renewSent = true, c.box.Now()
-		c.box.Emit(msg.RenewLease{Lease: c.lease})
+		c.box.Emit(msg.RenewLease{Lease: c.lease, TTL: c.ttl})
 	}
-	if c.holder.Version != 0 || c.held || c.claiming || c.box.Now()-c.absent < c.jitter {
+	if c.holder.Version != 0 || c.held || c.claiming || c.box.Now()-c.absent < c.jitter+c.pause() {
 		return
 	}
 	if c.lease == 0 {
@@ -147,7 +158,15 @@
 // by it. If the claim is one of ours that we don't know for ours, it ends with the lease,
 // and somebody can claim anew: else nobody ever would.
 func (c *Claim) letGo() {
-	if c.lease != 0 && !c.held && !c.claiming && c.holder.Version != 0 {
+	if !c.held && !c.claiming && c.holder.Version != 0 {
+		c.drop()
+	}
+}
+
+// drop has our lease renewed no more.
+func (c *Claim) drop() {
+	if c.lease != 0 {
+		c.box.Emit(msg.DropLease{Lease: c.lease})
 		c.lease = 0
 	}
 }
@@ -178,7 +197,7 @@
 		case msg.OK:
 			c.win(d.Revision)
 		case msg.Gone:
-			c.lease = 0
+			c.drop()
 		case msg.Unknown, msg.Conflict:
 			if c.holder.Version != 0 && c.ours(c.holder.Node, c.holder.nonce) {
 				c.win(c.holder.Version) // the watch was faster than the answer
@@ -193,7 +212,7 @@
 	if c.held {
 		return
 	}
-	c.held, c.token, c.base = true, token, token
+	c.held, c.token, c.base, c.won = true, token, token, c.box.Now()
 	c.raising, c.wantRaise = false, false
 	c.holder = Holder{c.node, token, c.nonce}
 	c.to.Won()
@@ -206,20 +225,40 @@
 		return
 	}
 	token := c.token
-	c.lease = 0
+	c.drop()
 	c.held, c.token, c.base, c.raising, c.wantRaise = false, 0, 0, false, false
 	c.to.Lost(why, token)
 }
 
+// lapsed notes that a claim ends because its lease has.
+func (c *Claim) lapsed() {
+	if c.held && c.box.Now()-c.won < shortReign {
+		c.lapses++
+	} else {
+		c.lapses = 0
+	}
+}
+
+// pause is how long a free claim is left to others first. A node that can't keep one lets
+// somebody else try, for longer each time: two that are both too slow, each heir having more
+// to do than who was before it, else take turns for good.
+func (c *Claim) pause() Micros {
+	if c.lapses == 0 {
+		return 0
+	}
+	return min(mostPause, config.Second/4<<min(c.lapses, 8))
+}
+
 // LeaseDone answers what was asked of the lease.
 func (c *Claim) LeaseDone(x msg.LeaseDone) {
 	if x.Renewal {
 		c.renewing = false
 		if x.Outcome == msg.OK && x.Lease == c.lease {
-			c.confirmed = c.renewSent
+			c.confirmed = max(c.confirmed, c.box.Now()-x.Age)
 		}
 		if x.Outcome == msg.Gone && x.Lease == c.lease {
-			c.lease = 0
+			c.drop()
+			c.lapsed()
 			c.Resign("lease ended")
 		}
 		return
@@ -227,7 +266,7 @@
 	c.leasing = false
 	if x.Outcome == msg.OK {
 		c.lease, c.nonceFrom = x.Lease, c.nonce+1
-		c.renewSent, c.confirmed = c.box.Now(), c.box.Now()
+		c.renewSent, c.confirmed = c.box.Now(), c.box.Now()-x.Age
 		if c.holder.Version == 0 && !c.held && !c.claiming {
 			c.make()
 		}
@@ -250,6 +289,7 @@
 		c.holder.Version, c.holder.Node = 0, ""
 		c.absent = c.box.Now()
 		if c.held && ev.Version > c.token {
+			c.lapsed()
 			c.Resign("claim removed")
 		}
 		return
@@ -266,7 +306,7 @@
 			c.Resign("claim of " + v.Node)
 		}
 		if !c.held {
-			c.lease = 0
+			c.drop()
 		}
 		return
 	}
@@ -277,7 +317,7 @@
 	case !c.held && c.ours(v.Node, v.Nonce):
 		c.win(ev.Version)
 	case !c.held:
-		c.lease = 0
+		c.drop()
 	case ev.Version > c.token:
 		c.Resign("claim of another process of this node")
 	}
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"slices"
 	"testing"
 
 	"coralhub/internal/config"
@@ -170,3 +171,40 @@
 	w.win(w.a, 9, 33)
 	w.heard("a passed to n1", "a won")
 }
+
+// A node whose claims end soon after it has made them, one after the other, leaves a free one
+// to others for longer each time, and for a while at most.
+func TestLapsesInARowPause(t *testing.T) {
+	w := newTwo(t)
+	revision := uint64(40)
+	for i := range 12 {
+		free := w.now
+		for !asks(w.step(w.a.Tick)) {
+			if w.now-free > mostPause+2*config.Second {
+				t.Fatal("never claims again")
+			}
+		}
+		switch paused := w.now - free; {
+		case i == 0 && paused > config.Second:
+			t.Errorf("the first claim pauses for %d us", paused)
+		case i > 6 && i < 11 && paused < mostPause:
+			t.Errorf("many lapses pause for %d us", paused)
+		case i == 11 && paused > config.Second:
+			t.Errorf("pauses for %d us after a long reign", paused)
+		}
+		claim := w.transaction(w.step(func() { w.a.LeaseDone(msg.LeaseDone{Outcome: msg.OK, Lease: uint64(i + 1)}) }))
+		w.step(func() { w.box.CommitDone(msg.CommitDone{ID: claim.ID, Outcome: msg.OK, Revision: revision}) })
+		if i == 10 {
+			w.now += shortReign // a long reign makes up for those before it
+		}
+		revision += 2
+		w.step(func() { w.a.Apply(&wire.Change{Delete: "zone/a", Version: revision - 1}) })
+		if w.a.Held() {
+			t.Fatal("held though it is removed")
+		}
+	}
+}
+
+func asks(effects []msg.Effect) bool {
+	return slices.ContainsFunc(effects, func(e msg.Effect) bool { _, ok := e.(msg.GrantLease); return ok })
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,7 +89,8 @@
 			c.apply(&x.Events[i])
 			c.book.Upto(x.Events[i].Version)
 		}
-		c.book.Current(now - x.Age)
+		c.book.Current(x.AsOf)
+		c.front.Followed()
 	case msg.ForwardDone:
 		c.home.ForwardDone(x)
 	case msg.BeatIn:
--- a/internal/core/flood_test.go
+++ b/internal/core/flood_test.go
@@ -28,6 +28,37 @@
 	return f
 }
 
+// late has a change of the last job that waits come, and a pass after it.
+func (f *fleet) late() {
+	it := f.records[len(f.records)-1]
+	f.version++
+	f.step(10*config.Second, msg.Hint{Event: wire.Change{Put: it.Key, Value: it.Value, Version: f.version + 1<<40}})
+}
+
+// A pass bids for one job of each kind that finds no room. Ten times the jobs only make its
+// lists longer: memory reserved is counted, for it needs no clock.
+func TestPassCostsByKindNotByJob(t *testing.T) {
+	var allocs [2]float64
+	for i, waiting := range []int{300, 3000} {
+		f := newFlood(t, 500, waiting)
+		f.takeOver(t)
+		f.hear()
+		f.step(config.Second, msg.Tick{Wall: f.now})
+		f.late()
+		before := f.core.Looked().Passes
+		allocs[i] = testing.AllocsPerRun(3, f.late)
+		if f.core.Looked().Passes-before < 3 {
+			t.Fatal("no passes")
+		}
+		if err := f.core.Audit(); err != nil {
+			t.Error(err)
+		}
+	}
+	if allocs[1] > allocs[0]+60 {
+		t.Errorf("a pass takes %v allocations with 300 jobs that wait and %v with 3,000", allocs[0], allocs[1])
+	}
+}
+
 func BenchmarkFlood(b *testing.B) {
 	for _, waiting := range []int{300, 1000, 3000, 10000} {
 		b.Run(fmt.Sprintf("heir/%d", waiting), func(b *testing.B) { // the first pass of one that has heard no worker
@@ -54,10 +85,9 @@
 			var spent time.Duration
 			for b.Loop() {
 				f.change(rounds)
-				it := f.records[len(f.records)-1]
-				f.version++
+				f.hear()
 				began := time.Now()
-				f.step(150*1000, msg.Hint{Event: wire.Change{Put: it.Key, Value: it.Value, Version: f.version + 1<<40}})
+				f.late()
 				spent += time.Since(began)
 				rounds++
 			}
--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -30,6 +30,14 @@
 // state service's requests are for all nodes and purposes.
 const checkEvery = 150 * 1000
 
+const (
+	// lively is how recently the watch has to have been asked for many polls to wait for
+	// its next answer.
+	lively = 500 * 1000
+	// closelyEvery is how often the watch is told that many polls wait for it.
+	closelyEvery = config.Second
+)
+
 // maxChecks bounds the polls that wait for a check; more are refused at once.
 const maxChecks = 2000
 
@@ -57,10 +65,11 @@
 	catalog *zone.Catalog
 	node    Node
 
-	checks   []poll
-	checking bool
-	checkAt  Micros              // when the next check may go out
-	waiting  map[string][]waiter // cancellations that wait for the leader
+	checks    []poll
+	checking  bool
+	checkAt   Micros              // when the next check may go out
+	closelyAt Micros              // when the watch was last told that many wait
+	waiting   map[string][]waiter // cancellations that wait for the leader
 }
 
 // New returns the front of a node.
@@ -358,6 +367,15 @@
 		return
 	}
 	most := wire.GuardFactor * f.form.Ops()
+	if len(f.checks) > most {
+		if f.closelyAt == 0 || f.box.Now()-f.closelyAt > closelyEvery {
+			f.closelyAt = f.box.Now()
+			f.box.Emit(msg.FollowClosely{})
+		}
+		if f.box.Now()-f.book.CurrentAt() < lively {
+			return // the watch will confirm all of them, with one request
+		}
+	}
 	ids := map[string]uint64{}
 	n := 0
 	for ; n < len(f.checks) && len(ids) < most; n++ {
@@ -381,6 +399,21 @@
 	})
 }
 
+// Followed answers the polls that came before the watch was last asked: the copy holds
+// everything that happened before that. In a flood the watch answers all the time, while a
+// check is a request to the state service for some 40 polls.
+func (f *Front) Followed() {
+	left := f.checks[:0]
+	for _, p := range f.checks {
+		if p.since >= f.book.CurrentAt() {
+			left = append(left, p)
+			continue
+		}
+		f.answerPoll(p, f.book.Job(p.id))
+	}
+	f.checks = left
+}
+
 func (f *Front) checked(batch []poll, d msg.CommitDone) {
 	failed := map[string]bool{}
 	for _, k := range d.Failed {
--- a/internal/core/home/home.go
+++ b/internal/core/home/home.go
@@ -218,7 +218,7 @@
 	switch {
 	case h.SendHome(x):
 	case !h.alive(h.leader.Holder().Node) && r.Token <= h.leader.Holder().Version:
-		h.standIn(x)
+		h.standIn(x, true)
 	case h.quiet(r):
 		h.beats = append(h.beats, msg.Heard{Machine: r.Machine, Session: r.Session, Seq: r.Seq})
 		h.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: h.leader.Holder().Version, Orders: []wire.Order{}})
@@ -313,12 +313,13 @@
 		h.box.Later(x.Req, "no leader")
 		return
 	}
-	h.standIn(msg.ReportIn{Req: x.Req, Report: x.Report})
+	h.standIn(msg.ReportIn{Req: x.Req, Report: x.Report}, !x.Busy)
 }
 
 // standIn answers a report in the place of a leader that can't be reached, if
-// this node's copy of the records is fresh.
-func (h *Home) standIn(x msg.ReportIn) {
+// this node's copy of the records is fresh. One that is only busy gets no mail: that would
+// cost it more than the report does, which comes again.
+func (h *Home) standIn(x msg.ReportIn, mail bool) {
 	r := &x.Report
 	if !h.fresh() {
 		h.box.Later(x.Req, "not the leader")
@@ -341,7 +342,9 @@
 		}
 	}
 	delete(h.taken, r.Machine)
-	h.mail(r)
+	if mail {
+		h.mail(r)
+	}
 	h.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: h.leader.Holder().Version, Orders: orders})
 }
 
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -92,7 +92,7 @@
 	l.reset()
 	l.since = l.box.Now()
 	l.takeovers++
-	l.box.Log("leading", "token", l.claim.Token())
+	l.box.Log("leading", "token", l.claim.Token(), "times", l.takeovers)
 	l.box.Emit(msg.Relist{})
 }
 
@@ -160,7 +160,7 @@
 func (l *Leader) Settle() {
 	l.flushJobs()
 	l.writeEnded()
-	if l.passDue && l.box.Now()-l.lastPass >= config.FromMillis(l.cfg.Settings.PassIntervalMS) {
+	if l.passDue && l.box.Now()-l.lastPass >= l.passInterval() {
 		l.pass()
 		l.flushJobs()
 	}
@@ -205,7 +205,7 @@
 func (l *Leader) reset() {
 	for _, j := range l.jobs {
 		j.closes, j.plan, j.txn, j.reserved, j.mergeNow = nil, nil, nil, nil, false
-		j.standing, j.runs = standing{}, runs{}
+		j.standing, j.runs, j.like = standing{}, runs{}, 0
 	}
 	l.ready = false
 	looked := l.survey.lookedAt
@@ -232,6 +232,8 @@
 	standing
 	runs
 	types    typeSet
+	like     int    // the number of its likeness; 0: not reckoned yet
+	likeAs   string // for this priority
 	closes   []closing
 	mergeNow bool              // to be written so that a page of the log can go
 	left     map[string]uint64 // machines that an attempt of a gang has left
--- a/internal/core/leader/learning.go
+++ b/internal/core/leader/learning.go
@@ -25,6 +25,8 @@
 	learntEvery = 10 * config.Second
 	// learntPart is how much of a value what was learnt may take.
 	learntPart = 0.5
+	// mostJudged is how many jobs' deadlines are judged in a scan period.
+	mostJudged = 2000
 	// keptRuns is how many runs are kept for those who record them.
 	keptRuns = 2000
 )
@@ -39,6 +41,7 @@
 	next    int
 	waits   map[string]*wait // by class: how long jobs wait for their first place
 
+	judged  int            // the active job whose deadline is judged next
 	runs    []history.Line // the last ones, a ring
 	runsEnd uint64         // how many there have been
 }
@@ -454,7 +457,16 @@
 	if l.learning.model == nil {
 		return
 	}
-	for _, j := range l.active {
+	if len(l.active) == 0 {
+		return
+	}
+	judged := 0
+	for i := range l.active {
+		j := l.active[(l.learning.judged+i)%len(l.active)]
+		if judged++; judged > mostJudged {
+			l.learning.judged = (l.learning.judged + i) % len(l.active) // the others come next
+			return
+		}
 		v, chance := l.judge(j)
 		if v == j.verdict || v == "" {
 			continue
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -22,6 +22,8 @@
 	needs  []fleet.Need
 	barred map[string]bool // zones kept for a job past the age cap
 
+	exhausted exhausted
+
 	victims map[string][]*zone.Victim // by zone; nil: nobody has asked
 	budget  int                       // changes that may still be asked of the state service
 }
@@ -163,13 +165,7 @@
 // can hold. A gang needs room for all: what its transaction can't hold is placed
 // in the next pass, under the same attempt.
 func (l *Leader) missing(j *Job) []int {
-	most := job.PartTasks
-	switch {
-	case j.Rec.Spec.Shape == wire.Gang:
-		most = j.Rec.Spec.Tasks
-	case l.form.Format >= job.Grouped:
-		most = job.PartTasks * (l.form.Ops() - 1)
-	}
+	most := l.mostAtOnce(j)
 	tasks := j.Rec.Spec.Tasks
 	var out []int
 	for n, end := j.Rec.Parts(tasks); n < end; n++ {
@@ -194,6 +190,11 @@
 		j.preempted, j.reserved = 0, nil
 		return // as most of a long queue may
 	}
+	l.describe(j)
+	if l.hopeless(s, j, e.Level) {
+		return
+	}
+	usual := l.usual(j)
 	tasks := l.missing(j)
 	attempt := j.Rec.Attempt + 1
 	if gang && j.Open > 0 {
@@ -280,8 +281,9 @@
 		j.preempted, j.reserved = 0, nil
 		return
 	}
-	l.counters.without++
-	s.needs = append(s.needs, fleet.Need{Task: q.Needs, Count: len(tasks), Types: q.Types, Zone: spec.Zone, Spot: spec.Spot})
+	if usual && (len(inZone) == 0 || !spec.OneZone && !spec.Spread) {
+		s.exhausted.add(j.like, e.Level)
+	}
 	if l.box.Now() < j.preempted {
 		for name := range j.reserved {
 			if m := l.owner.Roster().Get(name); m != nil && m.Room != nil {
@@ -290,11 +292,7 @@
 			}
 		}
 	}
-	if l.box.Now()-j.arrived > config.FromSeconds(l.cfg.Settings.AgeCapS) && len(s.barred) == 0 {
-		if z := l.roomiest(s, spec); z != "" {
-			s.barred[z] = true
-		}
-	}
+	l.unplaced(s, j, fleet.Need{Task: q.Needs, Count: len(tasks), Types: q.Types, Zone: spec.Zone, Spot: spec.Spot})
 }
 
 func (l *Leader) roomiest(s *scan, spec *wire.Job) string {
@@ -310,17 +308,25 @@
 	return best
 }
 
-func (l *Leader) request(j *Job, e *queue.Entry) *zone.Request {
-	spec := j.Rec.Spec
+// describe brings up to date what is known of the kind of a job.
+func (l *Leader) describe(j *Job) {
 	if j.types.set == nil {
 		j.types.set = map[string]bool{}
 		for name, t := range l.catalog.Types {
-			if zone.Allows(spec, t) {
+			if zone.Allows(j.Rec.Spec, t) {
 				j.types.set[name] = true
 			}
 		}
 		j.types.text = strings.Join(slices.Sorted(maps.Keys(j.types.set)), " ")
+		j.like = 0
+	}
+	if p := j.Priority(); j.like == 0 || j.likeAs != p {
+		j.like, j.likeAs = l.survey.alike.of(j, p), p
 	}
+}
+
+func (l *Leader) request(j *Job, e *queue.Entry) *zone.Request {
+	spec := j.Rec.Spec
 	q := &zone.Request{Job: j.ID, Needs: taskRes(spec), Whole: spec.Shape == wire.Gang, Spot: spec.Spot,
 		Types: j.types.set, TypeKey: j.types.text, Image: spec.Image, Avoid: j.failedOn}
 	if l.box.Now() < j.preempted {
@@ -328,10 +334,14 @@
 		return q
 	}
 	own := queue.Level(j.Priority(), true)
+	claims := l.within(j) && queue.HasGuarantee(l.teams[spec.Team])
+	if own == queue.Level(wire.Low, true) && !claims {
+		return q // nothing ranks lower, and victims need not be looked for
+	}
 	q.May = func(v *zone.Victim) bool {
 		of := l.jobs[v.Job]
 		victim := of.Rec.Spec
-		if victim.Team != spec.Team && !l.within(of) && l.within(j) && queue.HasGuarantee(l.teams[spec.Team]) {
+		if claims && victim.Team != spec.Team && !l.within(of) {
 			return true // what another team has borrowed
 		}
 		return queue.Level(of.Priority(), true) < own && v.Level < e.Level
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -29,6 +29,7 @@
 	lines   map[string]*queue.Line  // of teams that have a guarantee
 	wanting map[*Job]bool           // jobs that lack places
 	plans   map[string]map[*Job]int // tasks about to be placed, by machine
+	alike   alike
 
 	lookedAt Looked
 }
@@ -42,7 +43,7 @@
 
 func newSurvey(zones []string) survey {
 	s := survey{whole: true, byName: map[string]*zone.Zone{}, used: map[string]queue.Amount{}, lines: map[string]*queue.Line{},
-		wanting: map[*Job]bool{}, plans: map[string]map[*Job]int{}}
+		wanting: map[*Job]bool{}, plans: map[string]map[*Job]int{}, alike: alike{}}
 	for _, name := range zones {
 		z := &zone.Zone{Name: name}
 		s.zones = append(s.zones, z)
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -39,11 +39,11 @@
 		Items    []wire.Item
 		Revision uint64
 	}
-	// Changed tells of puts and deletes, in the order of their revisions. Age is
-	// how long ago the watch was asked.
+	// Changed tells of puts and deletes, in the order of their revisions. AsOf is
+	// when the watch was asked, or a little earlier: everything before that has come.
 	Changed struct {
 		Events []wire.Change
-		Age    Micros
+		AsOf   Micros
 	}
 	// CommitDone answers Commit.
 	CommitDone struct {
@@ -59,11 +59,13 @@
 		Key     string
 		Item    wire.Item
 	}
-	// LeaseDone answers GrantLease and RenewLease.
+	// LeaseDone answers GrantLease and RenewLease, and tells of renewals that were made
+	// for the core between two of its own. Age is how long ago it was asked for.
 	LeaseDone struct {
 		Outcome Outcome
 		Lease   uint64
 		Renewal bool
+		Age     Micros
 	}
 	// ReportIn is a worker's report that waits for an answer.
 	ReportIn struct {
@@ -115,11 +117,13 @@
 		Req uint64
 		ID  string
 	}
-	// ForwardDone answers Forward. Answer is nil unless the leader gave one.
+	// ForwardDone answers Forward. Answer is nil unless the leader gave one. Busy means that
+	// it is there and had no time for it.
 	ForwardDone struct {
 		Req    uint64
 		Report wire.Report
 		Answer *wire.ReportAnswer
+		Busy   bool
 	}
 	// Heard is a worker's report that its home has answered for the leader.
 	Heard struct {
@@ -186,17 +190,26 @@
 	}
 	// GrantLease asks for a lease.
 	GrantLease struct{ TTL Micros }
-	// RenewLease extends a lease.
-	RenewLease struct{ Lease uint64 }
+	// RenewLease extends a lease, and has it kept for a while after that, in case the core
+	// is too busy to say it again in time.
+	RenewLease struct {
+		Lease uint64
+		TTL   Micros
+	}
+	// DropLease has a lease kept no longer.
+	DropLease struct{ Lease uint64 }
+	// FollowClosely has the watch answer often for some seconds, though nothing changes.
+	FollowClosely struct{}
 	// Relist asks for a new Snapshot.
 	Relist struct{}
 	// Answer answers a request of a user or worker. RetryAfter is in seconds,
-	// 0 for none.
+	// 0 for none. Busy: the node had no time to ask its core.
 	Answer struct {
 		Req        uint64
 		Status     int
 		Body       any
 		RetryAfter int
+		Busy       bool
 	}
 	// Command is a direct call to a worker.
 	Command struct {
@@ -241,22 +254,24 @@
 	}
 )
 
-func (Commit) effect()       {}
-func (Read) effect()         {}
-func (GrantLease) effect()   {}
-func (RenewLease) effect()   {}
-func (Relist) effect()       {}
-func (Answer) effect()       {}
-func (Command) effect()      {}
-func (FetchCatalog) effect() {}
-func (ListMachines) effect() {}
-func (Rent) effect()         {}
-func (Release) effect()      {}
-func (Tell) effect()         {}
-func (Retire) effect()       {}
-func (Log) effect()          {}
-func (Forward) effect()      {}
-func (Beat) effect()         {}
+func (Commit) effect()        {}
+func (Read) effect()          {}
+func (GrantLease) effect()    {}
+func (RenewLease) effect()    {}
+func (DropLease) effect()     {}
+func (FollowClosely) effect() {}
+func (Relist) effect()        {}
+func (Answer) effect()        {}
+func (Command) effect()       {}
+func (FetchCatalog) effect()  {}
+func (ListMachines) effect()  {}
+func (Rent) effect()          {}
+func (Release) effect()       {}
+func (Tell) effect()          {}
+func (Retire) effect()        {}
+func (Log) effect()           {}
+func (Forward) effect()       {}
+func (Beat) effect()          {}
 
 // AdminIn is a question of an operator. What is learnt is the leader's: another node
 // says who that is.
--- a/internal/node/httpapi/httpapi.go
+++ b/internal/node/httpapi/httpapi.go
@@ -123,7 +123,7 @@
 	return true
 }
 
-var overloaded = msg.Answer{Status: http.StatusServiceUnavailable, Body: wire.Error{Error: "overloaded"}, RetryAfter: 1}
+var overloaded = msg.Answer{Status: http.StatusServiceUnavailable, Body: wire.Error{Error: "overloaded"}, RetryAfter: 1, Busy: true}
 
 // ask posts an input made for a request number and waits for the answer.
 func (a *API) ask(gone <-chan struct{}, input func(req uint64) msg.Input) msg.Answer {
@@ -149,6 +149,28 @@
 	return overloaded
 }
 
+// Refuse answers a request that the core has not been asked.
+func (a *API) Refuse(in msg.Input) {
+	x := overloaded
+	switch in := in.(type) {
+	case msg.PollIn:
+		x.Req = in.Req
+	case msg.CancelIn:
+		x.Req = in.Req
+	case msg.SubmitIn:
+		x.Req = in.Req
+	case msg.AdminIn:
+		x.Req = in.Req
+	case msg.ReportIn:
+		x.Req = in.Req
+	case msg.BeatIn:
+		x.Req = in.Req
+	default:
+		return
+	}
+	a.Do(x)
+}
+
 func (a *API) serve(c echo.Context, input func(req uint64) msg.Input) error {
 	return reply(c, a.ask(c.Request().Context().Done(), input))
 }
--- /dev/null
+++ b/internal/node/keep/keep.go
@@ -0,0 +1,64 @@
+// Package keep decides when a node's lease is renewed while its loop is busy. The core says
+// every quarter of the lease that it still wants it; between two such words the lease is
+// renewed without it, on a connection that nothing else uses. So one long step, or a line of
+// inputs before the loop, doesn't cost a claim: a leader that was slow for three seconds used
+// to be followed by an heir that was slow for longer, having everything to learn. A loop that
+// says nothing for too long is taken for dead, and its lease ends.
+package keep
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// renewals in the time of a lease. One is lost now and then, and takes a second to be
+	// given up.
+	renewals = 4
+	// words is for how many times a lease's length the loop may say nothing.
+	words = 3
+	// Idle is how often a keeper of nothing is to be asked.
+	Idle = 250 * time.Millisecond
+)
+
+// Keeper keeps one lease at a time. It has no clock: times are given to it.
+type Keeper struct {
+	mu    sync.Mutex
+	lease uint64 // 0: none
+	ttl   time.Duration
+	word  time.Time // when the core last wanted it
+	sent  time.Time // when it was last renewed
+}
+
+// Want hears that the core wants a lease kept. It is renewed at once by whoever says so.
+// What was granted counts from when it was asked for.
+func (k *Keeper) Want(lease uint64, ttl time.Duration, asked time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lease, k.ttl, k.word, k.sent = lease, ttl, asked, asked
+}
+
+// Drop hears that a lease is wanted no more, or gone.
+func (k *Keeper) Drop(lease uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lease == lease {
+		k.lease = 0
+	}
+}
+
+// Due returns the lease to be renewed now, 0 for none, and when to ask again.
+func (k *Keeper) Due(now time.Time) (lease uint64, in time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lease == 0 || now.Sub(k.word) > words*k.ttl {
+		return 0, Idle
+	}
+	// The core's own renewals are a little earlier: on a node that keeps up these are none.
+	late := k.ttl/renewals + k.ttl/16
+	if left := late - now.Sub(k.sent); left > 0 {
+		return 0, min(left, Idle)
+	}
+	k.sent = now
+	return k.lease, Idle
+}
--- /dev/null
+++ b/internal/node/keep/keep_test.go
@@ -0,0 +1,57 @@
+package keep
+
+import (
+	"testing"
+	"time"
+)
+
+const ttl = 3 * time.Second
+
+// A loop that is stuck for some seconds keeps its lease, one that is stuck for good doesn't.
+func TestKeepsForABusyLoop(t *testing.T) {
+	now := time.Unix(100, 0)
+	var k Keeper
+	k.Want(7, ttl, now)
+	last, end := now, now.Add(words*ttl)
+	for now.Before(end.Add(ttl)) {
+		lease, in := k.Due(now)
+		if lease == 0 {
+			now = now.Add(in)
+			continue
+		}
+		if now.After(end) {
+			t.Fatal("renewed for a loop that says nothing")
+		}
+		if now.Sub(last) > ttl/2 {
+			t.Errorf("not renewed for %v", now.Sub(last))
+		}
+		last = now
+	}
+	if end.Sub(last) > ttl/2 {
+		t.Errorf("given up %v early", end.Sub(last))
+	}
+	k.Want(7, ttl, now)
+	k.Drop(6)
+	if lease, _ := k.Due(now.Add(ttl / 2)); lease != 7 {
+		t.Error("another lease's end ended this one")
+	}
+	k.Drop(7)
+	if lease, _ := k.Due(now.Add(ttl)); lease != 0 {
+		t.Error("renewed after it was dropped")
+	}
+}
+
+// A loop that keeps up renews by itself alone: no request is added.
+func TestAddsNothingToALoopThatKeepsUp(t *testing.T) {
+	now := time.Unix(100, 0)
+	var k Keeper
+	for range 20 {
+		k.Want(7, ttl, now)
+		for range 8 { // the core's next word is a tick after a quarter
+			now = now.Add(100 * time.Millisecond)
+			if lease, _ := k.Due(now); lease != 0 {
+				t.Fatal("renewed twice")
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"coralhub/internal/core/msg"
 	"coralhub/internal/node/cloud"
 	"coralhub/internal/node/httpapi"
+	"coralhub/internal/node/lanes"
 	"coralhub/internal/node/metrics"
 	"coralhub/internal/node/peer"
 	"coralhub/internal/node/store"
@@ -29,8 +30,7 @@
 )
 
 const (
-	queueLength = 2048
-	tickEvery   = 100 * time.Millisecond
+	tickEvery = 100 * time.Millisecond
 	// reservedSockets are kept back for workers' direct calls, peers and the
 	// outside systems.
 	reservedSockets = 0.3
@@ -44,15 +44,10 @@
 }
 
 // queued is an input that waits for the loop.
-type queued struct {
-	msg.Input
-	at time.Time
-}
-
 // Node is a running controller.
 type Node struct {
 	cfg      *config.Config
-	inputs   chan queued
+	inputs   *lanes.Line[msg.Input]
 	core     *core.Core
 	adapters []adapter
 	store    *store.Store
@@ -67,31 +62,31 @@
 
 // New returns a node that is not running yet.
 func New(cfg *config.Config) *Node {
-	n := &Node{cfg: cfg, inputs: make(chan queued, queueLength), core: core.New(cfg, rand.Uint64()), start: time.Now()}
-	post := func(in msg.Input) { n.inputs <- queued{in, time.Now()} }
-	n.store = store.New(cfg, post)
-	n.peers = peer.New(cfg, post)
+	n := &Node{cfg: cfg, inputs: lanes.New[msg.Input](time.Now), core: core.New(cfg, rand.Uint64()), start: time.Now()}
+	post := func(in msg.Input) { n.inputs.Post(lanes.Alive, in) }
+	fromWorkers := func(in msg.Input) { n.inputs.Post(lanes.Workers, in) }
+	n.store = store.New(cfg, n.clock, post)
+	n.peers = peer.New(cfg, fromWorkers)
 	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() && !n.retired.Load() }, cfg.Settings.Admin)
 	if cfg.Settings.Metrics {
 		n.metrics = metrics.New(n.api.Gauges, n.store.Totals, n.peers.Totals)
 		n.api.Serve(metrics.Path, n.metrics)
 	}
-	n.adapters = []adapter{n.api, n.store, worker.New(post), cloud.New(cfg, post), n.peers}
+	n.adapters = []adapter{n.api, n.store, worker.New(fromWorkers), cloud.New(cfg, post), n.peers}
 	return n
 }
 
-// offer posts an input unless the queue is so long that its answer would come
+// offer posts an input unless its lane is so long that its answer would come
 // too late anyway.
 func (n *Node) offer(in msg.Input) bool {
-	if len(n.inputs) > queueLength/2 {
-		return false
-	}
-	select {
-	case n.inputs <- queued{in, time.Now()}:
-		return true
-	default:
-		return false
+	lane := lanes.Workers
+	switch in.(type) {
+	case msg.PollIn, msg.CancelIn, msg.AdminIn:
+		lane = lanes.Users
+	case msg.SubmitIn, msg.Hint:
+		lane = lanes.Submissions
 	}
+	return n.inputs.Offer(lane, in)
 }
 
 // Run serves until ctx ends or a listener fails.
@@ -125,6 +120,7 @@
 		failed <- peer.Serve(peers, func(in msg.Input) { n.offer(in) }, n.api, func() bool { return n.store.FailingFor() == 0 })
 	}()
 	go n.store.Follow(ctx)
+	go n.store.KeepAlive(ctx)
 	go n.watchPeers(ctx)
 	slog.Info("serving", "node", n.cfg.Node, "location", n.cfg.Location, "users", n.cfg.Listen, "peers", n.cfg.PeerListen)
 	n.loop(ctx, failed)
@@ -143,39 +139,64 @@
 	defer tick.Stop()
 	counted := n.start
 	for {
-		var in msg.Input
-		select {
-		case q := <-n.inputs:
-			in = q.Input
-			if c, ok := in.(msg.Changed); ok { // homes go by how old their copy is
-				c.Age += time.Since(q.at).Microseconds()
-				in = c
+		taken, ok := n.inputs.Next()
+		if ok {
+			n.take(taken)
+			select {
+			case <-tick.C:
+			case <-ctx.Done():
+				return
+			default:
+				continue
 			}
-		case <-tick.C:
-			now := time.Now()
-			in = msg.Tick{Wall: now.UnixMicro()}
-			if now.Sub(counted) >= countEvery && slog.Default().Enabled(ctx, slog.LevelDebug) {
-				counted = now
-				slog.Debug("changes", n.store.Counters()...)
-				slog.Debug("peers", append(n.peers.Counters(), "inputs", len(n.inputs))...)
+		} else {
+			select {
+			case <-tick.C:
+			case <-n.inputs.Ready():
+				continue
+			case err := <-failed:
+				failed <- err
+				return
+			case <-ctx.Done():
+				return
 			}
-		case err := <-failed:
-			failed <- err
-			return
-		case <-ctx.Done():
-			return
 		}
-		began := time.Now()
-		n.step(in)
-		n.metrics.Stepped(in, time.Since(began))
-		if _, ok := in.(msg.Snapshot); ok {
-			n.loaded.Store(true)
+		now := time.Now()
+		n.step(msg.Tick{Wall: now.UnixMicro()})
+		if now.Sub(counted) >= countEvery && slog.Default().Enabled(ctx, slog.LevelDebug) {
+			counted = now
+			slog.Debug("changes", n.store.Counters()...)
+			slog.Debug("peers", n.peers.Counters()...)
+			slog.Debug("inputs", n.inputs.Counters()...)
 		}
 	}
 }
 
+// take hands an input to the core, unless whoever sent it has waited for too long: then it
+// is refused, which costs next to nothing.
+func (n *Node) take(t lanes.Taken[msg.Input]) {
+	if t.Late {
+		n.api.Refuse(t.Input)
+		return
+	}
+	in := t.Input
+	if x, ok := in.(msg.LeaseDone); ok {
+		x.Age += t.Waited.Microseconds()
+		in = x
+	}
+	n.step(in)
+	if _, ok := in.(msg.Snapshot); ok {
+		n.loaded.Store(true)
+	}
+}
+
+// clock is the steady clock that the core goes by.
+func (n *Node) clock() msg.Micros { return time.Since(n.start).Microseconds() + 1 }
+
 func (n *Node) step(in msg.Input) {
-	for _, e := range n.core.Step(time.Since(n.start).Microseconds()+1, in) {
+	began := time.Now()
+	defer func() { n.metrics.Stepped(in, time.Since(began)) }()
+	for _, e := range n.core.Step(n.clock(), in) {
 		if l, ok := e.(msg.Log); ok {
 			level := slog.LevelInfo
 			if l.Debug {
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -3,10 +3,12 @@
 package peer
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coralhub/internal/config"
@@ -30,8 +32,12 @@
 // Report is a worker's report that its home hands to the leader.
 type Report struct{ Body []byte }
 
-// ReportAnswer is the leader's answer; Body is empty unless it was a 200.
-type ReportAnswer struct{ Body []byte }
+// ReportAnswer is the leader's answer; Body is empty unless it was a 200. Busy: the leader
+// had no time for it.
+type ReportAnswer struct {
+	Body []byte
+	Busy bool
+}
 
 // Beat tells of workers that the caller has answered for the leader.
 type Beat struct {
@@ -71,6 +77,7 @@
 	}
 	x := s.answer.Report(r)
 	if x.Status != http.StatusOK {
+		a.Busy = x.Busy
 		return nil
 	}
 	var err error
@@ -98,16 +105,33 @@
 	return nil
 }
 
+// line is one of two to each node. What tells that nodes are alive, and for how long homes
+// may stand in, has one of its own: reports by the hundred don't hold it up.
+type line struct {
+	node  string
+	alive bool
+}
+
+// conn is a connection and when an answer last came by it.
+type conn struct {
+	*rpc.Client
+	answered atomic.Int64 // nanoseconds since the peers began
+}
+
+var errSlow = errors.New("no answer in time, though others came")
+
 // Peers holds the connections to the other nodes.
 type Peers struct {
 	self  string
 	post  func(msg.Input)
 	mu    sync.Mutex
 	addrs map[string]string
-	conns map[string]*rpc.Client
+	conns map[line]*conn
 	sem   chan struct{}
 
-	handed, lost, full, closed count.Counter
+	began time.Time
+
+	handed, lost, busy, full, closed count.Counter
 }
 
 // Totals tells how many reports were handed on and lost since the process began.
@@ -116,15 +140,15 @@
 }
 
 // Counters tells, since it was last asked, how many reports the leader has
-// answered, how many it has not, how many messages found too many others on their
-// way, and how often a connection was given up. It is for the debug log.
+// answered, how many it has not, or had no time for, how many messages found too many
+// others on their way, and how often a connection was given up. It is for the debug log.
 func (p *Peers) Counters() []any {
-	return []any{"handed", p.handed.Since(), "lost", p.lost.Since(), "full", p.full.Since(), "closed", p.closed.Since()}
+	return []any{"handed", p.handed.Since(), "lost", p.lost.Since(), "busy", p.busy.Since(), "full", p.full.Since(), "closed", p.closed.Since()}
 }
 
 // New returns the peers of a node.
 func New(cfg *config.Config, post func(msg.Input)) *Peers {
-	p := &Peers{self: cfg.Node, post: post, addrs: map[string]string{}, conns: map[string]*rpc.Client{}, sem: make(chan struct{}, maxCalls)}
+	p := &Peers{self: cfg.Node, post: post, addrs: map[string]string{}, conns: map[line]*conn{}, sem: make(chan struct{}, maxCalls), began: time.Now()}
 	for _, n := range cfg.Peers {
 		p.addrs[n.Node] = n.Address
 	}
@@ -157,20 +181,26 @@
 	case msg.Forward:
 		done := msg.ForwardDone{Req: x.Req, Report: x.Report}
 		p.limited(func() {
-			if done.Answer = p.forward(x); done.Answer != nil {
+			switch done.Answer, done.Busy = p.forward(x); {
+			case done.Answer != nil:
 				p.handed.Add()
-			} else {
+			case done.Busy:
+				p.busy.Add()
+			default:
 				p.lost.Add()
 			}
 			p.post(done)
-		}, func() { go p.post(done) })
+		}, func() {
+			done.Busy = true // as far as is known: whoever is out of reach is told apart by beats
+			go p.post(done)
+		})
 	case msg.Beat:
-		p.limited(func() {
+		go func() { // some are on their way at most: they are sent at a pace, and given up after a second
 			var out BeatAnswer
-			if p.call(x.Node, "Peer.Beat", &Beat{p.self, x.Revision, x.Heard}, &out) == nil {
+			if p.callOn(line{x.Node, true}, "Peer.Beat", &Beat{p.self, x.Revision, x.Heard}, &out) == nil {
 				p.post(msg.BeatDone{Beat: x, BeatAnswer: msg.BeatAnswer{Wanted: out.Wanted, StandIn: out.StandIn}})
 			}
-		}, func() {})
+		}()
 	default:
 		return false
 	}
@@ -191,20 +221,20 @@
 	}
 }
 
-func (p *Peers) forward(x msg.Forward) *wire.ReportAnswer {
+func (p *Peers) forward(x msg.Forward) (answer *wire.ReportAnswer, busy bool) {
 	body, err := wire.Marshal(&x.Report)
 	if err != nil {
-		return nil
+		return nil, false
 	}
 	var out ReportAnswer
-	if p.call(x.Node, "Peer.Report", &Report{body}, &out) != nil || len(out.Body) == 0 {
-		return nil
+	if err := p.call(x.Node, "Peer.Report", &Report{body}, &out); err != nil {
+		return nil, errors.Is(err, errSlow) // what comes later may still be written to out
 	}
 	var a wire.ReportAnswer
-	if wire.Unmarshal(out.Body, &a) != nil {
-		return nil
+	if len(out.Body) == 0 || wire.Unmarshal(out.Body, &a) != nil {
+		return nil, out.Busy
 	}
-	return &a
+	return &a, false
 }
 
 // Ask asks every peer for its status, all at once; a peer that doesn't answer
@@ -216,7 +246,7 @@
 	for node := range p.addrs {
 		wg.Go(func() {
 			var st Status
-			if p.call(node, "Peer.Status", &struct{}{}, &st) == nil {
+			if p.callOn(line{node, true}, "Peer.Status", &struct{}{}, &st) == nil {
 				mu.Lock()
 				out[node] = st
 				mu.Unlock()
@@ -227,33 +257,41 @@
 	return out
 }
 
-func (p *Peers) client(node string) (*rpc.Client, error) {
+func (p *Peers) client(l line) (*conn, error) {
 	p.mu.Lock()
-	c := p.conns[node]
+	c := p.conns[l]
 	p.mu.Unlock()
 	if c != nil {
 		return c, nil
 	}
-	conn, err := net.DialTimeout("tcp", p.addrs[node], callTimeout)
+	to, err := net.DialTimeout("tcp", p.addrs[l.node], callTimeout)
 	if err != nil {
 		return nil, err
 	}
-	c = rpc.NewClient(conn)
+	c = &conn{Client: rpc.NewClient(to)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if other := p.conns[node]; other != nil {
+	if other := p.conns[l]; other != nil {
 		_ = c.Close()
 		return other, nil
 	}
-	p.conns[node] = c
+	p.conns[l] = c
 	return c, nil
 }
 
 func (p *Peers) call(node, method string, in, out any) error {
-	c, err := p.client(node)
+	return p.callOn(line{node, false}, method, in, out)
+}
+
+// callOn makes a call. One without an answer in time doesn't end the connection if other
+// answers have come by it meanwhile: with it, all other calls that were on it were lost, which
+// made a slow leader look like one out of reach.
+func (p *Peers) callOn(l line, method string, in, out any) error {
+	c, err := p.client(l)
 	if err != nil {
 		return err
 	}
+	sent := int64(time.Since(p.began))
 	call := c.Go(method, in, out, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(callTimeout)
 	defer timer.Stop()
@@ -261,16 +299,21 @@
 	case <-call.Done:
 		err = call.Error
 	case <-timer.C:
+		if c.answered.Load() > sent {
+			return errSlow
+		}
 		err = rpc.ErrShutdown
 	}
 	if err != nil {
 		p.mu.Lock()
-		if p.conns[node] == c {
-			delete(p.conns, node)
+		if p.conns[l] == c {
+			delete(p.conns, l)
 			p.closed.Add()
 		}
 		p.mu.Unlock()
 		_ = c.Close()
+		return err
 	}
-	return err
+	c.answered.Store(int64(time.Since(p.began)))
+	return nil
 }
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -21,6 +21,7 @@
 	"coralhub/internal/core/msg"
 	"coralhub/internal/node/call"
 	"coralhub/internal/node/count"
+	"coralhub/internal/node/keep"
 	"coralhub/internal/wait"
 	"coralhub/wire"
 )
@@ -31,6 +32,7 @@
 	quotaTries   = 3 // again, when the quota is used up for the moment
 	quotaPause   = 80 * time.Millisecond
 	watchWait    = 3 * time.Second // homes answer workers by how recent the last one is
+	closelyFor   = 3 * time.Second // so long the watch answers at its pace, changes or not
 	maxAnswer    = 64 << 20
 )
 
@@ -39,13 +41,17 @@
 	base   string
 	post   func(msg.Input)
 	http   *http.Client
+	alive  *http.Client // for leases and the watch alone: nothing that users fill goes before them
+	keeper keep.Keeper
 	calls  *rate.Limiter
 	writes *rate.Limiter
 	later  *paced // what gives way
 	relist chan struct{}
 	pace   time.Duration
+	close  atomic.Int64 // until when the watch follows closely, since the start
 	badAt  atomic.Int64 // since when every call has failed; 0 if the last went well
 	start  time.Time
+	clock  func() msg.Micros // the core's
 	tally  tally
 }
 
@@ -90,20 +96,33 @@
 	}
 }
 
-// New returns a client that posts its results.
-func New(cfg *config.Config, post func(msg.Input)) *Store {
+// New returns a client that posts its results, in times of the core's clock.
+func New(cfg *config.Config, clock func() msg.Micros, post func(msg.Input)) *Store {
 	s := &cfg.Cluster.State
 	// The quotas are shared by all nodes. Renewals bypass the limiters, and the
 	// rest leaves them some room.
 	return &Store{
 		base: "http://" + cfg.External.State, post: post,
 		http:   call.Client(callTimeout, 16, 64),
+		alive:  call.Client(callTimeout, 2, 4),
 		calls:  rate.NewLimiter(rate.Limit(s.RPS*0.5), max(1, int(s.RPS*0.5))),
 		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.7), max(1, int(s.LeastWriteRPS()*0.7), s.Ops())),
 		later:  newPaced(s),
 		relist: make(chan struct{}, 1),
 		pace:   100 * time.Millisecond,
 		start:  time.Now(),
+		clock:  clock,
+	}
+}
+
+// KeepAlive renews the lease that the core wants kept, however busy it is, until ctx ends.
+func (s *Store) KeepAlive(ctx context.Context) {
+	for ctx.Err() == nil {
+		lease, in := s.keeper.Due(time.Now())
+		if lease != 0 {
+			go s.renew(lease, false)
+		}
+		wait.For(ctx, in)
 	}
 }
 
@@ -126,7 +145,12 @@
 	case msg.GrantLease:
 		go s.grant(x)
 	case msg.RenewLease:
-		go s.renew(x)
+		s.keeper.Want(x.Lease, time.Duration(x.TTL)*time.Microsecond, time.Now())
+		go s.renew(x.Lease, true)
+	case msg.DropLease:
+		s.keeper.Drop(x.Lease)
+	case msg.FollowClosely:
+		s.close.Store(int64(time.Since(s.start) + closelyFor))
 	case msg.Relist:
 		select {
 		case s.relist <- struct{}{}:
@@ -146,11 +170,15 @@
 
 // call makes a request and returns the status, 0 if there was no answer.
 func (s *Store) call(ctx context.Context, method, path string, in, out any) (int, error) {
+	return s.callOn(ctx, s.http, method, path, in, out)
+}
+
+func (s *Store) callOn(ctx context.Context, by *http.Client, method, path string, in, out any) (int, error) {
 	req, err := call.Request(ctx, method, s.base+path, in)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", errRefused, err)
 	}
-	status, raw, err := call.Do(s.http, req, maxAnswer)
+	status, raw, err := call.Do(by, req, maxAnswer)
 	if err != nil {
 		s.failed()
 		if call.NotSent(err) {
@@ -321,21 +349,32 @@
 func (s *Store) grant(x msg.GrantLease) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
+	began := time.Now()
 	var a wire.LeaseAnswer
-	status, err := s.call(ctx, http.MethodPost, wire.PathLeases, wire.LeaseRequest{TTLms: x.TTL / 1000}, &a)
-	s.post(msg.LeaseDone{Outcome: outcome(status, err), Lease: a.Lease})
+	status, err := s.callOn(ctx, s.alive, http.MethodPost, wire.PathLeases, wire.LeaseRequest{TTLms: x.TTL / 1000}, &a)
+	done := msg.LeaseDone{Outcome: outcome(status, err), Lease: a.Lease, Age: time.Since(began).Microseconds()}
+	if done.Outcome == msg.OK {
+		s.keeper.Want(a.Lease, time.Duration(x.TTL)*time.Microsecond, began)
+	}
+	s.post(done)
 }
 
-func (s *Store) renew(x msg.RenewLease) {
+// renew renews a lease. What the core didn't ask for it hears of only if it went well, or if
+// the lease is gone.
+func (s *Store) renew(lease uint64, asked bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
-	path := wire.PathLeases + "/" + strconv.FormatUint(x.Lease, 10) + "/" + wire.ExtendVerb
-	status, err := s.call(ctx, http.MethodPost, path, struct{}{}, nil)
-	done := msg.LeaseDone{Outcome: outcome(status, err), Lease: x.Lease, Renewal: true}
+	began := time.Now()
+	path := wire.PathLeases + "/" + strconv.FormatUint(lease, 10) + "/" + wire.ExtendVerb
+	status, err := s.callOn(ctx, s.alive, http.MethodPost, path, struct{}{}, nil)
+	done := msg.LeaseDone{Outcome: outcome(status, err), Lease: lease, Renewal: true}
 	if err == nil && status == http.StatusNotFound {
 		done.Outcome = msg.Gone
+		s.keeper.Drop(lease)
+	}
+	if done.Age = time.Since(began).Microseconds(); asked || done.Outcome == msg.OK || done.Outcome == msg.Gone {
+		s.post(done)
 	}
-	s.post(done)
 }
 
 // Follow lists all keys and then watches them until ctx ends.
@@ -398,18 +437,22 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		began := time.Now()
+		began, asOf := time.Now(), s.clock()
+		most := watchWait
+		if int64(time.Since(s.start)) < s.close.Load() {
+			most = s.pace
+		}
 		q := url.Values{"under": {job.Root}, "from": {strconv.FormatUint(from, 10)},
-			"wait_ms": {strconv.FormatInt(watchWait.Milliseconds(), 10)}}
+			"wait_ms": {strconv.FormatInt(most.Milliseconds(), 10)}}
 		bounded, done := context.WithTimeout(ctx, watchWait+5*time.Second)
 		var a wire.Changes
-		status, err := s.call(bounded, http.MethodGet, wire.PathChanges+"?"+q.Encode(), nil, &a)
+		status, err := s.callOn(bounded, s.alive, http.MethodGet, wire.PathChanges+"?"+q.Encode(), nil, &a)
 		done()
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil && status == http.StatusOK:
-			s.post(msg.Changed{Events: a.Events, Age: time.Since(began).Microseconds()})
+			s.post(msg.Changed{Events: a.Events, AsOf: asOf})
 			from = max(from, a.Revision)
 			wait.For(ctx, s.pace-time.Since(began))
 		case err == nil && status == http.StatusGone:
--- a/internal/rehearse/experiment_test.go
+++ b/internal/rehearse/experiment_test.go
@@ -68,7 +68,7 @@
 func TestBadExperiments(t *testing.T) {
 	const sound = "name = \"x\"\nscenario = \"surge\"\nseeds = [1]\nmeasures = [\"cpu\"]\n[[variant]]\nname = \"a\"\n[[variant]]\nname = \"b\"\n"
 	for _, c := range []struct{ text, want string }{
-		{sound, ""}, {strings.Replace(sound, "cpu", "luck", 1), "no measure"}, {strings.Replace(sound, "surge", "flood", 1), "no scenario"},
+		{sound, ""}, {strings.Replace(sound, "cpu", "luck", 1), "no measure"}, {strings.Replace(sound, "surge", "no-such", 1), "no scenario"},
 		{strings.Replace(sound, "\"b\"", "\"a\"", 1), "twice"}, {strings.Replace(sound, "[1]", "[]", 1), "a seed"}, {"name = [", "line 1"},
 	} {
 		path := filepath.Join(t.TempDir(), "e.toml")
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -10,11 +10,13 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
+	"coralhub/internal/node/keep"
 	"coralhub/internal/standin"
 	"coralhub/wire"
 )
@@ -52,6 +54,9 @@
 	rev     uint64
 	answers map[uint64]msg.Answer
 	relist  bool
+	busy    standin.Micros // its loop is at one long step until then
+	backlog []msg.Input    // what has come meanwhile
+	keeper  *keep.Keeper
 }
 
 type delivery struct {
@@ -139,6 +144,7 @@
 	s.seeds++
 	n.core = core.New(s.config(n.name), s.seeds*7919)
 	n.alive, n.born, n.relist, n.answers = true, s.now, true, map[uint64]msg.Answer{}
+	n.busy, n.backlog, n.keeper = 0, nil, &keep.Keeper{}
 }
 
 func (s *Sim) node(name string) *node {
@@ -156,6 +162,10 @@
 
 // step hands an input to a node.
 func (s *Sim) step(n *node, in msg.Input) []msg.Effect {
+	if s.now < n.busy {
+		n.backlog = append(n.backlog, in)
+		return nil
+	}
 	out := n.core.Step(s.now-n.born+1, in)
 	if s.effects != nil {
 		for _, e := range out {
@@ -194,6 +204,14 @@
 		s.reports()
 		for _, n := range s.nodes {
 			if n.alive {
+				s.keep(n)
+			}
+			if n.alive && s.now >= n.busy {
+				for _, in := range n.backlog {
+					s.post(n, in)
+				}
+				n.backlog = nil
+				s.settle()
 				s.follow(n)
 				s.hear(n)
 				s.post(n, msg.Tick{Wall: s.now})
@@ -215,6 +233,19 @@
 	}
 }
 
+// keep renews a node's lease beside its loop.
+func (s *Sim) keep(n *node) {
+	lease, _ := n.keeper.Due(time.UnixMicro(s.now))
+	if lease == 0 || n.cut["state"] != "" {
+		return
+	}
+	d := msg.LeaseDone{Lease: lease, Renewal: true, Outcome: outcome(s.state.Extend(s.now, lease), "")}
+	if d.Outcome == msg.Gone {
+		n.keeper.Drop(lease)
+	}
+	s.post(n, d)
+}
+
 // hear lets a node hear the peers that it has a link to.
 func (s *Sim) hear(n *node) {
 	for _, p := range s.nodes {
@@ -236,7 +267,7 @@
 	} else {
 		evs := s.state.Since(job.Root, n.rev)
 		n.rev = s.state.Revision()
-		s.post(n, msg.Changed{Events: evs})
+		s.post(n, msg.Changed{Events: evs, AsOf: s.now - n.born + 1})
 	}
 	s.settle()
 }
@@ -271,9 +302,13 @@
 		if n.cut["state"] == "" {
 			status, id := s.state.Grant(s.now, x.TTL)
 			d.Outcome, d.Lease = outcome(status, ""), id
+			n.keeper.Want(id, time.Duration(x.TTL)*time.Microsecond, time.UnixMicro(s.now))
 		}
 		s.post(n, d)
+	case msg.DropLease:
+		n.keeper.Drop(x.Lease)
 	case msg.RenewLease:
+		n.keeper.Want(x.Lease, time.Duration(x.TTL)*time.Microsecond, time.UnixMicro(s.now))
 		d := msg.LeaseDone{Outcome: msg.Refused, Lease: x.Lease, Renewal: true}
 		if n.cut["state"] == "" {
 			d.Outcome = outcome(s.state.Extend(s.now, x.Lease), "")
@@ -296,6 +331,7 @@
 			if a, ok := to.answers[req].Body.(wire.ReportAnswer); ok {
 				d.Answer = &a
 			}
+			d.Busy = s.now < to.busy
 			delete(to.answers, req)
 		}
 		s.post(n, d)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -29,6 +29,7 @@
 //	cancel id=j-1                   a user cancels, again until it is final
 //	run for=5s                      time passes
 //	node n1 kill|start|upgrade      a node ends or starts, held to no format any more
+//	busy node=n1 for=3s             its loop takes so long for one input
 //	cut node=n1 link=state mode=hold / heal node=n1; with keep, what was held
 //	                                back stays so until the next heal
 //	  links: state, watch, answer (to one transaction), workers, peers, cloud
@@ -109,6 +110,10 @@
 	id := "j-1"
 	d.MaybeScanArgs(t, "id", &id)
 	switch d.Cmd {
+	case "busy":
+		n := pick(t, s, d)
+		n.busy = s.now + length(t, d, "for", "3s")
+		return ""
 	case "submit":
 		count := 1
 		d.MaybeScanArgs(t, "count", &count)
