Victims are listed only if something that runs may be stopped

Change: a pass first asks in short what the lowest priority with places is, and which teams have places beyond their guarantee.

--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -25,6 +25,7 @@
 	exhausted exhausted
 
 	victims map[string][]*zone.Victim // by zone; nil: nobody has asked
+	running *running                  // nil: nobody has asked
 	budget  int                       // changes that may still be asked of the state service
 }
 
@@ -96,6 +97,45 @@
 	return s.victims[name]
 }
 
+// running tells in short what has places in a pass. To list all that runs, in the order in
+// which it would be stopped, costs more than the rest of a pass; in a flood of a class below
+// which nothing runs every pass did so, and found that nothing may be stopped.
+type running struct {
+	lowest  int             // of the levels by priority
+	borrows map[string]bool // teams that have places beyond their guarantee
+}
+
+func (l *Leader) runs(s *scan) *running {
+	if s.running == nil {
+		s.running = &running{lowest: math.MaxInt, borrows: map[string]bool{}}
+		for _, j := range l.active {
+			if j.Open == 0 || j.Rec.Final() || j.Rec.Cancel {
+				continue
+			}
+			s.running.lowest = min(s.running.lowest, queue.Level(j.Priority(), true))
+			if !l.within(j) {
+				s.running.borrows[j.Rec.Spec.Team] = true
+			}
+		}
+	}
+	return s.running
+}
+
+// anyBelow tells whether anything of a priority below a level has places.
+func (l *Leader) anyBelow(s *scan, level int) bool {
+	return level > queue.Level(wire.Low, true) && l.runs(s).lowest < level
+}
+
+// anyBorrows tells whether any other team has places beyond its guarantee.
+func (l *Leader) anyBorrows(s *scan, team string) bool {
+	for other := range l.runs(s).borrows {
+		if other != team {
+			return true
+		}
+	}
+	return false
+}
+
 // couldStop lists what could be stopped of a job.
 func (l *Leader) couldStop(s *scan, j *Job) {
 	spec := j.Rec.Spec
@@ -214,7 +254,7 @@
 			break
 		}
 	}
-	q := l.request(j, e)
+	q := l.request(s, j, e)
 	if gang && l.cfg.Settings.GangsAvoidSlow {
 		q.Avoid = l.avoidSlow(q.Avoid)
 	}
@@ -325,7 +365,7 @@
 	}
 }
 
-func (l *Leader) request(j *Job, e *queue.Entry) *zone.Request {
+func (l *Leader) request(s *scan, j *Job, e *queue.Entry) *zone.Request {
 	spec := j.Rec.Spec
 	q := &zone.Request{Job: j.ID, Needs: taskRes(spec), Whole: spec.Shape == wire.Gang, Spot: spec.Spot,
 		Types: j.types.set, TypeKey: j.types.text, Image: spec.Image, Avoid: j.failedOn}
@@ -335,8 +375,8 @@
 	}
 	own := queue.Level(j.Priority(), true)
 	claims := l.within(j) && queue.HasGuarantee(l.teams[spec.Team])
-	if own == queue.Level(wire.Low, true) && !claims {
-		return q // nothing ranks lower, and victims need not be looked for
+	if !l.anyBelow(s, own) && !(claims && l.anyBorrows(s, spec.Team)) {
+		return q // nothing that has places may be stopped for it: victims need not be listed
 	}
 	q.May = func(v *zone.Victim) bool {
 		of := l.jobs[v.Job]
