--- a/internal/node/store/paced.go
+++ b/internal/node/store/paced.go
@@ -17,8 +17,8 @@
 // recovers to follows the quota down, when that falls from some moment on: refusals are then
 // frequent, and those who wait for answers would be refused as well.
 type paced struct {
-	limiter  *rate.Limiter
-	mu       sync.Mutex
+	limiter *rate.Limiter
+	mu      sync.Mutex
 	temper
 	least    rate.Limit // however often it is refused
 	low, top rate.Limit // between these goes what it recovers to
