--- /dev/null
+++ b/internal/scenario/flood_test.go
@@ -0,0 +1,80 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
+	"coralhub/internal/standin"
+	"coralhub/wire"
+)
+
+// A flood at the fleet's size: 1,250 machines, more than all their work within seconds, a
+// state service with a quota, and a leader whose loop stands still for longer than its lease in
+// the middle. Nobody else comes to lead, every job is accepted and done, every poll is
+// answered, and a job costs no more than four changes.
+func TestFloodAtFleetSize(t *testing.T) {
+	t.Parallel()
+	const (
+		scale = 208 // of 6 machines, with 4 GPUs each
+		jobs  = 400
+		tasks = 16
+	)
+	s := newSim(3, scale, 150)
+	s.Run(3 * standin.Second)
+	leader := s.Leader()
+	began := s.state.Revision()
+	submit := func(i int) bool {
+		j := &standin.JobIn{Run: 3 * standin.Second}
+		j.Job = wire.Job{ID: fmt.Sprintf("j-%d", i+1), Class: "flood", Team: "red", Shape: wire.Array, Priority: wire.Low, Tasks: tasks,
+			CPUs: 1, GPUs: 1, MemoryGB: 1, Image: fmt.Sprint("i", i%3), ImageGB: 1, EstimateS: 3}
+		a := s.Submit(s.nodes[i%3], j)
+		return a.Status == 201 || a.Status == 200
+	}
+	var again []int
+	for i := range jobs {
+		if !submit(i) {
+			again = append(again, i)
+		}
+		if i%6 == 5 {
+			s.Run(tick)
+		}
+		if i == jobs/2 {
+			s.node(leader).busy = s.now + 5*standin.Second
+		}
+	}
+	left := func() (n int) {
+		for i := range jobs {
+			if !s.world.Done(fmt.Sprintf("j-%d", i+1)) {
+				n++
+			}
+		}
+		return n
+	}
+	seconds := 0
+	for ; left() > 0 && seconds < 60; seconds++ {
+		s.Run(standin.Second)
+		again = slices.DeleteFunc(again, submit) // as users do who were refused
+		for i, n := range s.nodes {
+			id := fmt.Sprintf("j-%d", (seconds*3+i)%jobs+1)
+			if a := s.Ask(n, func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} }); a.Status != 200 {
+				t.Errorf("poll of %s: %d", id, a.Status)
+			}
+		}
+	}
+	if n := left(); n > 0 {
+		t.Errorf("%d jobs are not done after %d s", n, seconds)
+	}
+	if s.Leader() != leader || s.state.Get(job.Root+"leader").Version > began {
+		t.Errorf("%s leads by revision %d; %s did by one before %d", s.Leader(), s.state.Get(job.Root+"leader").Version, leader, began)
+	}
+	if changes := float64(s.state.Revision()-began) / jobs; changes > 4 {
+		t.Errorf("%.1f changes a job", changes)
+	}
+	t.Logf("%d jobs in %d s, %.1f changes each", jobs, seconds, float64(s.state.Revision()-began)/jobs)
+	for _, b := range s.world.Broken {
+		t.Error(b)
+	}
+}
