Nodes part their accepts by what each is asked for

Change: the status that nodes ask of each other every second tells how many jobs they are asked to accept, and each reckons its part of half the changes, max-min. A node that says nothing is supposed to want an equal part. Parts are what is left under refusals; idle changes are borrowed as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,7 @@
 	defer server.Close()
 	go func() { failed <- server.Serve(users) }()
 	go func() {
-		failed <- peer.Serve(peers, func(in msg.Input) { n.offer(in) }, n.api, func() bool { return n.store.FailingFor() == 0 })
+		failed <- peer.Serve(peers, func(in msg.Input) { n.offer(in) }, n.api, n.status)
 	}()
 	go n.store.Follow(ctx)
 	go n.store.KeepAlive(ctx)
@@ -217,16 +217,26 @@
 	}
 }
 
+// status is what this node tells its peers.
+func (n *Node) status() peer.Status {
+	return peer.Status{StateOK: n.store.FailingFor() == 0, Says: true, Accepts: n.store.Accepts()}
+}
+
 // watchPeers keeps in touch with the other nodes. It also finds out whether this node alone has lost the state service: it
 // then says that it is not ready. If no peer has it either, all stay ready and
 // answer 503 with Retry-After, so that nobody waits for the balancer afterwards.
 func (n *Node) watchPeers(ctx context.Context) {
 	wait.Every(ctx, time.Second, func() {
 		anyOK := false
+		var accepts []float64
 		for node, st := range n.peers.Ask() {
 			anyOK = anyOK || st.StateOK
+			if st.Says {
+				accepts = append(accepts, st.Accepts)
+			}
 			n.offer(msg.PeerHeard{Node: node})
 		}
+		n.store.Share(accepts)
 		alone := anyOK && n.store.FailingFor() > 1500*time.Millisecond
 		if alone != n.isolated.Swap(alone) {
 			slog.Info("state service", "lost_by_this_node_alone", alone)
--- a/internal/node/peer/peer.go
+++ b/internal/node/peer/peer.go
@@ -53,14 +53,19 @@
 	StandIn int64
 }
 
-// Status is how a peer is doing.
-type Status struct{ StateOK bool }
+// Status is how a peer is doing, and how many jobs a second it is asked to accept. One that
+// doesn't know of that says nothing of it.
+type Status struct {
+	StateOK bool
+	Says    bool // it says how many
+	Accepts float64
+}
 
 // Service is what a node offers its peers.
 type Service struct {
-	post    func(msg.Input)
-	answer  Answerer
-	stateOK func() bool
+	post   func(msg.Input)
+	answer Answerer
+	status func() Status
 }
 
 // Answerer has the core answer what peers ask.
@@ -99,9 +104,9 @@
 	return nil
 }
 
-// Status tells whether this node reaches the state service.
+// Status tells how this node is doing.
 func (s *Service) Status(_ *struct{}, st *Status) error {
-	st.StateOK = s.stateOK()
+	*st = s.status()
 	return nil
 }
 
@@ -156,9 +161,9 @@
 }
 
 // Serve answers peers on l.
-func Serve(l net.Listener, post func(msg.Input), answer Answerer, stateOK func() bool) error {
+func Serve(l net.Listener, post func(msg.Input), answer Answerer, status func() Status) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName("Peer", &Service{post, answer, stateOK}); err != nil {
+	if err := server.RegisterName("Peer", &Service{post, answer, status}); err != nil {
 		return err
 	}
 	for {
--- a/internal/node/store/paced.go
+++ b/internal/node/store/paced.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -84,6 +85,48 @@
 	return newPaced(rate.Limit(s.RPS*callsTop), part, part, max(1, int(s.RPS*callsTop)), gentle)
 }
 
+// setLeast gives it another part.
+func (p *paced) setLeast(least float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.least = min(rate.Limit(least), p.top)
+	p.low = p.least
+	if p.most = max(p.most, p.low); p.limiter.Limit() < p.least {
+		p.limiter.SetLimit(p.least)
+	}
+}
+
+// wants is a mean over the last seconds of how often something is wanted.
+type wants struct {
+	mu   sync.Mutex
+	at   time.Time
+	mean float64 // a second
+}
+
+// wantsOver is how many seconds it is the mean of.
+const wantsOver = 3
+
+func (w *wants) one(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fade(now)
+	w.mean += 1.0 / wantsOver
+}
+
+func (w *wants) rate(now time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fade(now)
+	return w.mean
+}
+
+func (w *wants) fade(now time.Time) {
+	if passed := now.Sub(w.at).Seconds(); passed > 0 {
+		w.mean *= math.Exp(-passed / wantsOver)
+		w.at = now
+	}
+}
+
 // took is told whether the service has refused a request for its quota.
 func (p *paced) took(now time.Time, refused bool) {
 	p.recover(now)
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -21,6 +21,7 @@
 	"coralhub/internal/node/call"
 	"coralhub/internal/node/count"
 	"coralhub/internal/node/keep"
+	"coralhub/internal/node/share"
 	"coralhub/internal/wait"
 	"coralhub/wire"
 )
@@ -45,7 +46,10 @@
 	calls  *paced        // all requests but those that keep the node alive
 	writes *rate.Limiter // changes that go first
 	accept *paced        // jobs that are accepted
-	later  *paced        // what a leader writes that can wait
+	wants  wants         // how many it is asked to accept
+	whole  float64       // of all nodes' accepts, a second
+	nodes  int
+	later  *paced // what a leader writes that can wait
 	relist chan struct{}
 	pace   time.Duration
 	close  atomic.Int64 // until when the watch follows closely, since the start
@@ -98,6 +102,8 @@
 		calls:  newCallPace(s, nodes),
 		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.7), max(1, int(s.LeastWriteRPS()*0.7), s.Ops())),
 		accept: newAcceptPace(s, nodes),
+		whole:  s.LeastWriteRPS() * acceptsPart,
+		nodes:  nodes,
 		later:  newLeaderPace(s),
 		relist: make(chan struct{}, 1),
 		pace:   100 * time.Millisecond,
@@ -117,6 +123,18 @@
 	}
 }
 
+// Accepts tells how many jobs a second this node has lately been asked to accept.
+func (s *Store) Accepts() float64 { return s.wants.rate(time.Now()) }
+
+// Share gives this node its part of all accepts, by what the others want. Of one that says
+// nothing, being out of reach or of an earlier version, an equal part is supposed.
+func (s *Store) Share(others []float64) {
+	for len(others) < s.nodes-1 {
+		others = append(others, s.whole/float64(s.nodes))
+	}
+	s.accept.setLeast(share.Part(s.whole, s.Accepts(), others))
+}
+
 // FailingFor tells for how long no call has gone well.
 func (s *Store) FailingFor() time.Duration {
 	bad := s.badAt.Load()
@@ -276,6 +294,7 @@
 	limiter := s.writes
 	switch x.Turn {
 	case msg.Accept:
+		s.wants.one(time.Now())
 		s.accept.recover(time.Now())
 		limiter = s.accept.limiter
 	case msg.Later:
