--- a/internal/core/fleet/keeper.go
+++ b/internal/core/fleet/keeper.go
@@ -103,6 +103,31 @@
 	k.ask()
 }
 
+// Exhausted tells whether the cloud has lately had none of any kind of machine that would do,
+// and none of them boots.
+func (k *Keeper) Exhausted(types map[string]bool, zone string, spot bool) bool {
+	suits := func(kind Kind) bool { return types[kind.Type] && (spot || !kind.Spot) && (zone == "" || kind.Zone == zone) }
+	for m := range k.booting {
+		if suits(k.kinds[m]) {
+			return false
+		}
+	}
+	for name := range types {
+		t := k.catalog.Types[name]
+		if t == nil {
+			continue
+		}
+		for _, z := range t.Zones {
+			for _, kind := range []Kind{{name, z, false}, {name, z, true}} {
+				if suits(kind) && k.fleet.none[kind] <= k.box.Now()-refusedPause {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
 // Gone tells whether a machine is proven to be gone.
 func (k *Keeper) Gone(name string) bool {
 	_, gone := k.deleted[name]
--- a/internal/core/leader/counters.go
+++ b/internal/core/leader/counters.go
@@ -17,6 +17,7 @@
 	pending int // jobs that wanted places in the last pass
 	without int // of them, jobs that found none for some task
 	held    int // of them, jobs that had to wait for the state service
+	moved   int // replicas, so that machines become whole
 }
 
 // The states that machines are counted by.
@@ -65,7 +66,7 @@
 		closing += len(j.closes)
 	}
 	n := &l.counters
-	l.box.Debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held,
+	l.box.Debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held, "moved", n.moved,
 		"writing", l.writing, "waiting", len(l.dirty)+len(l.delayed), "closing", closing, "log", len(l.ended.fresh),
 		usable, states[usable], quiet, states[quiet], mailed, states[mailed], sick, states[sick], booting, states[booting], leaving, states[leaving])
 	l.counters = counters{at: l.box.Now()}
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -50,22 +50,23 @@
 	takeovers uint64
 	reigns    uint64 // counts the times that this node began anew
 
-	ended    endedLog
-	learning learning
-	survey   survey
-	usage    *queue.Usage
-	passDue  bool
-	passAt   Micros // when one is due though nothing happens; 0: never
-	lastPass Micros
-	pages    [hintPages]hintPage
-	pageNext int
-	pageAt   Micros
-	dirty    map[string]bool // jobs with facts to commit
-	delayed  map[string]bool // those that can't be committed before the next tick
-	writing  int             // changes to jobs on their way
-	counters counters
-	standIns map[string]standIn // by node
-	assured  uint64             // the last version of a record by which a cancellation was told
+	ended     endedLog
+	learning  learning
+	survey    survey
+	usage     *queue.Usage
+	passDue   bool
+	passAt    Micros // when one is due though nothing happens; 0: never
+	lastPass  Micros
+	pages     [hintPages]hintPage
+	pageNext  int
+	pageAt    Micros
+	dirty     map[string]bool // jobs with facts to commit
+	delayed   map[string]bool // those that can't be committed before the next tick
+	writing   int             // changes to jobs on their way
+	counters  counters
+	gathering gathering
+	standIns  map[string]standIn // by node
+	assured   uint64             // the last version of a record by which a cancellation was told
 }
 
 // New returns the leader that a node may become. Who owns zones and rents machines
@@ -204,7 +205,7 @@
 
 func (l *Leader) reset() {
 	for _, j := range l.jobs {
-		j.closes, j.plan, j.txn, j.reserved, j.mergeNow = nil, nil, nil, nil, false
+		j.closes, j.plan, j.txn, j.reserved, j.mergeNow, j.moved = nil, nil, nil, nil, false, nil
 		j.standing, j.runs, j.like = standing{}, runs{}, 0
 	}
 	l.ready = false
@@ -215,7 +216,7 @@
 	l.keeper.Reset()
 	l.reigns++
 	l.standIns, l.assured = map[string]standIn{}, 0
-	l.writing = 0
+	l.writing, l.gathering = 0, gathering{}
 	l.ended = endedLog{writeAt: l.ended.writeAt, leaving: map[uint64]bool{}}
 	l.dirty, l.delayed = map[string]bool{}, map[string]bool{}
 	l.usage = queue.NewUsage(config.FromSeconds(l.cfg.Settings.UsageWindowS))
@@ -248,6 +249,7 @@
 	failures   int
 	failedOn   map[string]Micros
 	holdUntil  Micros
+	moved      map[int]Micros  // replicas that were moved lately
 	preempted  Micros          // victims are leaving until then
 	reserved   map[string]bool // machines that they leave
 	cancelling bool
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -343,6 +343,7 @@
 			}
 		}
 	}
+	l.gather(s, j, q, len(tasks))
 	l.unplaced(s, j, fleet.Need{Task: q.Needs, Count: len(tasks), Types: q.Types, Zone: spec.Zone, Spot: spec.Spot})
 }
 
