--- a/internal/core/fleet/keeper.go
+++ b/internal/core/fleet/keeper.go
@@ -106,7 +106,9 @@
 // Exhausted tells whether the cloud has lately had none of any kind of machine that would do,
 // and none of them boots.
 func (k *Keeper) Exhausted(types map[string]bool, zone string, spot bool) bool {
-	suits := func(kind Kind) bool { return types[kind.Type] && (spot || !kind.Spot) && (zone == "" || kind.Zone == zone) }
+	suits := func(kind Kind) bool {
+		return types[kind.Type] && (spot || !kind.Spot) && (zone == "" || kind.Zone == zone)
+	}
 	for m := range k.booting {
 		if suits(k.kinds[m]) {
 			return false
--- a/internal/core/leader/gather.go
+++ b/internal/core/leader/gather.go
@@ -54,7 +54,7 @@
 		if zone := j.Rec.Spec.Zone; zone != "" && zone != z.Name || s.barred[z.Name] {
 			continue
 		}
-		p := gather.For(q.Needs, count, int(g.moves), l.gatherable(z, q))
+		p := gather.For(q.Needs, count, int(g.moves), l.gatherable(z, q, queue.Level(j.Priority(), true)))
 		if p != nil && (best == nil || p.Moves < best.Moves) {
 			best = p
 		}
@@ -91,8 +91,10 @@
 	l.box.Debug("gathering", "job", j.ID, "class", j.Rec.Spec.Class, "machines", len(best.Clear), "whole", len(best.Whole), "replicas", best.Moves)
 }
 
-// gatherable describes the machines of a zone, for a request of a gang.
-func (l *Leader) gatherable(z *zone.Zone, q *zone.Request) []*gather.Machine {
+// gatherable describes the machines of a zone, for a request of a gang of a level. What ranks
+// lower could be preempted; moved, it might not come back before others take its place or its
+// team's limit.
+func (l *Leader) gatherable(z *zone.Zone, q *zone.Request, level int) []*gather.Machine {
 	var out []*gather.Machine
 	for _, m := range l.owner.Roster().All() {
 		if m.Zone != z.Name || m.Room == nil || m.Room.Barred {
@@ -103,7 +105,7 @@
 		open := l.book.OpenOn(m.Name)
 		for _, key := range job.SortedKeys(open) {
 			of := l.jobs[key.Job]
-			if of == nil || !l.mayMove(of, key.Task) {
+			if of == nil || !l.mayMove(of, key.Task) || queue.Level(of.Priority(), true) < level {
 				x.Movable = false
 				continue
 			}
