--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -272,15 +272,7 @@
 		}
 	}
 	inZone := map[string]int{}
-	if q.Lasting {
-		q.Has = map[string]bool{}
-	}
-	j.EachOpen(func(p job.Placement) {
-		inZone[p.Zone]++
-		if q.Lasting {
-			q.Has[p.Machine] = true
-		}
-	})
+	j.EachOpen(func(p job.Placement) { inZone[p.Zone]++ })
 	// When the state service takes no more changes for now, those that rank
 	// highest have gone first. The rest hold their places in this pass, so that
 	// nothing ranking lower takes them and machines are rented for what is left.
@@ -300,10 +292,7 @@
 			s.budget-- // its record is written
 		}
 		for i, r := range bid.Rooms {
-			l.survey.byName[r.Zone].Use(r, q)
-			if q.Lasting {
-				q.Has[r.Machine.Name] = true
-			}
+			l.survey.byName[r.Zone].Use(r, q.Needs)
 			l.touch(r.Machine)
 			inZone[bid.Zone]++
 			if !commit {
@@ -379,7 +368,7 @@
 
 func (l *Leader) request(s *scan, j *Job, e *queue.Entry) *zone.Request {
 	spec := j.Rec.Spec
-	q := &zone.Request{Job: j.ID, Needs: taskRes(spec), Whole: spec.Shape == wire.Gang, Spot: spec.Spot, Lasting: spec.Shape == wire.Service,
+	q := &zone.Request{Job: j.ID, Needs: taskRes(spec), Whole: spec.Shape == wire.Gang, Spot: spec.Spot,
 		Types: j.types.set, TypeKey: j.types.text, Image: spec.Image, Avoid: j.failedOn}
 	if l.box.Now() < j.preempted {
 		q.Keep = j.reserved
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -213,23 +213,22 @@
 	if !l.offers(m) {
 		return
 	}
-	lasting := l.addUp(m, open, plans)
+	l.addUp(m, open, plans)
 	t := l.catalog.Types[m.Type]
-	m.Room = &zone.Room{Machine: m, Zone: m.Zone, Idle: len(open) == 0, Lasting: lasting,
+	m.Room = &zone.Room{Machine: m, Zone: m.Zone, Idle: len(open) == 0,
 		Free: zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}.Plus(m.Used, -1)}
 	s.byName[m.Zone].Put(m.Room)
 }
 
 // addUp adds up what is placed on a machine or about to be. Everything open counts,
 // whatever the worker last said of it. Whole millionths add up to the same in any order,
-// so nothing has to be sorted. It tells whether anything of it doesn't end by itself.
-func (l *Leader) addUp(m *zone.Machine, open map[job.Key]job.Placement, plans map[*Job]int) (lasting bool) {
+// so nothing has to be sorted.
+func (l *Leader) addUp(m *zone.Machine, open map[job.Key]job.Placement, plans map[*Job]int) {
 	var cpus, gpus, memory int64
 	add := func(s *wire.Job, n int) {
 		cpus += millionths(s.CPUs) * int64(n)
 		gpus += millionths(s.GPUs) * int64(n)
 		memory += millionths(s.MemoryGB) * int64(n)
-		lasting = lasting || s.Shape == wire.Service
 	}
 	for key := range open {
 		if j := l.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
@@ -242,7 +241,6 @@
 		}
 	}
 	m.Used = zone.Res{CPUs: float64(cpus) / 1e6, GPUs: float64(gpus) / 1e6, MemoryGB: float64(memory) / 1e6}
-	return lasting
 }
 
 func millionths(amount float64) int64 { return int64(math.Round(amount * 1e6)) }
--- a/internal/core/zone/bid.go
+++ b/internal/core/zone/bid.go
@@ -57,7 +57,6 @@
 	Free    Res
 	Barred  bool // kept for a job that ranks higher
 	Idle    bool // nothing is placed there
-	Lasting bool // something is placed there that doesn't end by itself
 
 	shelf   *shelf
 	images  []string // by which its zone finds it
@@ -115,13 +114,11 @@
 	Count   int
 	Whole   bool // all of Count or nothing
 	Spot    bool // spot machines will do
-	Lasting bool // it doesn't end by itself
 	Types   map[string]bool
 	TypeKey string // the types in one text
 	Image   string
 	Avoid   map[string]Micros
 	May     func(v *Victim) bool // nil: no preemption
-	Has     map[string]bool      // machines that have a task of the job, if it is lasting
 	Keep    map[string]bool      // machines barred for others but not for this job
 }
 
@@ -188,16 +185,10 @@
 // offer is a machine on which a task of the request fits.
 type offer struct {
 	*Room
-	free  Res
-	warm  bool
-	apart bool // lasting work would join work that ends, or more of its own job
+	free Res
+	warm bool
 }
 
-// apart tells whether a request is lasting and a room not the place for it: there is none
-// yet, so that its machine can still become whole, or a task of the same job, so that both
-// would end with the machine.
-func (q *Request) apart(r *Room) bool { return q.Lasting && (!r.Lasting || q.Has[r.Machine.Name]) }
-
 // offers is a heap of them, the best first.
 type offers []offer
 
@@ -223,7 +214,6 @@
 		if o.warm {
 			b.Warm++
 		}
-		o.apart = q.Lasting
 		if o.free = o.free.Plus(q.Needs, -1); q.Needs.Fits(o.free) {
 			heap.Fix(&from, 0)
 		} else {
@@ -239,9 +229,6 @@
 	if a.warm != b.warm {
 		return a.warm
 	}
-	if a.apart != b.apart { // what never ends is kept together, so that the other machines become whole
-		return b.apart
-	}
 	if a.Idle != b.Idle { // whole machines are kept for what needs them, or go back
 		return b.Idle
 	}
@@ -323,7 +310,7 @@
 			}
 			listed[r] = true
 			if free := r.Free.Plus(r.gain, 1); q.Needs.Fits(free) {
-				left = append(left, offer{r, free, r.Machine.Images[q.Image], q.apart(r)})
+				left = append(left, offer{r, free, r.Machine.Images[q.Image]})
 			}
 		}
 	}
--- a/internal/core/zone/shelf.go
+++ b/internal/core/zone/shelf.go
@@ -12,8 +12,8 @@
 // kind is what the rooms of a shelf have in common: what a request asks for or goes by
 // before it compares what is free.
 type kind struct {
-	typ                 string
-	spot, idle, lasting bool
+	typ        string
+	spot, idle bool
 }
 
 func (a kind) compare(b kind) int {
@@ -23,7 +23,7 @@
 		}
 		return 0
 	}
-	return cmp.Or(cmp.Compare(a.typ, b.typ), bit(a.spot)-bit(b.spot), bit(a.idle)-bit(b.idle), bit(a.lasting)-bit(b.lasting))
+	return cmp.Or(cmp.Compare(a.typ, b.typ), bit(a.spot)-bit(b.spot), bit(a.idle)-bit(b.idle))
 }
 
 // shelf holds the rooms of a kind, those with most room first: a bid looks at as many as
@@ -56,7 +56,7 @@
 
 // shelve puts a room where it belongs.
 func (z *Zone) shelve(r *Room) {
-	k := kind{r.Machine.Type, r.Machine.Spot, r.Idle, r.Lasting}
+	k := kind{r.Machine.Type, r.Machine.Spot, r.Idle}
 	i, ok := slices.BinarySearchFunc(z.shelves, k, func(s *shelf, k kind) int { return s.compare(k) })
 	if !ok {
 		z.shelves = slices.Insert(z.shelves, i, &shelf{kind: k, rooms: btree.NewG(degree, roomiest)})
@@ -96,10 +96,10 @@
 	}
 }
 
-// Use takes what a task of a request needs from a room that is in the zone.
-func (z *Zone) Use(r *Room, q *Request) {
+// Use takes what a task needs from a room that is in the zone.
+func (z *Zone) Use(r *Room, needs Res) {
 	r.unshelve()
-	r.Free, r.Idle, r.Lasting = r.Free.Plus(q.Needs, -1), false, r.Lasting || q.Lasting
+	r.Free, r.Idle = r.Free.Plus(needs, -1), false
 	z.shelve(r)
 }
 
@@ -147,7 +147,7 @@
 			return false
 		}
 		r.offered = true
-		out = append(out, offer{r, r.Free, r.Machine.Images[q.Image], q.apart(r)})
+		out = append(out, offer{r, r.Free, r.Machine.Images[q.Image]})
 		return true
 	}
 	var on *shelf
@@ -156,7 +156,7 @@
 		if r.shelf != on {
 			on, left = r.shelf, q.Count
 		}
-		if add(r) && !q.Has[r.Machine.Name] {
+		if add(r) {
 			left--
 		}
 		return left > 0
--- a/internal/core/zone/zone_test.go
+++ b/internal/core/zone/zone_test.go
@@ -180,8 +180,7 @@
 	for len(bid.Rooms) < q.Count {
 		var best *offer
 		for _, r := range rooms {
-			_, joined := used[r]
-			o := &offer{r, r.Free.Plus(used[r], -1), r.Machine.Images[q.Image], q.apart(r) || q.Lasting && joined}
+			o := &offer{r, r.Free.Plus(used[r], -1), r.Machine.Images[q.Image]}
 			if (q.Spot || !r.Machine.Spot) && q.mayUse(1, r) && q.Needs.Fits(o.free) && (best == nil || o.roomier(best)) {
 				best = o
 			}
@@ -212,7 +211,7 @@
 			what := rapid.IntRange(0, 6).Draw(t, "what")
 			old := rooms[name]
 			if old != nil && what > 4 {
-				kept.Use(old, &Request{Needs: Res{CPUs: 1, GPUs: float64(rapid.IntRange(0, 2).Draw(t, "used")) / 2}, Lasting: i%4 == 0})
+				kept.Use(old, Res{CPUs: 1, GPUs: float64(rapid.IntRange(0, 2).Draw(t, "used")) / 2})
 				continue
 			}
 			if old != nil {
@@ -221,14 +220,13 @@
 			}
 			if what > 0 {
 				r := room(name, float64(rapid.IntRange(0, 8).Draw(t, "gpus"))/2, fmt.Sprint("i", i%2))
-				r.Machine.Spot, r.Idle, r.Barred, r.Lasting = i%3 == 0, i%5 == 0, i%7 == 0, i%4 == 1
+				r.Machine.Spot, r.Idle, r.Barred = i%3 == 0, i%5 == 0, i%7 == 0
 				rooms[name] = r
 				kept.Put(r)
 			}
 		}
 		q := request(float64(rapid.IntRange(0, 6).Draw(t, "needs"))/2, rapid.IntRange(1, 9).Draw(t, "count"), rapid.Bool().Draw(t, "whole"))
-		q.Image, q.Spot, q.Lasting = "i1", rapid.Bool().Draw(t, "spot"), rapid.Bool().Draw(t, "lasting")
-		q.Has = map[string]bool{"m5": true, "m6": true}
+		q.Image, q.Spot = "i1", rapid.Bool().Draw(t, "spot")
 		q.Avoid, q.Keep = map[string]Micros{"m3": 9}, map[string]bool{"m4": true}
 		a, b := kept.Plan(1, q), everywhere(rooms, q)
 		if (a == nil) != (b == nil) || a != nil && (a.Warm != b.Warm || !slices.Equal(names(a), names(b))) {
@@ -338,30 +336,3 @@
 		}
 	})
 }
-
-// Replicas, which never end, keep together: where they are no machine becomes whole anyway. A
-// machine that has their image, and spot machines for what may use them, come first all the same.
-func TestLastingWorkKeepsTogether(t *testing.T) {
-	whole, mixed, lasting := room("m1", 4), room("m2", 3), room("m3", 1)
-	lasting.Lasting = true
-	z := zoneOf(nil, whole, mixed, lasting)
-	q := request(1, 1, false)
-	if bid := z.Plan(1, q); bid.Rooms[0] != whole {
-		t.Errorf("work that ends goes to %s", bid.Rooms[0].Machine.Name)
-	}
-	q.Lasting = true
-	for _, want := range []*Room{lasting, whole, whole, whole, whole, mixed} {
-		bid := z.Plan(1, q)
-		if bid.Rooms[0] != want {
-			t.Errorf("a replica goes to %s and not to %s", bid.Rooms[0].Machine.Name, want.Machine.Name)
-		}
-		z.Use(bid.Rooms[0], q)
-	}
-	// Two of one job don't go down together if they needn't.
-	a, b := room("a", 3), room("b", 2)
-	a.Lasting, b.Lasting = true, true
-	q.Has = map[string]bool{"a": true}
-	if bid := zoneOf(nil, a, b).Plan(1, q); bid.Rooms[0] != b {
-		t.Error("a second replica joins the first")
-	}
-}
