What was served in time, by class and team, in the log and the metrics

Change: internal/core/served judges each job once, when its time is up. Every node counts by the records, so an heir says what the leader before it said. The leader logs it once a minute, the worst first; /metrics has it. Names are bounded.

--- a/internal/core/leader/admin.go
+++ b/internal/core/leader/admin.go
@@ -7,6 +7,7 @@
 	"coralhub/internal/core/front"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
+	"coralhub/internal/core/served"
 	"coralhub/internal/estimate"
 	"coralhub/internal/history"
 	"coralhub/wire"
@@ -91,6 +92,8 @@
 	Takeovers    uint64
 	Looked       Looked
 	EstimateRuns uint64
+
+	ServedClasses, ServedTeams map[string]served.Share // of a leader
 }
 
 // gauges counts.
@@ -111,6 +114,7 @@
 		g.Waiting[class]++
 	}
 	g.Machines = l.states()
+	g.ServedClasses, g.ServedTeams = l.service.tally.Shares(l.wall())
 	if l.learning.model != nil {
 		g.EstimateRuns = l.learning.model.Observed()
 	}
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -19,6 +19,7 @@
 	"coralhub/internal/core/owner"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/records"
+	"coralhub/internal/core/served"
 	"coralhub/internal/core/zone"
 	"coralhub/wire"
 )
@@ -65,6 +66,7 @@
 	writing   int             // changes to jobs on their way
 	counters  counters
 	gathering gathering
+	service   service
 	standIns  map[string]standIn // by node
 	assured   uint64             // the last version of a record by which a cancellation was told
 }
@@ -72,7 +74,8 @@
 // New returns the leader that a node may become. Who owns zones and rents machines
 // hears from it and tells it, see Use.
 func New(cfg *config.Config, box *outbox.Box, form *records.Form, catalog *zone.Catalog, claim *claim.Claim) *Leader {
-	return &Leader{cfg: cfg, box: box, form: form, catalog: catalog, claim: claim, jobs: map[string]*Job{}, teams: cfg.Cluster.TeamsByName()}
+	return &Leader{cfg: cfg, box: box, form: form, catalog: catalog, claim: claim, jobs: map[string]*Job{}, teams: cfg.Cluster.TeamsByName(),
+		service: service{tally: served.New()}}
 }
 
 // Use gives the leader the rooms that it commands and goes by.
@@ -85,7 +88,12 @@
 func (l *Leader) Ready() bool { return l.ready }
 
 // SetWall tells the time of day.
-func (l *Leader) SetWall(wall Micros) { l.wallAhead = wall - l.box.Now() }
+func (l *Leader) SetWall(wall Micros) {
+	l.wallAhead = wall - l.box.Now()
+	if l.service.since == 0 && l.book.Revision() > 0 {
+		l.service.since = wall // what comes from now on is known from its beginning
+	}
+}
 
 // Won begins a reign. Nothing is commanded before the records have been read
 // after the claim: only then are all placements of predecessors known.
@@ -147,6 +155,7 @@
 	l.writeHints()
 	l.tidyEnded()
 	l.count()
+	l.tellServed()
 	l.keepLearnt()
 	l.owner.Announce()
 	l.owner.Probe()
@@ -242,6 +251,9 @@
 	txn      *txn
 	retryAt  Micros
 
+	judged  *served.Job // how it counts among what is served; nil: it doesn't, or not any more
+	counted bool        // it did
+
 	arrived    Micros // when this node first saw the job
 	started    map[int]Micros
 	deadGang   uint64 // gang attempts up to this one can't be completed
@@ -370,6 +382,7 @@
 // Changed hears that something about a job has changed.
 func (l *Leader) Changed(r *records.Job) {
 	j := l.jobs[r.ID]
+	l.countServed(j)
 	l.changed(j)
 	l.revise(j)
 }
--- a/internal/node/metrics/metrics.go
+++ b/internal/node/metrics/metrics.go
@@ -14,6 +14,7 @@
 
 	"coralhub/internal/core/leader"
 	"coralhub/internal/core/msg"
+	"coralhub/internal/core/served"
 )
 
 // Path is where the metrics are.
@@ -70,11 +71,13 @@
 	learnt     = desc("runs_learnt_from", "Runs learnt from since this node leads.")
 	changes    = desc("changes_total", "Transactions with changes, by those that go first or later and what became of them.", "kind")
 	pace       = desc("changes_later_pace", "Changes a second that may be made by those that give way.")
+	inTime     = desc("served_share", "Part of the jobs whose time was up within ten minutes that were done, or had all replicas, by then; of the leader.", "by", "name")
+	judged     = desc("judged_jobs", "How many jobs served_share is of.", "by", "name")
 	reports    = desc("reports_total", "Reports of workers that were handed to the leader, or lost on the way.", "what")
 )
 
 func (c *counted) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{leading, records, unfinished, placements, waiting, machines, writing, takeovers, passes, looked, learnt, changes, pace, reports} {
+	for _, d := range []*prometheus.Desc{leading, records, unfinished, placements, waiting, machines, writing, takeovers, passes, looked, learnt, changes, pace, reports, inTime, judged} {
 		ch <- d
 	}
 }
@@ -113,6 +116,12 @@
 	for class, n := range g.Waiting {
 		gauge(waiting, float64(n), class)
 	}
+	for by, shares := range map[string]map[string]served.Share{"class": g.ServedClasses, "team": g.ServedTeams} {
+		for name, s := range shares {
+			gauge(inTime, s.Part(), by, name)
+			gauge(judged, float64(s.Jobs), by, name)
+		}
+	}
 	for state, n := range g.Machines {
 		gauge(machines, float64(n), state)
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -11,6 +13,7 @@
 
 	"coralhub/internal/core/leader"
 	"coralhub/internal/core/msg"
+	"coralhub/internal/core/served"
 	"coralhub/internal/standin"
 	"coralhub/wire"
 )
@@ -29,6 +32,7 @@
 //	cancel id=j-1                   a user cancels, again until it is final
 //	run for=5s                      time passes
 //	node n1 kill|start|upgrade      a node ends or starts, held to no format any more
+//	served                          what the leader says was served, by class and team
 //	busy node=n1 for=3s             its loop takes so long for one input
 //	cut node=n1 link=state mode=hold / heal node=n1; with keep, what was held
 //	                                back stays so until the next heal
@@ -110,6 +114,19 @@
 	id := "j-1"
 	d.MaybeScanArgs(t, "id", &id)
 	switch d.Cmd {
+	case "served":
+		a := s.Ask(s.node(s.Leader()), func(req uint64) msg.Input { return msg.AdminIn{Req: req, What: msg.AskGauges} })
+		g, ok := a.Body.(leader.Gauges)
+		if !ok {
+			return describe(a)
+		}
+		out := ""
+		for _, of := range []map[string]served.Share{g.ServedClasses, g.ServedTeams} {
+			for _, name := range slices.Sorted(maps.Keys(of)) {
+				out += fmt.Sprintf("%s %d of %d\n", name, of[name].Served, of[name].Jobs)
+			}
+		}
+		return out
 	case "busy":
 		n := pick(t, s, d)
 		n.busy = s.now + length(t, d, "for", "3s")
