--- a/internal/node/store/paced.go
+++ b/internal/node/store/paced.go
@@ -25,6 +25,7 @@
 	low, top rate.Limit // between these goes what it recovers to
 	most     rate.Limit // what it recovers to
 	at       time.Time  // when it was last changed
+	cutAt    time.Time  // when it was last cut
 }
 
 // temper is how a pace answers.
@@ -32,14 +33,16 @@
 	cut   rate.Limit    // what a refusal leaves of it
 	gain  rate.Limit    // what is added for each time that it isn't refused, in parts of the whole
 	whole time.Duration // how long after a refusal it is back, if no other comes
+	pause time.Duration // refusals within so long are one: what was sent together is refused together
 }
 
 var (
 	// A leader's part is used by one node: it takes what it finds.
 	quick = temper{cut: 0.7, gain: 0.03, whole: paceRecovery}
-	// All nodes accept. What one of them finds idle the others find too: they are slower to
-	// take it, or every second request in a flood would be one that is refused.
-	gentle = temper{cut: 0.85, gain: 0.01, whole: 6 * paceRecovery}
+	// All nodes accept. What one of them finds idle the others find too, so they are slower to
+	// take it. A day begins with hundreds of jobs at once: with each refusal cutting the pace
+	// and 30 s to recover, a third of the quota was left idle for 20 s.
+	gentle = temper{cut: 0.6, gain: 0.03, whole: 1 * paceRecovery, pause: 200 * time.Millisecond}
 )
 
 // paceRecovery is how long after a refusal a leader's pace is back, if no other comes.
@@ -134,6 +137,10 @@
 	defer p.mu.Unlock()
 	limit := p.limiter.Limit()
 	if refused {
+		if now.Sub(p.cutAt) < p.pause {
+			return
+		}
+		p.cutAt = now
 		p.most = max(p.low, p.most*0.96)
 		p.limiter.SetLimitAt(now, max(p.least, min(limit, p.most)*p.cut))
 		return
