Beats don't wait behind reports, and what is known of kinds of jobs is bounded

Need: beats and word that a peer is alive shared the lane of reports. A leader behind with its workers would have been taken for one out of reach, and its homes have turned to mail: the way in which the flood fed itself. And a flood of jobs of ever other sizes would have grown the leader's list of likenesses for good.

Change: beats wait in the lane of what keeps a node alive; likenesses are numbered anew beyond 4,096; a listener that fails is noticed under load as well.

--- a/internal/core/leader/alike.go
+++ b/internal/core/leader/alike.go
@@ -28,6 +28,10 @@
 	priority        string // of its own; its level doesn't tell it for what is beyond a guarantee
 }
 
+// mostAlike is how many likenesses are kept before all are numbered anew: users choose the
+// sizes of their jobs, and most of what was numbered is over by then.
+const mostAlike = 4096
+
 // alike numbers the likenesses of the jobs of a reign.
 type alike map[likeness]int
 
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -173,6 +173,12 @@
 	for _, m := range l.owner.Roster().All() {
 		l.touch(m)
 	}
+	if len(s.alike) > mostAlike {
+		clear(s.alike)
+		for _, j := range l.active {
+			j.like = 0
+		}
+	}
 	clear(s.used)
 	clear(s.lines)
 	clear(s.wanting)
--- a/internal/node/lanes/lanes.go
+++ b/internal/node/lanes/lanes.go
@@ -14,10 +14,10 @@
 
 // The lanes, and who may fill each.
 const (
-	// Alive is for time, and for answers to what this node has asked of the outside:
-	// bounded by what it asks.
+	// Alive is for answers to what this node has asked of the state service and the cloud,
+	// and for beats: bounded by what it asks and by the nodes.
 	Alive Lane = iota
-	// Workers is for reports, and for what homes and workers answer: bounded by the
+	// Workers is for reports, and for what leaders and workers answer: bounded by the
 	// machines and by their reports' pace.
 	Workers
 	// Users is for polls and cancellations: bounded by nothing but users.
@@ -37,7 +37,7 @@
 	length   int
 	patience time.Duration
 }{
-	Alive:       {2048, 0},
+	Alive:       {2048, 2 * time.Second},
 	Workers:     {2048, 2 * time.Second},
 	Users:       {1024, time.Second},
 	Submissions: {512, 2 * time.Second},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,7 +64,7 @@
 func New(cfg *config.Config) *Node {
 	n := &Node{cfg: cfg, inputs: lanes.New[msg.Input](time.Now), core: core.New(cfg, rand.Uint64()), start: time.Now()}
 	post := func(in msg.Input) { n.inputs.Post(lanes.Alive, in) }
-	fromWorkers := func(in msg.Input) { n.inputs.Post(lanes.Workers, in) }
+	fromWorkers := func(in msg.Input) { n.inputs.Post(laneOf(in), in) }
 	n.store = store.New(cfg, n.clock, post)
 	n.peers = peer.New(cfg, fromWorkers)
 	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() && !n.retired.Load() }, cfg.Settings.Admin)
@@ -78,15 +78,20 @@
 
 // offer posts an input unless its lane is so long that its answer would come
 // too late anyway.
-func (n *Node) offer(in msg.Input) bool {
-	lane := lanes.Workers
+func (n *Node) offer(in msg.Input) bool { return n.inputs.Offer(laneOf(in), in) }
+
+// laneOf tells where an input waits that somebody else has sent. Beats tell who is alive: they
+// are some a second, and don't wait behind reports.
+func laneOf(in msg.Input) lanes.Lane {
 	switch in.(type) {
+	case msg.BeatIn, msg.BeatDone, msg.PeerHeard:
+		return lanes.Alive
 	case msg.PollIn, msg.CancelIn, msg.AdminIn:
-		lane = lanes.Users
+		return lanes.Users
 	case msg.SubmitIn, msg.Hint:
-		lane = lanes.Submissions
+		return lanes.Submissions
 	}
-	return n.inputs.Offer(lane, in)
+	return lanes.Workers
 }
 
 // Run serves until ctx ends or a listener fails.
@@ -144,6 +149,9 @@
 			n.take(taken)
 			select {
 			case <-tick.C:
+			case err := <-failed:
+				failed <- err
+				return
 			case <-ctx.Done():
 				return
 			default:
@@ -234,7 +242,7 @@
 			if st.Says {
 				accepts = append(accepts, st.Accepts)
 			}
-			n.offer(msg.PeerHeard{Node: node})
+			n.inputs.Post(lanes.Alive, msg.PeerHeard{Node: node})
 		}
 		n.store.Share(accepts)
 		alone := anyOK && n.store.FailingFor() > 1500*time.Millisecond
