--- a/internal/core/leader/gather.go
+++ b/internal/core/leader/gather.go
@@ -78,13 +78,7 @@
 				of.moved = map[int]Micros{}
 			}
 			of.moved[r.Task] = l.box.Now()
-			only := map[job.Key]bool{}
-			of.EachOpen(func(p job.Placement) {
-				if p.Task == r.Task {
-					only[p.Key(r.Job)] = true
-				}
-			})
-			l.owner.Stop(of.Job, only, "moved to make room for "+j.ID)
+			l.stopTask(of, r.Task, "moved to make room for "+j.ID)
 		}
 	}
 	l.counters.moved += best.Moves
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -495,18 +495,23 @@
 	for _, v := range bid.Victims {
 		v.Gone = true
 		victim := l.jobs[v.Job]
-		only := map[job.Key]bool{}
-		victim.EachOpen(func(p job.Placement) {
-			if p.Task == v.Task {
-				only[p.Key(v.Job)] = true
-			}
-		})
-		l.owner.Stop(victim.Job, only, "preempted by "+j.ID)
+		l.stopTask(victim, v.Task, "preempted by "+j.ID)
 		wait = max(wait, config.FromSeconds(victim.Rec.Spec.SaveS)+6*config.Second)
 	}
 	j.preempted = l.box.Now() + wait
 }
 
+// stopTask stops a task of a job, or the whole of a gang.
+func (l *Leader) stopTask(j *Job, task int, why string) {
+	only := map[job.Key]bool{}
+	j.EachOpen(func(p job.Placement) {
+		if p.Task == task {
+			only[p.Key(j.ID)] = true
+		}
+	})
+	l.owner.Stop(j.Job, only, why)
+}
+
 // rent asks for the machines that the unplaced work calls for.
 func (l *Leader) rent(s *scan) {
 	if l.claim.InDoubt() || len(s.needs) == 0 {
