The flood work read once more: one piece each for needs, renewals, moves and records

What a need may use was checked in three places, and made in two: Need.suits and Leader.need. The moves of replicas were counted by hand where the library's limiter does it, told the time of the step. Two counters in the lanes were only ever added up; whether a job was counted follows from how it is judged; shares are sorted by one comparison. A pace's part is set with the time that it is told, as its other changes are. The simulation renews leases by one function, and the fleets of the core's tests put records by one.

Tests keep their assertions.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -100,7 +100,7 @@
 	}
 	for _, r := range rs {
 		each := 0
-		if left > 0 && n.Types[r.kind.Type] && (n.Spot || !r.kind.Spot) && (n.Zone == "" || n.Zone == r.kind.Zone) {
+		if left > 0 && n.suits(r.kind) {
 			each = n.Task.Times(r.free)
 		}
 		filled, partly := 0, 0
@@ -134,6 +134,11 @@
 	return out
 }
 
+// suits tells whether a kind of machine will do for a need, whatever its size.
+func (n *Need) suits(k Kind) bool {
+	return n.Types[k.Type] && (n.Spot || !k.Spot) && (n.Zone == "" || n.Zone == k.Zone)
+}
+
 func (n *Need) like(o *Need) bool {
 	return n.Task == o.Task && n.Zone == o.Zone && n.Spot == o.Spot && maps.Equal(n.Types, o.Types)
 }
@@ -196,13 +201,13 @@
 func (f *Fleet) cheapest(now Micros, n *Need, rent, count map[Kind]int, types []*wire.MachineType) (best Kind, ok bool) {
 	bestPrice := 0.0
 	for _, t := range types {
-		if !n.Types[t.Name] || !n.Task.Fits(zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) {
+		if !n.Task.Fits(zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) {
 			continue
 		}
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k := Kind{t.Name, z, spot}
-				if spot && !n.Spot || n.Zone != "" && n.Zone != z || f.none[k] > now {
+				if !n.suits(k) || f.none[k] > now {
 					continue
 				}
 				price := t.Price
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"maps"
 	"testing"
 
@@ -129,7 +128,7 @@
 			t.Errorf("%s asks for what there is nothing of", p.Name)
 		}
 	}
-	if name := fmt.Sprint(f.sorted()[0].Name); name != due[1].Name {
+	if name := f.sorted()[0].Name; name != due[1].Name {
 		t.Errorf("first is %s", name)
 	}
 }
--- a/internal/core/fleet/keeper.go
+++ b/internal/core/fleet/keeper.go
@@ -103,25 +103,22 @@
 	k.ask()
 }
 
-// Exhausted tells whether the cloud has lately had none of any kind of machine that would do,
-// and none of them boots.
-func (k *Keeper) Exhausted(types map[string]bool, zone string, spot bool) bool {
-	suits := func(kind Kind) bool {
-		return types[kind.Type] && (spot || !kind.Spot) && (zone == "" || kind.Zone == zone)
-	}
+// Exhausted tells whether the cloud has lately had none of any kind of machine that would do
+// for a need, and none of them boots.
+func (k *Keeper) Exhausted(n *Need) bool {
 	for m := range k.booting {
-		if suits(k.kinds[m]) {
+		if n.suits(k.kinds[m]) {
 			return false
 		}
 	}
-	for name := range types {
+	for name := range n.Types {
 		t := k.catalog.Types[name]
 		if t == nil {
 			continue
 		}
 		for _, z := range t.Zones {
 			for _, kind := range []Kind{{name, z, false}, {name, z, true}} {
-				if suits(kind) && k.fleet.none[kind] <= k.box.Now()-refusedPause {
+				if n.suits(kind) && k.fleet.none[kind] <= k.box.Now()-refusedPause {
 					return false
 				}
 			}
--- a/internal/core/flood_test.go
+++ b/internal/core/flood_test.go
@@ -16,14 +16,8 @@
 func newFlood(tb testing.TB, machines, waiting int) *fleet {
 	f := newQueue(tb, machines, 0)
 	for i := range waiting {
-		rec := &job.Record{Spec: &wire.Job{ID: waitingName(i), Class: "flood", Team: "red", Shape: wire.Array, Priority: wire.Low, Tasks: 1 + i*7%50,
-			CPUs: 5, GPUs: 1, MemoryGB: 36, Image: fmt.Sprint("image-", i%5), ImageGB: 3.5, EstimateS: 40, CheckpointS: 30, Spot: true}, Created: int64(machines + i + 1)}
-		value, err := job.EncodeRecord(rec, job.Newest)
-		if err != nil {
-			tb.Fatal(err)
-		}
-		f.version++
-		f.records = append(f.records, wire.Item{Key: job.RecordKey(rec.Spec.ID), Value: value, Version: f.version})
+		f.put(tb, waitingName(i), &job.Record{Spec: &wire.Job{ID: waitingName(i), Class: "flood", Team: "red", Shape: wire.Array, Priority: wire.Low, Tasks: 1 + i*7%50,
+			CPUs: 5, GPUs: 1, MemoryGB: 36, Image: fmt.Sprint("image-", i%5), ImageGB: 3.5, EstimateS: 40, CheckpointS: 30, Spot: true}, Created: int64(machines + i + 1)})
 	}
 	return f
 }
--- a/internal/core/leader/alike.go
+++ b/internal/core/leader/alike.go
@@ -84,7 +84,7 @@
 		return false // its team's limit has a say as well
 	}
 	j.reserved = nil
-	l.unplaced(s, j, fleet.Need{Task: taskRes(spec), Count: lacks, Types: j.types.set, Zone: spec.Zone, Spot: spec.Spot})
+	l.unplaced(s, j, l.need(j, lacks))
 	return true
 }
 
@@ -100,6 +100,12 @@
 	return job.PartTasks
 }
 
+// need is what so many tasks of a job, which has been described, call for.
+func (l *Leader) need(j *Job, count int) fleet.Need {
+	spec := j.Rec.Spec
+	return fleet.Need{Task: taskRes(spec), Count: count, Types: j.types.set, Zone: spec.Zone, Spot: spec.Spot}
+}
+
 // unplaced notes that some of a job found no room.
 func (l *Leader) unplaced(s *scan, j *Job, n fleet.Need) {
 	l.counters.without++
--- a/internal/core/leader/gather.go
+++ b/internal/core/leader/gather.go
@@ -2,10 +2,13 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"coralhub/internal/config"
+	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/gather"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/queue"
@@ -29,32 +32,30 @@
 
 // gathering is what is left of the moves that the settings allow.
 type gathering struct {
-	moves float64
-	at    Micros // when that was reckoned
-	next  Micros // no look before then
+	moves *rate.Limiter // told the time of the step
+	next  Micros        // no look before then
 }
 
 // gather clears machines of replicas for a gang that has found no room, if it has waited for
 // long, the cloud has no more of what would do, and what it lacks is only that free room is in
 // pieces. The replicas go elsewhere in their zone; nothing else is stopped.
-func (l *Leader) gather(s *scan, j *Job, q *zone.Request, count int) {
-	rate, g := l.cfg.Settings.GatherPerS, &l.gathering
-	if rate <= 0 || !q.Whole || l.box.Now() < g.next || l.box.Now()-j.arrived < gatherAfter || l.box.Now() < j.preempted ||
-		!l.keeper.Exhausted(q.Types, j.Rec.Spec.Zone, q.Spot) {
+func (l *Leader) gather(s *scan, j *Job, q *zone.Request, lacks *fleet.Need) {
+	perS, g := l.cfg.Settings.GatherPerS, &l.gathering
+	if perS <= 0 || !q.Whole || l.box.Now() < g.next || l.box.Now()-j.arrived < gatherAfter || l.box.Now() < j.preempted ||
+		!l.keeper.Exhausted(lacks) {
 		return
 	}
 	g.next = l.box.Now() + gatherPause
-	if g.at == 0 {
-		g.moves = rate * gatherBurst
+	if g.moves == nil {
+		g.moves = rate.NewLimiter(rate.Limit(perS), int(perS*gatherBurst))
 	}
-	g.moves = math.Min(rate*gatherBurst, g.moves+rate*float64(l.box.Now()-g.at)/1e6)
-	g.at = l.box.Now()
+	now := time.UnixMicro(l.box.Now())
 	var best *gather.Plan
 	for _, z := range s.zones {
 		if zone := j.Rec.Spec.Zone; zone != "" && zone != z.Name || s.barred[z.Name] {
 			continue
 		}
-		p := gather.For(q.Needs, count, int(g.moves), l.gatherable(z, q, queue.Level(j.Priority(), true)))
+		p := gather.For(lacks.Task, lacks.Count, int(g.moves.TokensAt(now)), l.gatherable(z, q, queue.Level(j.Priority(), true)))
 		if p != nil && (best == nil || p.Moves < best.Moves) {
 			best = p
 		}
@@ -62,7 +63,7 @@
 	if best == nil {
 		return
 	}
-	g.moves -= float64(best.Moves)
+	g.moves.AllowN(now, best.Moves)
 	j.reserved = map[string]bool{}
 	for _, m := range slices.Concat(best.Clear, best.Whole) {
 		j.reserved[m.Name] = true
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -251,8 +251,7 @@
 	txn      *txn
 	retryAt  Micros
 
-	judged  *served.Job // how it counts among what is served; nil: it doesn't, or not any more
-	counted bool        // it did
+	judged *served.Job // how it counts among what is served; nil: it doesn't, or not any more
 
 	arrived    Micros // when this node first saw the job
 	started    map[int]Micros
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -332,8 +332,9 @@
 			}
 		}
 	}
-	l.gather(s, j, q, len(tasks))
-	l.unplaced(s, j, fleet.Need{Task: q.Needs, Count: len(tasks), Types: q.Types, Zone: spec.Zone, Spot: spec.Spot})
+	lacks := l.need(j, len(tasks))
+	l.gather(s, j, q, &lacks)
+	l.unplaced(s, j, lacks)
 }
 
 func (l *Leader) roomiest(s *scan, spec *wire.Job) string {
--- a/internal/core/leader/served.go
+++ b/internal/core/leader/served.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -39,8 +40,7 @@
 	if l.service.since == 0 || now == 0 || rec.Created == 0 && rec.Spec != nil || rec.Created != 0 && rec.Created < l.service.since {
 		return
 	}
-	if j.judged == nil && rec.Spec != nil && !rec.Final() && !j.counted {
-		j.counted = true
+	if j.judged == nil && rec.Spec != nil && !rec.Final() {
 		j.judged = l.service.tally.Accepted(now, rec.Spec, rec.Created)
 	}
 	switch {
@@ -72,13 +72,7 @@
 // shares lists shares, the worst first.
 func shares(of map[string]served.Share) string {
 	names := slices.SortedFunc(maps.Keys(of), func(a, b string) int {
-		switch x, y := of[a].Part(), of[b].Part(); {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return strings.Compare(a, b)
+		return cmp.Or(cmp.Compare(of[a].Part(), of[b].Part()), cmp.Compare(a, b))
 	})
 	var out []string
 	for _, name := range names[:min(len(names), maxClasses)] {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -53,14 +53,7 @@
 // newQueue returns a fleet with so many jobs that wait.
 func newQueue(tb testing.TB, machines, waiting int) *fleet {
 	f := &fleet{machines: machines, now: config.Second, version: 1000}
-	put := func(id string, rec *job.Record) {
-		value, err := job.EncodeRecord(rec, job.Newest)
-		if err != nil {
-			tb.Fatal(err)
-		}
-		f.version++
-		f.records = append(f.records, wire.Item{Key: job.RecordKey(id), Value: value, Version: f.version})
-	}
+	put := func(id string, rec *job.Record) { f.put(tb, id, rec) }
 	spec := func(id, team string, tasks int) *wire.Job {
 		return &wire.Job{ID: id, Class: "c", Team: team, Shape: wire.Service, Priority: wire.Normal, Tasks: tasks, CPUs: 1, GPUs: 1,
 			MemoryGB: 1, Image: "i", ImageGB: 1}
@@ -95,6 +88,16 @@
 	return f
 }
 
+// put adds a job's record to those that a node reads.
+func (f *fleet) put(tb testing.TB, id string, rec *job.Record) {
+	value, err := job.EncodeRecord(rec, job.Newest)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	f.version++
+	f.records = append(f.records, wire.Item{Key: job.RecordKey(id), Value: value, Version: f.version})
+}
+
 func jobName(i int) string { return fmt.Sprintf("j-%06d", i) }
 
 // takeOver has a new node read all records, claim and read them again.
--- a/internal/node/lanes/lanes.go
+++ b/internal/node/lanes/lanes.go
@@ -58,8 +58,7 @@
 	turn  [count]int // left in this round
 	wake  chan struct{}
 
-	refused [count]int
-	shed    [count]int
+	refused [count]int // at once, or as too late
 }
 
 // New returns an empty line that goes by a clock.
@@ -145,7 +144,7 @@
 	l.room[lane].Signal()
 	late := x.offered && l.late(lane, &x)
 	if late {
-		l.shed[lane]++
+		l.refused[lane]++
 	}
 	return Taken[T]{x.it, l.now().Sub(x.at), late}
 }
@@ -156,8 +155,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := []any{"alive", len(l.lanes[Alive]), "workers", len(l.lanes[Workers]), "users", len(l.lanes[Users]), "submissions", len(l.lanes[Submissions]),
-		"workers_refused", l.refused[Workers] + l.shed[Workers], "users_refused", l.refused[Users] + l.shed[Users],
-		"submissions_refused", l.refused[Submissions] + l.shed[Submissions]}
-	l.refused, l.shed = [count]int{}, [count]int{}
+		"workers_refused", l.refused[Workers], "users_refused", l.refused[Users], "submissions_refused", l.refused[Submissions]}
+	l.refused = [count]int{}
 	return out
 }
--- a/internal/node/store/paced.go
+++ b/internal/node/store/paced.go
@@ -89,13 +89,13 @@
 }
 
 // setLeast gives it another part.
-func (p *paced) setLeast(least float64) {
+func (p *paced) setLeast(now time.Time, least float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.least = min(rate.Limit(least), p.top)
 	p.low = p.least
 	if p.most = max(p.most, p.low); p.limiter.Limit() < p.least {
-		p.limiter.SetLimit(p.least)
+		p.limiter.SetLimitAt(now, p.least)
 	}
 }
 
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -38,25 +38,25 @@
 
 // Store is a client of the state service.
 type Store struct {
-	base   string
-	post   func(msg.Input)
-	http   *http.Client
-	alive  *http.Client // for leases and the watch alone: nothing that users fill goes before them
-	keeper keep.Keeper
-	calls  *paced        // all requests but those that keep the node alive
-	writes *rate.Limiter // changes that go first
-	accept *paced        // jobs that are accepted
-	wants  wants         // how many it is asked to accept
-	whole  float64       // of all nodes' accepts, a second
-	nodes  int
-	later  *paced // what a leader writes that can wait
-	relist chan struct{}
-	pace   time.Duration
-	close  atomic.Int64 // until when the watch follows closely, since the start
-	badAt  atomic.Int64 // since when every call has failed; 0 if the last went well
-	start  time.Time
-	clock  func() msg.Micros // the core's
-	tally  tally
+	base    string
+	post    func(msg.Input)
+	http    *http.Client
+	alive   *http.Client // for leases and the watch alone: nothing that users fill goes before them
+	keeper  keep.Keeper
+	calls   *paced        // all requests but those that keep the node alive
+	writes  *rate.Limiter // changes that go first
+	accept  *paced        // jobs that are accepted
+	wants   wants         // how many it is asked to accept
+	whole   float64       // of all nodes' accepts, a second
+	nodes   int
+	later   *paced // what a leader writes that can wait
+	relist  chan struct{}
+	pace    time.Duration
+	closely atomic.Int64 // until when the watch follows closely, since the start
+	badAt   atomic.Int64 // since when every call has failed; 0 if the last went well
+	start   time.Time
+	clock   func() msg.Micros // the core's
+	tally   tally
 }
 
 // tally counts what became of transactions that change something, since the process
@@ -132,7 +132,7 @@
 	for len(others) < s.nodes-1 {
 		others = append(others, s.whole/float64(s.nodes))
 	}
-	s.accept.setLeast(share.Part(s.whole, s.Accepts(), others))
+	s.accept.setLeast(time.Now(), share.Part(s.whole, s.Accepts(), others))
 }
 
 // FailingFor tells for how long no call has gone well.
@@ -159,7 +159,7 @@
 	case msg.DropLease:
 		s.keeper.Drop(x.Lease)
 	case msg.FollowClosely:
-		s.close.Store(int64(time.Since(s.start) + closelyFor))
+		s.closely.Store(int64(time.Since(s.start) + closelyFor))
 	case msg.Relist:
 		select {
 		case s.relist <- struct{}{}:
@@ -415,7 +415,7 @@
 	for ctx.Err() == nil {
 		began, asOf := time.Now(), s.clock()
 		most := watchWait
-		if int64(time.Since(s.start)) < s.close.Load() {
+		if int64(time.Since(s.start)) < s.closely.Load() {
 			most = s.pace
 		}
 		q := url.Values{"under": {job.Root}, "from": {strconv.FormatUint(from, 10)},
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -235,11 +235,17 @@
 
 // keep renews a node's lease beside its loop.
 func (s *Sim) keep(n *node) {
-	lease, _ := n.keeper.Due(time.UnixMicro(s.now))
-	if lease == 0 || n.cut["state"] != "" {
-		return
+	if lease, _ := n.keeper.Due(time.UnixMicro(s.now)); lease != 0 && n.cut["state"] == "" {
+		s.renew(n, lease)
+	}
+}
+
+// renew renews a lease for a node.
+func (s *Sim) renew(n *node, lease uint64) {
+	d := msg.LeaseDone{Outcome: msg.Refused, Lease: lease, Renewal: true}
+	if n.cut["state"] == "" {
+		d.Outcome = outcome(s.state.Extend(s.now, lease), "")
 	}
-	d := msg.LeaseDone{Lease: lease, Renewal: true, Outcome: outcome(s.state.Extend(s.now, lease), "")}
 	if d.Outcome == msg.Gone {
 		n.keeper.Drop(lease)
 	}
@@ -309,11 +315,7 @@
 		n.keeper.Drop(x.Lease)
 	case msg.RenewLease:
 		n.keeper.Want(x.Lease, time.Duration(x.TTL)*time.Microsecond, time.UnixMicro(s.now))
-		d := msg.LeaseDone{Outcome: msg.Refused, Lease: x.Lease, Renewal: true}
-		if n.cut["state"] == "" {
-			d.Outcome = outcome(s.state.Extend(s.now, x.Lease), "")
-		}
-		s.post(n, d)
+		s.renew(n, x.Lease)
 	case msg.Relist:
 		n.relist = true
 	case msg.Answer:
