Troubles of the links in the scenario runner: deaf machines, copies of reports, moments of absence

The runner can now bring them about (TestChaosOfLinks): a machine that is heard and can't be reached, reports delivered again up to three leases later to whichever node, nodes and machines back within 0.1 to 0.9 s, a node that has nothing but its workers. At the end every accepted job has to be answered for within 75 s.

A machine that hangs beyond its lease is counted as the protocol has it: it may resume within its lease alone.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,6 +147,9 @@
 	BootGiveUpTimes float64 `json:"boot_give_up_times"`
 	RentSurplus     float64 `json:"rent_surplus"`
 	GatherPerS      float64 `json:"gather_per_s"`
+	BeginWithinS    float64 `json:"begin_within_s"`
+	InTimeFirst     bool    `json:"in_time_first"`
+	DrainS          float64 `json:"drain_s"`
 	HoldFormat      bool    `json:"hold_format"`
 
 	Estimates       bool    `json:"estimates"`
@@ -180,7 +183,7 @@
 	return Settings{
 		AgeWeight: 1, ShareWeight: 1, AgeCapS: 300, UsageWindowS: 60, ScanPeriodS: 10,
 		PassIntervalMS: 100, LeaderLeaseMS: 3000, StandInS: 60, IdleReturnS: 0, SilentReleaseS: 0,
-		MemoryShare: 0.6, BootGiveUpTimes: 3, RentSurplus: 0.5, GatherPerS: 2,
+		MemoryShare: 0.6, BootGiveUpTimes: 3, RentSurplus: 0.5, GatherPerS: 2, BeginWithinS: 240, InTimeFirst: true, DrainS: 60,
 		Estimates: true, EstimateGroups: 512, Rank: RankCredit, SlowTimes: 1.3,
 	}
 }
--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -289,6 +289,7 @@
 		switch d.Outcome {
 		case msg.OK:
 			f.node.Wrote(wire.Change{Put: key, Value: value, Version: d.Revision})
+			f.box.Debug("accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
 			f.box.Answer(x.Req, http.StatusCreated, wire.JobStatus{ID: spec.ID, Status: status})
 		case msg.Conflict:
 			f.refuse(x, spec.ID, 0, "try again")
--- a/internal/core/leader/admin.go
+++ b/internal/core/leader/admin.go
@@ -93,7 +93,7 @@
 	Looked       Looked
 	EstimateRuns uint64
 
-	ServedClasses, ServedTeams map[string]served.Share // of a leader
+	Served, Begun served.Shares // of a leader
 }
 
 // gauges counts.
@@ -114,7 +114,7 @@
 		g.Waiting[class]++
 	}
 	g.Machines = l.states()
-	g.ServedClasses, g.ServedTeams = l.service.tally.Shares(l.wall())
+	g.Served, g.Begun = l.service.tally.Shares(l.wall()), l.service.tally.Begun(l.wall())
 	if l.learning.model != nil {
 		g.EstimateRuns = l.learning.model.Observed()
 	}
--- a/internal/core/leader/audit.go
+++ b/internal/core/leader/audit.go
@@ -1,8 +1,10 @@
 package leader
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/queue"
@@ -17,7 +19,6 @@
 		return nil
 	}
 	used := map[string]queue.Amount{}
-	guaranteed := map[string]queue.Amount{}
 	settled := len(l.survey.jobs) == 0
 	planned := map[string]zone.Res{}
 	for _, j := range l.active {
@@ -31,15 +32,9 @@
 		if !j.listed && wants != l.survey.wanting[j] {
 			return fmt.Errorf("%s wants places: %v", j.ID, wants)
 		}
-		team := l.teams[spec.Team]
-		if j.Rec.Final() || team == nil || j.Held() || !queue.HasGuarantee(team) {
-			continue
-		}
-		sum := guaranteed[spec.Team].Plus(taskAmount(spec), float64(spec.Tasks-j.Done))
-		guaranteed[spec.Team] = sum
-		if settled && queue.UnderGuarantee(team, sum) != l.within(j) {
-			return fmt.Errorf("%s is within its guarantee: %v", j.ID, !l.within(j))
-		}
+	}
+	if err := l.auditGuarantees(); settled && err != nil {
+		return err
 	}
 	for _, team := range l.cfg.Cluster.Teams {
 		a, b := used[team.Name], l.survey.used[team.Name]
@@ -70,6 +65,27 @@
 	return l.auditPlaces()
 }
 
+// auditGuarantees adds up from the front of each team's line who is within its guarantee.
+func (l *Leader) auditGuarantees() error {
+	inLine := slices.SortedFunc(slices.Values(l.active), func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(a.created+a.behind, b.created+b.behind), cmp.Compare(a.ID, b.ID))
+	})
+	sums := map[string]queue.Amount{}
+	for _, j := range inLine {
+		spec := j.Rec.Spec
+		team := l.teams[spec.Team]
+		if j.Rec.Final() || team == nil || j.Held() || !queue.HasGuarantee(team) {
+			continue
+		}
+		sum := sums[spec.Team].Plus(taskAmount(spec), float64(spec.Tasks-j.Done))
+		sums[spec.Team] = sum
+		if queue.UnderGuarantee(team, sum) != l.within(j) {
+			return fmt.Errorf("%s is within its guarantee: %v", j.ID, !l.within(j))
+		}
+	}
+	return nil
+}
+
 // auditPlaces holds the open placements by machine against those by job.
 func (l *Leader) auditPlaces() error {
 	open := 0
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -67,6 +67,7 @@
 	counters  counters
 	gathering gathering
 	service   service
+	order     order
 	standIns  map[string]standIn // by node
 	assured   uint64             // the last version of a record by which a cancellation was told
 }
@@ -75,7 +76,7 @@
 // hears from it and tells it, see Use.
 func New(cfg *config.Config, box *outbox.Box, form *records.Form, catalog *zone.Catalog, claim *claim.Claim) *Leader {
 	return &Leader{cfg: cfg, box: box, form: form, catalog: catalog, claim: claim, jobs: map[string]*Job{}, teams: cfg.Cluster.TeamsByName(),
-		service: service{tally: served.New()}}
+		service: service{tally: served.New(config.FromSeconds(cfg.Settings.BeginWithinS))}}
 }
 
 // Use gives the leader the rooms that it commands and goes by.
@@ -215,7 +216,7 @@
 func (l *Leader) reset() {
 	for _, j := range l.jobs {
 		j.closes, j.plan, j.txn, j.reserved, j.mergeNow, j.moved = nil, nil, nil, nil, false, nil
-		j.standing, j.runs, j.like = standing{}, runs{}, 0
+		j.standing, j.runs, j.like, j.drainSince, j.behind = standing{}, runs{}, 0, 0, 0
 	}
 	l.ready = false
 	looked := l.survey.lookedAt
@@ -225,7 +226,7 @@
 	l.keeper.Reset()
 	l.reigns++
 	l.standIns, l.assured = map[string]standIn{}, 0
-	l.writing, l.gathering = 0, gathering{}
+	l.writing, l.gathering, l.order = 0, gathering{}, order{kinds: map[string]*kind{}}
 	l.ended = endedLog{writeAt: l.ended.writeAt, leaving: map[uint64]bool{}}
 	l.dirty, l.delayed = map[string]bool{}, map[string]bool{}
 	l.usage = queue.NewUsage(config.FromSeconds(l.cfg.Settings.UsageWindowS))
@@ -251,6 +252,9 @@
 	txn      *txn
 	retryAt  Micros
 
+	drainSince Micros // since when machines are kept for it as they become free
+	behind     Micros // how far behind its age puts it in the line for its team's guarantee
+
 	judged *served.Job // how it counts among what is served; nil: it doesn't, or not any more
 
 	arrived    Micros // when this node first saw the job
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -21,6 +21,8 @@
 	failed []failure
 	needs  []fleet.Need
 	barred map[string]bool // zones kept for a job past the age cap
+	// drained are the zones of which free machines are kept for a gang.
+	drained map[string]bool
 
 	exhausted exhausted
 
@@ -55,6 +57,7 @@
 	}
 	s := l.surveyAll()
 	l.usage.Observe(l.box.Now(), s.used)
+	l.shortages()
 	entries := l.pending()
 	queue.Rank(entries)
 	l.counters.passes++
@@ -73,7 +76,7 @@
 // workers last said of it, and so does what is being committed.
 func (l *Leader) surveyAll() *scan {
 	l.refresh()
-	s := &scan{zones: l.survey.zones, used: maps.Clone(l.survey.used), barred: map[string]bool{}, budget: l.mostWriting() - l.writing}
+	s := &scan{zones: l.survey.zones, used: maps.Clone(l.survey.used), barred: map[string]bool{}, drained: map[string]bool{}, budget: l.mostWriting() - l.writing}
 	for _, z := range s.zones {
 		z.Victims = func() []*zone.Victim { return l.victims(s, z.Name) }
 	}
@@ -195,7 +198,11 @@
 			}
 			continue
 		}
-		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.Priority(), l.within(j)), Within: l.rankWithin(j), Created: j.Rec.Created,
+		turn, within := l.turn(j)
+		if within == 0 {
+			within = l.rankWithin(j)
+		}
+		out = append(out, queue.Entry{ID: j.ID, Level: queue.Level(j.Priority(), l.within(j)), Turn: turn, Within: within, Created: j.Rec.Created,
 			Credit: queue.Credit(&l.cfg.Settings, l.box.Now()-j.arrived, shares[spec.Team])})
 	}
 	return out
@@ -334,6 +341,7 @@
 	}
 	lacks := l.need(j, len(tasks))
 	l.gather(s, j, q, &lacks)
+	l.drain(s, j, q)
 	l.unplaced(s, j, lacks)
 }
 
--- a/internal/core/leader/served.go
+++ b/internal/core/leader/served.go
@@ -47,6 +47,13 @@
 	case j.judged == nil:
 	case rec.Phase == job.Cancelled || rec.Cancel:
 		l.service.tally.Cancelled(now, j.judged)
+	default:
+		if j.begun() {
+			l.service.tally.Began(now, j.judged)
+		}
+	}
+	switch {
+	case j.judged == nil:
 	case rec.Phase == job.Done || rec.Spec != nil && rec.Spec.Shape == wire.Service && j.Open >= rec.Spec.Tasks:
 		l.service.tally.Served(now, j.judged)
 	}
@@ -62,11 +69,15 @@
 		return
 	}
 	s.toldAt = l.box.Now()
-	classes, teams := s.tally.Shares(l.wall())
-	if len(classes) == 0 {
-		return
+	for _, told := range []struct {
+		what string
+		served.Shares
+	}{{"served", s.tally.Shares(l.wall())}, {"begun", s.tally.Begun(l.wall())}} {
+		if len(told.Class) > 0 {
+			l.box.Log(told.what, "of_s", min(served.Window, l.wall()-s.since)/config.Second,
+				"class", shares(told.Class), "team", shares(told.Team), "largest", shares(told.Largest))
+		}
 	}
-	l.box.Log("served", "of_s", min(served.Window, l.wall()-s.since)/config.Second, "class", shares(classes), "team", shares(teams))
 }
 
 // shares lists shares, the worst first.
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -300,7 +300,11 @@
 		return
 	}
 	j.lineOf = spec.Team
-	j.member.Created, j.member.ID = j.created, j.ID
+	if at := j.created + j.behind; j.member.Created != at {
+		line.Leave(&j.member)
+		j.member.Created = at
+	}
+	j.member.ID = j.ID
 	line.Set(&j.member, queue.Amount{}.Plus(taskAmount(spec), float64(spec.Tasks-j.Done)))
 }
 
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -112,18 +112,22 @@
 type Entry struct {
 	ID      string
 	Level   int
+	Turn    int     // orders those of a level that is short of places; 0 goes first
 	Within  float64 // orders those of a level before their credit does; 0 where it doesn't
 	Credit  float64
 	Created config.Micros
 }
 
-// Rank sorts entries: priority, what the settings put before credit, credit, age, id.
+// Rank sorts entries: priority, whose turn it is where places are short, what the settings
+// put before credit, credit, age, id.
 func Rank(entries []Entry) {
 	sort.Slice(entries, func(i, j int) bool {
 		a, b := &entries[i], &entries[j]
 		switch {
 		case a.Level != b.Level:
 			return a.Level > b.Level
+		case a.Turn != b.Turn:
+			return a.Turn < b.Turn
 		case a.Within != b.Within:
 			return a.Within < b.Within
 		case a.Credit != b.Credit:
--- a/internal/core/served/served.go
+++ b/internal/core/served/served.go
@@ -1,12 +1,15 @@
-// Package served counts which part of the jobs of each class and team is served in time, so
-// that a class or team that starves is seen. A job is judged once, when its time is up: what
-// ends by itself has to be done by then, a service to have places for all its replicas. One that
-// its user cancels doesn't count. Refused submissions are not known here: users' side counts them.
+// Package served counts which part of the jobs is served in time, so that a class, a team or
+// the largest jobs of a class that starve are seen. It asks two questions of each job, each once,
+// when the time for it is up. Has it begun, that is, has it had a place? And was it served: what
+// ends by itself has to be done by then, a service to have places for all its replicas. A job
+// that its user cancels doesn't count. Refused submissions are not known here: users' side counts
+// them.
 package served
 
 import (
 	"cmp"
 	"maps"
+	"math/bits"
 	"slices"
 
 	"coralhub/internal/config"
@@ -20,40 +23,163 @@
 	// Window is over how long jobs are counted, by when their time is up.
 	Window = 10 * 60 * config.Second
 	bucket = 10 * config.Second
-	// least and times are how long a job has: so many times its owner's estimate, which is
-	// often wrong by half, and no less than a minute, what machines take to boot.
+	// least and times are how long a job has to be served: so many times its owner's
+	// estimate, which is often wrong by half, and no less than a minute, what machines take
+	// to boot.
 	least = 60 * config.Second
 	times = 4
-	// mostKeys are counted apart in a bucket: users choose the names.
+	// mostKeys are counted apart in a bucket, and listed: users choose the names and sizes.
 	mostKeys = 200
+	// largest is the part of a class that counts as its largest jobs.
+	largest = 0.1
 )
 
-// Key is whose job it is.
-type Key struct{ Class, Team string }
+// Key is what jobs are counted by.
+type Key struct {
+	Class, Team string
+	Size        int
+}
+
+// Size is by which number a job of so many tasks is counted: the exact one up to 8, then in
+// four steps from each power of two to the next.
+func Size(tasks int) int {
+	shift := max(0, bits.Len(uint(tasks))-3)
+	return tasks >> shift << shift
+}
+
+// answer is what is known of one question about a job.
+type answer struct {
+	key Key
+	due Micros
+	yes bool
+}
 
 // Job is one that is counted.
 type Job struct {
-	key    Key
-	due    Micros
-	out    bool // it is counted no more
-	served bool
+	out           bool // it is counted no more
+	served, begun answer
 }
 
-type count struct{ jobs, served int }
+type count struct{ jobs, yes int }
 
-// Share is how many of the jobs whose time was up were served.
+func (c count) plus(o count) count { return count{c.jobs + o.jobs, c.yes + o.yes} }
+
+// Share is how many of the jobs whose time was up were served, or had begun.
 type Share struct{ Jobs, Served int }
 
 // Part is the share as a part of one.
 func (s Share) Part() float64 { return float64(s.Served) / float64(max(s.Jobs, 1)) }
 
+// Shares are those of the classes, of the teams, and of the largest tenth of each class.
+type Shares struct{ Class, Team, Largest map[string]Share }
+
+// question counts the answers to one, by when they were due.
+type question map[Micros]map[Key]count
+
+func (q question) add(a *answer, jobs, yes int) {
+	at := a.due - a.due%bucket
+	of := q[at]
+	if of == nil {
+		of = map[Key]count{}
+		q[at] = of
+	}
+	if _, had := of[a.key]; !had && len(of) >= mostKeys {
+		a.key = Key{}
+	}
+	of[a.key] = of[a.key].plus(count{jobs, yes})
+}
+
+// yes takes the answer; once its time is up that changes nothing.
+func (q question) yes(now Micros, a *answer) {
+	if !a.yes && now <= a.due {
+		a.yes = true
+		q.add(a, 0, 1)
+	}
+}
+
+// drop takes the question back if it hasn't been judged.
+func (q question) drop(now Micros, a *answer) {
+	if now > a.due {
+		return
+	}
+	yes := 0
+	if a.yes {
+		yes = -1
+	}
+	q.add(a, -1, yes)
+}
+
+func (q question) forget(now Micros) {
+	maps.DeleteFunc(q, func(at Micros, _ map[Key]count) bool { return at+bucket <= now-Window })
+}
+
+// shares adds up what was due by now.
+func (q question) shares(now Micros) Shares {
+	q.forget(now)
+	out := Shares{map[string]Share{}, map[string]Share{}, map[string]Share{}}
+	add := func(to map[string]Share, name string, c count) {
+		to[name] = Share{to[name].Jobs + c.jobs, to[name].Served + c.yes}
+	}
+	sizes := map[string]map[int]count{}
+	for at, of := range q {
+		if at+bucket > now {
+			continue
+		}
+		for k, c := range of {
+			if c.jobs <= 0 {
+				continue
+			}
+			add(out.Class, k.Class, c)
+			add(out.Team, k.Team, c)
+			sizes[k.Class] = bySize(sizes[k.Class], k.Size, c)
+		}
+	}
+	for class, of := range sizes {
+		_, top, _ := split(of)
+		add(out.Largest, class, top)
+	}
+	trim(out.Class)
+	trim(out.Team)
+	trim(out.Largest)
+	return out
+}
+
+func bySize(of map[int]count, size int, c count) map[int]count {
+	if of == nil {
+		of = map[int]count{}
+	}
+	of[size] = of[size].plus(c)
+	return of
+}
+
+// split parts the jobs of a class into the largest tenth, from some size on, and the rest.
+func split(of map[int]count) (from int, top, rest count) {
+	all := 0
+	for _, c := range of {
+		all += c.jobs
+	}
+	for _, size := range slices.Backward(slices.Sorted(maps.Keys(of))) {
+		if float64(top.jobs) < largest*float64(all) {
+			from, top = size, top.plus(of[size])
+		} else {
+			rest = rest.plus(of[size])
+		}
+	}
+	return from, top, rest
+}
+
 // Tally counts.
-type Tally struct{ buckets map[Micros]map[Key]count }
+type Tally struct {
+	within        Micros // a job is to begin within
+	served, begun question
+}
 
-// New returns a Tally of nothing.
-func New() *Tally { return &Tally{buckets: map[Micros]map[Key]count{}} }
+// New returns a Tally of nothing. Jobs are to begin within some time.
+func New(within Micros) *Tally {
+	return &Tally{within: within, served: question{}, begun: question{}}
+}
 
-// Due is when a job that was accepted at some time is judged.
+// Due is when a job that was accepted at some time is to be served by.
 func Due(spec *wire.Job, created Micros) Micros {
 	if spec.Shape == wire.Service {
 		return created + least
@@ -65,76 +191,77 @@
 	return created + long
 }
 
-func (t *Tally) add(j *Job, jobs, served int) {
-	at := j.due - j.due%bucket
-	of := t.buckets[at]
-	if of == nil {
-		of = map[Key]count{}
-		t.buckets[at] = of
-	}
-	if _, had := of[j.key]; !had && len(of) >= mostKeys {
-		j.key = Key{}
-	}
-	c := of[j.key]
-	of[j.key] = count{c.jobs + jobs, c.served + served}
-}
-
 // Accepted counts a job; nil: its time has been up for too long.
 func (t *Tally) Accepted(now Micros, spec *wire.Job, created Micros) *Job {
-	t.forget(now)
-	j := &Job{key: Key{spec.Class, spec.Team}, due: Due(spec, created)}
-	if j.due <= now-Window {
+	t.served.forget(now)
+	t.begun.forget(now)
+	key := Key{spec.Class, spec.Team, Size(spec.Tasks)}
+	j := &Job{served: answer{key: key, due: Due(spec, created)}, begun: answer{key: key, due: created + t.within}}
+	if max(j.served.due, j.begun.due) <= now-Window {
 		return nil
 	}
-	t.add(j, 1, 0)
+	t.served.add(&j.served, 1, 0)
+	t.begun.add(&j.begun, 1, 0)
 	return j
 }
 
-// Served hears that a job is done, or has all its replicas. Once its time is up that changes
-// nothing.
+// Began hears that a job has had a place.
+func (t *Tally) Began(now Micros, j *Job) {
+	if j != nil && !j.out {
+		t.begun.yes(now, &j.begun)
+	}
+}
+
+// Served hears that a job is done, or has all its replicas.
 func (t *Tally) Served(now Micros, j *Job) {
-	if j == nil || j.out || j.served || now > j.due {
-		return
+	if j != nil && !j.out {
+		t.served.yes(now, &j.served)
 	}
-	j.served = true
-	t.add(j, 0, 1)
 }
 
-// Cancelled hears that a job's user wants it no more. One that was judged stays as it was.
+// Cancelled hears that a job's user wants it no more. What was judged stays as it was.
 func (t *Tally) Cancelled(now Micros, j *Job) {
-	if j == nil || j.out || now > j.due {
+	if j == nil || j.out {
 		return
 	}
+	t.served.drop(now, &j.served)
+	t.begun.drop(now, &j.begun)
 	j.out = true
-	if j.served {
-		t.add(j, -1, -1)
-		return
-	}
-	t.add(j, -1, 0)
 }
 
-// Shares adds up what was judged within the window.
-func (t *Tally) Shares(now Micros) (classes, teams map[string]Share) {
-	t.forget(now)
-	classes, teams = map[string]Share{}, map[string]Share{}
-	add := func(to map[string]Share, name string, c count) {
-		s := to[name]
-		to[name] = Share{s.Jobs + c.jobs, s.Served + c.served}
-	}
-	for at, of := range t.buckets {
-		if at+bucket > now {
+// Shares tells what was served of what was judged within the window.
+func (t *Tally) Shares(now Micros) Shares { return t.served.shares(now) }
+
+// Begun tells what had begun of what was judged within the window.
+func (t *Tally) Begun(now Micros) Shares { return t.begun.shares(now) }
+
+// Class is how the jobs of a class fare that were accepted lately, whether their time is up
+// or not.
+type Class struct {
+	LargestFrom   int // the size from which on a job counts among the largest
+	Largest, Rest Share
+}
+
+// Classes tells so of every class, of the jobs accepted within twice the time that they have to
+// begin.
+func (t *Tally) Classes(now Micros) map[string]Class {
+	sizes := map[string]map[int]count{}
+	for at, of := range t.begun {
+		if at+bucket <= now-t.within {
 			continue
 		}
 		for k, c := range of {
 			if c.jobs > 0 {
-				add(classes, k.Class, c)
-				add(teams, k.Team, c)
+				sizes[k.Class] = bySize(sizes[k.Class], k.Size, c)
 			}
 		}
 	}
-	trim(classes)
-	trim(teams)
-	return classes, teams
+	out := make(map[string]Class, len(sizes))
+	for name, of := range sizes {
+		from, top, rest := split(of)
+		out[name] = Class{from, Share{top.jobs, top.yes}, Share{rest.jobs, rest.yes}}
+	}
+	return out
 }
 
 // trim puts those with fewest jobs under one name, "", when there are too many to read.
@@ -151,7 +278,3 @@
 		of[""] = Share{of[""].Jobs + s.Jobs, of[""].Served + s.Served}
 	}
 }
-
-func (t *Tally) forget(now Micros) {
-	maps.DeleteFunc(t.buckets, func(at Micros, _ map[Key]count) bool { return at+bucket <= now-Window })
-}
--- a/internal/core/served/served_test.go
+++ b/internal/core/served/served_test.go
@@ -15,6 +15,50 @@
 // The same cases every run; -rapid.seed draws others.
 var _ = flag.Set("rapid.seed", "1")
 
+const within = 240 * config.Second
+
+func TestSize(t *testing.T) {
+	for tasks, want := range map[int]int{1: 1, 7: 7, 8: 8, 9: 8, 10: 10, 16: 16, 19: 16, 20: 20, 90: 80, 100_000: 98304} {
+		if got := Size(tasks); got != want {
+			t.Errorf("%d tasks count as %d", tasks, got)
+		}
+	}
+}
+
+// A job of many tasks counts among the largest of its class, whatever it is that the class asks
+// for most; where all are alike every one does.
+func TestLargest(t *testing.T) {
+	tally := New(within)
+	now := Micros(1000 * config.Second)
+	accept := func(class string, tasks, count, begun int) {
+		for i := range count {
+			j := tally.Accepted(now, &wire.Job{Class: class, Tasks: tasks}, now)
+			if i < begun {
+				tally.Began(now+config.Second, j)
+			}
+		}
+	}
+	accept("mixed", 1, 60, 60)
+	accept("mixed", 4, 30, 15)
+	accept("mixed", 16, 10, 2)
+	accept("alike", 2, 5, 1)
+	classes := tally.Classes(now)
+	if c := classes["mixed"]; c != (Class{16, Share{10, 2}, Share{90, 75}}) {
+		t.Errorf("mixed: %+v", c)
+	}
+	if c := classes["alike"]; c != (Class{2, Share{5, 1}, Share{}}) {
+		t.Errorf("alike: %+v", c)
+	}
+	now += within + bucket
+	got := tally.Begun(now)
+	if got.Class["mixed"] != (Share{100, 77}) || got.Largest["mixed"] != (Share{10, 2}) || got.Largest["alike"] != (Share{5, 1}) {
+		t.Errorf("%+v", got)
+	}
+	if late := tally.Shares(now).Class["mixed"]; late != (Share{100, 0}) {
+		t.Errorf("served: %+v", late)
+	}
+}
+
 func TestDue(t *testing.T) {
 	late := 900.0
 	for _, tt := range []struct {
@@ -33,13 +77,13 @@
 }
 
 func TestNamesAreBounded(t *testing.T) {
-	tally := New()
+	tally := New(within)
 	now := Micros(1000 * config.Second)
 	for i := range 3 * mostKeys {
 		now += config.Second
 		tally.Accepted(now, &wire.Job{Class: fmt.Sprint("c", i), Shape: wire.Array}, now)
 	}
-	classes, _ := tally.Shares(now)
+	classes := tally.Shares(now).Class
 	jobs := 0
 	for _, s := range classes {
 		jobs += s.Jobs
@@ -58,7 +102,7 @@
 		done, cancelled, dueAt Micros
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		tally := New()
+		tally := New(within)
 		var all []*one
 		now := Micros(1000 * config.Second)
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
@@ -91,12 +135,12 @@
 				classes[o.class] = Share{classes[o.class].Jobs + 1, classes[o.class].Served + served}
 				teams[o.team] = Share{teams[o.team].Jobs + 1, teams[o.team].Served + served}
 			}
-			gotClasses, gotTeams := tally.Shares(now)
-			if !maps.Equal(gotClasses, classes) || !maps.Equal(gotTeams, teams) {
-				t.Fatalf("%v %v, should be %v %v", gotClasses, gotTeams, classes, teams)
+			got := tally.Shares(now)
+			if !maps.Equal(got.Class, classes) || !maps.Equal(got.Team, teams) {
+				t.Fatalf("%v, should be %v %v", got, classes, teams)
 			}
-			if len(tally.buckets) > int(Window/bucket)+30 {
-				t.Fatalf("%d buckets", len(tally.buckets))
+			if len(tally.served)+len(tally.begun) > 2*int(Window/bucket)+60 {
+				t.Fatalf("%d and %d buckets", len(tally.served), len(tally.begun))
 			}
 		}
 	})
--- a/internal/core/zone/bid.go
+++ b/internal/core/zone/bid.go
@@ -176,6 +176,14 @@
 	return nil
 }
 
+// Rooms lists where tasks of a request would go if it had to take what there is, as many as it
+// asks for.
+func (z *Zone) Rooms(now Micros, q *Request) []*Room {
+	b := &Bid{}
+	b.fill(z.offers(now, q), q)
+	return b.Rooms
+}
+
 // mayUse tells whether a request may use a room, whatever is free there.
 func (q *Request) mayUse(now Micros, r *Room) bool {
 	m := r.Machine
--- a/internal/node/metrics/metrics.go
+++ b/internal/node/metrics/metrics.go
@@ -73,11 +73,13 @@
 	pace       = desc("changes_later_pace", "Changes a second that may be made by those that give way.")
 	inTime     = desc("served_share", "Part of the jobs whose time was up within ten minutes that were done, or had all replicas, by then; of the leader.", "by", "name")
 	judged     = desc("judged_jobs", "How many jobs served_share is of.", "by", "name")
+	begun      = desc("begun_share", "Part of the jobs whose time to begin was up within ten minutes that had a place by then, by class, team and the largest tenth of a class; of the leader.", "by", "name")
+	begunOf    = desc("begun_jobs", "How many jobs begun_share is of.", "by", "name")
 	reports    = desc("reports_total", "Reports of workers that were handed to the leader, or lost on the way.", "what")
 )
 
 func (c *counted) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{leading, records, unfinished, placements, waiting, machines, writing, takeovers, passes, looked, learnt, changes, pace, reports, inTime, judged} {
+	for _, d := range []*prometheus.Desc{leading, records, unfinished, placements, waiting, machines, writing, takeovers, passes, looked, learnt, changes, pace, reports, inTime, judged, begun, begunOf} {
 		ch <- d
 	}
 }
@@ -116,12 +118,16 @@
 	for class, n := range g.Waiting {
 		gauge(waiting, float64(n), class)
 	}
-	for by, shares := range map[string]map[string]served.Share{"class": g.ServedClasses, "team": g.ServedTeams} {
-		for name, s := range shares {
-			gauge(inTime, s.Part(), by, name)
-			gauge(judged, float64(s.Jobs), by, name)
+	tell := func(part, jobs *prometheus.Desc, s served.Shares) {
+		for by, shares := range map[string]map[string]served.Share{"class": s.Class, "team": s.Team, "largest": s.Largest} {
+			for name, s := range shares {
+				gauge(part, s.Part(), by, name)
+				gauge(jobs, float64(s.Jobs), by, name)
+			}
 		}
 	}
+	tell(inTime, judged, g.Served)
+	tell(begun, begunOf, g.Begun)
 	for state, n := range g.Machines {
 		gauge(machines, float64(n), state)
 	}
--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"flag"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -36,6 +37,23 @@
 	}
 }
 
+// TestChaosOfLinks adds machines that nothing reaches though they are heard, copies of reports
+// up to three leases late, nodes and machines that are back in a moment, and nodes that have
+// nothing but their workers.
+func TestChaosOfLinks(t *testing.T) {
+	for seed := range uint64(*linkSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(3+2*int(seed%2), 1+int(seed%3), []float64{0, 25}[seed%2])
+			s.copies = &copies{late: 3 * s.world.Lease}
+			chaos(t, s, rand.New(rand.NewPCG(seed, 11)), 5, 120, 8)
+		})
+	}
+}
+
+// linkSeeds is how many days TestChaosOfLinks plays; the usual ones take a few seconds.
+var linkSeeds = flag.Int("links", 40, "days of TestChaosOfLinks")
+
 // TestChaosInUpgrade begins with every node held to the older format. They are
 // upgraded one by one while all else goes on, jobs that need others are submitted
 // throughout, and the state service's limits fall at some moment after that.
@@ -78,7 +96,11 @@
 	services := map[string]bool{}
 	for i := range early + events {
 		n := s.nodes[rnd.IntN(3)]
-		kind := rnd.IntN(14)
+		kinds := 14
+		if s.copies != nil {
+			kinds = 20
+		}
+		kind := rnd.IntN(kinds)
 		if s.announced && i >= early {
 			s.progress(n, i-early, events)
 		}
@@ -91,9 +113,9 @@
 			for s.announced && len(needable) > 0 && len(j.Needs) < 4 && rnd.IntN(2) == 0 {
 				j.Needs = append(j.Needs, needable[rnd.IntN(len(needable))])
 			}
+			services[j.ID] = j.Shape == wire.Service
 			if a := s.Submit(n, j); a.Status == 201 || a.Status == 200 {
 				accepted[j.ID] = true
-				services[j.ID] = j.Shape == wire.Service
 				if j.Shape != wire.Service {
 					needable = append(needable, j.ID)
 				}
@@ -131,6 +153,8 @@
 				m := s.world.Machines[names[rnd.IntN(len(names))]]
 				m.Hang = !m.Hang
 			}
+		default:
+			s.trouble(n, rnd)
 		}
 		if i >= early {
 			s.Run(standin.Micros(rnd.IntN(30)) * tick)
@@ -147,7 +171,14 @@
 			s.start(n)
 		}
 	}
+	for _, name := range s.world.Names() {
+		s.world.Machines[name].Deaf = ""
+	}
 	s.Release()
+	if s.copies != nil {
+		s.again(s.node(s.Leader()), rnd, 30)
+	}
+	s.answered(t, accepted)
 	s.Run(60 * standin.Second)
 	for _, id := range slices.Sorted(maps.Keys(accepted)) {
 		for try := 0; services[id] && s.told[id] != wire.Cancelled && try < 20; try++ {
@@ -176,6 +207,33 @@
 	}
 }
 
+// answered asks about every job, each time at the next node, until it has had an answer. No
+// job may be without one for longer than this once all troubles are over.
+func (s *Sim) answered(t *testing.T, jobs map[string]bool) {
+	const forgottenAfter = 75 * standin.Second
+	over := s.now
+	var left []string
+	for id, told := range jobs {
+		if told {
+			left = append(left, id)
+		}
+	}
+	slices.Sort(left)
+	for round := 0; len(left) > 0; round++ {
+		left = slices.DeleteFunc(left, func(id string) bool {
+			a := s.Ask(s.nodes[round%len(s.nodes)], func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
+			s.judge(id, a)
+			return a.Status == 200
+		})
+		if s.now-over > forgottenAfter {
+			t.Errorf("nobody answers for %v", left)
+			return
+		}
+		s.Run(standin.Second)
+	}
+	t.Logf("all answered for after %d ms", (s.now-over)/1000)
+}
+
 // progress upgrades a node when its turn has come, one in each seventh of the
 // events, and lets the limits fall after the last.
 func (s *Sim) progress(n *node, at, events int) {
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -42,6 +42,7 @@
 	seeds     uint64
 	late      wire.Report // held back by a script
 	effects   hash.Hash64 // of all that nodes have done, if anybody wants to know
+	copies    *copies     // of reports, to come again; nil: none are kept
 }
 
 type node struct {
@@ -427,10 +428,10 @@
 		return s.world.Commands(s.now, m, x.Commands)
 	}
 	switch {
-	case n.cut["workers"] == "hold" || m != nil && m.Hang:
+	case n.cut["workers"] == "hold" || m != nil && (m.Hang || m.Deaf == "hold"):
 		d.Outcome = msg.Unknown
 		s.held = append(s.held, func() { run() })
-	case n.cut["workers"] == "" && m != nil && s.now >= m.Up:
+	case n.cut["workers"] == "" && m != nil && s.now >= m.Up && m.Deaf == "":
 		status, r := run()
 		d.Report = &r
 		if status == 200 {
@@ -490,6 +491,7 @@
 		n := s.nodes[m.Node%len(s.nodes)]
 		r := m.Status()
 		m.Reported(s.now, 0)
+		s.copies.keep(s.now, &r)
 		var a msg.Answer
 		if n.alive && n.cut["workers"] == "" {
 			s.req++
@@ -502,6 +504,9 @@
 		if s.world.Machines[name] == nil {
 			continue
 		}
+		if m.Deaf != "" {
+			a = msg.Answer{}
+		}
 		switch body := a.Body.(type) {
 		case wire.ReportAnswer:
 			s.world.Answered(s.now, s.now, r.Session, m, body)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -121,7 +121,11 @@
 			return describe(a)
 		}
 		out := ""
-		for _, of := range []map[string]served.Share{g.ServedClasses, g.ServedTeams} {
+		shares := g.Served
+		if d.HasArg("begun") {
+			shares = g.Begun
+		}
+		for _, of := range []map[string]served.Share{shares.Class, shares.Team, shares.Largest} {
 			for _, name := range slices.Sorted(maps.Keys(of)) {
 				out += fmt.Sprintf("%s %d of %d\n", name, of[name].Served, of[name].Jobs)
 			}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -72,6 +72,9 @@
 	recall  Micros            // when the cloud takes it back; 0: not
 	silent  bool              // and it gives no notice
 	Fails   bool              // every task that starts from now on fails
+	// Deaf has its reports arrive while answers and commands don't reach it: "drop" loses
+	// them, "hold" has direct commands arrive once it is over.
+	Deaf string
 }
 
 type task struct {
@@ -169,15 +172,18 @@
 			w.Release(now, []string{n})
 			continue
 		}
-		if m.Hang || now < m.Up {
+		if now < m.Up {
 			continue
 		}
-		if now-m.alive > w.Lease {
+		if now-m.alive > w.Lease { // whether it hangs or not: it may go on within its lease alone
 			w.lose(now, m)
 			m.tasks, m.changed = nil, true
 			m.Session++
 			m.alive = now
 		}
+		if m.Hang {
+			continue
+		}
 		for _, t := range m.tasks {
 			w.advance(now, m, t)
 		}
@@ -308,6 +314,18 @@
 	return r
 }
 
+// Restart has a machine stop with all that is on it and come back after so long. Its worker
+// goes on with the next session; or it begins anew, remembering nothing, not even its session.
+func (w *World) Restart(now, after Micros, m *Machine, anew bool) {
+	w.lose(now, m)
+	m.tasks, m.changed, m.busy = nil, true, false
+	m.Session++
+	if anew {
+		m.Session, m.Seq, m.Token = 1, 0, 0
+	}
+	m.Up, m.alive = now+after, now+after
+}
+
 // Due tells whether the worker wants to report.
 func (m *Machine) Due(now Micros) bool {
 	return !m.Hang && !m.busy && now >= m.Up && (now >= m.NextAt || m.changed && now >= m.sentAt+Second/2)
