Machines that nothing reaches are noticed, get no more work and come back by evidence

Cause: a machine whose reports arrive while answers and commands don't reach it looks alive. Its tasks end with its lease, and as it has most room then, new ones went to it again and again; a gang waited for it.

It seems deaf (zone/hearing.go) when its lease ends though its reports were answered in time, or when three answers in a row with starts are not followed. Then it gets nothing new and is called with nothing to do, less and less often; whatever shows that it got something makes it hear again. After a lease it is deleted, after six in a zone where many are deaf or silent; one that is deaf three times goes back when idle.

A worker that has begun anew, with a session below the one that its work was placed in, reports under the heir's token and used to be believed alive while its placements stayed open for ever. It is deleted: proof.

--- a/internal/core/fleet/keeper.go
+++ b/internal/core/fleet/keeper.go
@@ -267,18 +267,15 @@
 			continue
 		}
 		limit := silence
-		if k.silentFor(m) > silence {
-			if crowds == nil {
-				crowds = k.crowds()
-			}
-			if crowds[m.Zone] {
-				limit = 6 * silence
-			}
+		if k.silentFor(m) > silence && k.inCrowd(m, &crowds) {
+			limit = 6 * silence
 		}
 		why := ""
 		switch {
 		case m.Failed:
 			why = "failed"
+		case m.Anew:
+			why = "began anew"
 		case m.Session == 0 && len(k.book.OpenOn(name)) == 0:
 			if k.box.Now()-max(m.Rented, k.since) > k.bootLimit(m) {
 				why = "never came up"
@@ -289,6 +286,10 @@
 			if m.IdleSince != 0 {
 				why = "faulty"
 			}
+		case m.Hearing.Deaf() && k.box.Now()-m.Hearing.Since > k.deafLimit(m, &crowds):
+			why = "deaf"
+		case m.Hearing.Times >= zone.MostDeaf && m.IdleSince != 0:
+			why = "deaf again and again"
 		case m.IdleSince != 0 && k.box.Now()-m.IdleSince > k.keepIdle(m):
 			why = "idle"
 		}
@@ -309,6 +310,24 @@
 	}
 }
 
+// inCrowd tells whether so many machines of a zone are quiet or deaf that it is rather the network.
+func (k *Keeper) inCrowd(m *zone.Machine, crowds *map[string]bool) bool {
+	if *crowds == nil {
+		*crowds = k.crowds()
+	}
+	return (*crowds)[m.Zone]
+}
+
+// deafLimit is how long a machine may seem deaf before it is deleted: by then its lease has
+// ended, and with it all that ran there.
+func (k *Keeper) deafLimit(m *zone.Machine, crowds *map[string]bool) Micros {
+	lease := config.FromSeconds(k.cfg.Cluster.Workers.LeaseS)
+	if k.inCrowd(m, crowds) {
+		return 6 * lease
+	}
+	return lease
+}
+
 // crowds tells in which zones so many workers are quiet that it is rather the
 // network than the machines. Those heard of through a deputy count: they tell of a
 // cut.
@@ -319,7 +338,7 @@
 			continue
 		}
 		all[m.Zone]++
-		if k.box.Now()-max(m.Spoke, k.since) > k.cfg.Silence()/2 {
+		if m.Hearing.Deaf() || k.box.Now()-max(m.Spoke, k.since) > k.cfg.Silence()/2 {
 			quiet[m.Zone]++
 		}
 	}
@@ -394,7 +413,7 @@
 	case m.IdleSince == 0:
 		m.IdleSince = k.box.Now()
 	}
-	if !busy || m.Session == 0 || m.Releasing || m.Failed {
+	if !busy || m.Session == 0 || m.Releasing || m.Failed || m.Anew || m.Hearing.Deaf() {
 		k.watched[m] = true
 	} else {
 		delete(k.watched, m)
--- a/internal/core/leader/counters.go
+++ b/internal/core/leader/counters.go
@@ -26,6 +26,7 @@
 	quiet   = "quiet"
 	mailed  = "mailed"
 	sick    = "sick"
+	deaf    = "deaf"
 	booting = "booting"
 	leaving = "leaving"
 )
@@ -38,6 +39,8 @@
 		return booting
 	case m.Sick():
 		return sick
+	case m.Hearing.Deaf():
+		return deaf
 	case m.Mailed:
 		return mailed
 	case l.box.Now()-m.Spoke > l.suspectAfter():
@@ -68,6 +71,6 @@
 	n := &l.counters
 	l.box.Debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held, "moved", n.moved,
 		"writing", l.writing, "waiting", len(l.dirty)+len(l.delayed), "closing", closing, "log", len(l.ended.fresh),
-		usable, states[usable], quiet, states[quiet], mailed, states[mailed], sick, states[sick], booting, states[booting], leaving, states[leaving])
+		usable, states[usable], quiet, states[quiet], mailed, states[mailed], sick, states[sick], deaf, states[deaf], booting, states[booting], leaving, states[leaving])
 	l.counters = counters{at: l.box.Now()}
 }
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -172,6 +172,7 @@
 	l.keepLearnt()
 	l.owner.Announce()
 	l.owner.Probe()
+	l.owner.Try()
 	l.claim.RaiseIfWanted()
 	l.keeper.Tick()
 	if l.box.Now()-l.lastPass >= config.FromSeconds(l.cfg.Settings.ScanPeriodS) || l.passAt != 0 && l.box.Now() >= l.passAt {
--- a/internal/core/leader/workers.go
+++ b/internal/core/leader/workers.go
@@ -121,6 +121,7 @@
 			wanted = append(wanted, h.Machine)
 		}
 		if m != nil && m.Beat(l.box.Now(), h.Session, h.Seq) {
+			m.Hearing.Answered(l.box.Now())
 			l.owner.Roster().Touch(m, l.box.Now())
 			l.reconsider(m)
 		}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -51,6 +51,7 @@
 	ready   bool // the records have been read since the claim
 	roster  *zone.Roster
 	strange map[*zone.Machine]bool      // those that have not followed this token yet
+	deaf    map[*zone.Machine]bool      // those that seem not to get what they are sent
 	urgent  []*zone.Machine             // those with commands that should not wait
 	stops   map[string]map[job.Key]stop // by job: what is to end
 }
@@ -67,6 +68,7 @@
 	old := o.roster
 	o.ready, o.roster = false, zone.NewRoster()
 	o.strange, o.urgent, o.stops = map[*zone.Machine]bool{}, nil, map[string]map[job.Key]stop{}
+	o.deaf = map[*zone.Machine]bool{}
 	if old == nil {
 		return
 	}
@@ -136,9 +138,11 @@
 		return
 	}
 	orders := o.orders(m, true)
+	o.followed(m, orders)
 	if starts(orders) {
-		m.SentByReply()
+		m.SentByReply(orders)
 	}
+	m.Hearing.Answered(o.box.Now())
 	o.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: o.claim.Token(), Orders: orders})
 }
 
@@ -156,23 +160,37 @@
 // Hear takes a worker's message, by whichever way it came, and draws the
 // conclusions.
 func (o *Owner) Hear(m *zone.Machine, r *wire.Report, isReport bool) bool {
-	first := m.Session == 0
+	first, session, token, had := m.Session == 0, m.Session, m.Token, m.Tasks
 	if !m.Ingest(o.box.Now(), r, isReport) {
 		return false
 	}
+	if !first && m.Session > session && m.Hearing.LeaseEnded(o.box.Now(), config.FromSeconds(o.cfg.Cluster.Workers.LeaseS)) {
+		o.seemsDeaf(m, "its lease has ended though its reports were answered")
+	}
 	if first {
 		o.box.Log("worker joined", "machine", m.Name, "zone", m.Zone, "spot", m.Spot, "after_ms", (o.box.Now()-m.Rented)/1000)
 		o.to.Joined(m)
 	}
 	expected := o.book.OpenOn(m.Name)
 	for _, key := range job.SortedKeys(expected) {
-		if expected[key].Session < m.Session {
+		switch p := expected[key]; {
+		case p.Session < m.Session:
 			o.to.Close(key, m.Name, false) // a later session: everything of the earlier one is gone
+		case p.Session > m.Session && m.Token >= o.claim.Base() && !m.Anew:
+			// Whoever placed it had heard of that session, and this was sent after our
+			// claim. A worker that counts from the start again may be about to do things that
+			// it was told before; only its deletion proves anything.
+			m.Anew = true
+			o.box.Log("worker has begun anew", "machine", m.Name, "session", m.Session, "placed_in", p.Session)
+			o.to.Looks(m)
 		}
 	}
 	if m.NoticeAt != 0 {
 		o.drain(m)
 	}
+	if !first && m.Token > token {
+		o.hears(m)
+	}
 	for _, key := range job.SortedKeys(m.Tasks) {
 		t := m.Tasks[key]
 		j := o.book.Job(key.Job)
@@ -186,6 +204,9 @@
 		if !ok || p.Session != m.Session {
 			continue
 		}
+		if _, known := had[key]; !known && !first && m.Session == session {
+			o.hears(m) // it has carried out a start
+		}
 		switch t.State {
 		case wire.Running:
 			o.to.Running(key)
@@ -355,6 +376,7 @@
 		m.Wanted = true // the orders have to go by the answer to a report
 	}
 	if r := x.Report; r != nil && r.Machine == m.Name {
+		o.hears(m)
 		if r.Token > o.claim.Token() && !o.claim.Raising() {
 			o.claim.Resign("a worker has seen a higher token")
 			return
@@ -379,6 +401,47 @@
 	}
 }
 
+// followed holds what a worker is told now against what the answer before told it: a start that is
+// still to be made has not been carried out.
+func (o *Owner) followed(m *zone.Machine, orders []wire.Order) {
+	if m.ReplySeq == 0 {
+		return
+	}
+	all := !slices.ContainsFunc(orders, func(x wire.Order) bool { return x.Verb == wire.Start && m.Asked[x.Task] == x.Attempt })
+	if m.Hearing.Followed(o.box.Now(), all) {
+		o.seemsDeaf(m, "it doesn't carry out what it is told")
+	}
+}
+
+// seemsDeaf has a machine given no more work, and tried whether it hears.
+func (o *Owner) seemsDeaf(m *zone.Machine, why string) {
+	o.box.Log("machine seems not to hear", "machine", m.Name, "why", why, "times", m.Hearing.Times)
+	o.deaf[m] = true
+	o.to.Looks(m)
+}
+
+// hears notes that something sent to a worker has reached it.
+func (o *Owner) hears(m *zone.Machine) {
+	if m.Hearing.Hears(o.box.Now()) {
+		o.box.Log("machine hears again", "machine", m.Name)
+		delete(o.deaf, m)
+		o.to.Looks(m)
+	}
+}
+
+// Try calls the workers that seem deaf, now and then, with nothing to do.
+func (o *Owner) Try() {
+	for _, m := range slices.SortedFunc(maps.Keys(o.deaf), zone.ByName) {
+		if !m.Known() {
+			delete(o.deaf, m)
+			continue
+		}
+		if m.Addr != "" && !m.Direct && !m.Releasing && m.Hearing.Try(o.box.Now()) {
+			o.direct(m, nil)
+		}
+	}
+}
+
 // Probe calls workers that have been quiet: it may be only their reports that
 // don't come through.
 func (o *Owner) Probe() {
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -46,7 +46,8 @@
 	Direct      bool // a direct call is out
 	DirectStart bool // and it carries a start
 	Ambiguous   uint64
-	ReplySeq    uint64 // last report whose answer carried a start
+	ReplySeq    uint64            // last report whose answer carried a start
+	Asked       map[string]uint64 // the starts that it carried: attempts, by task
 	directToken uint64
 	directID    uint64
 	settled     bool
@@ -64,6 +65,8 @@
 	IdleSince  Micros
 	FullUntil  Micros
 	Errors     map[string]Micros // jobs that failed here since the last success
+	Hearing    Hearing
+	Anew       bool // its worker has forgotten sessions: it can't be told what is over there
 
 	known bool          // in a roster
 	place *list.Element // in its order of silence; nil: none
@@ -150,7 +153,15 @@
 func (m *Machine) Settled() bool { return m.settled && !m.DirectStart }
 
 // SentByReply notes that the answer to the newest report carries a start.
-func (m *Machine) SentByReply() { m.ReplySeq = m.Seq; m.settled = false }
+func (m *Machine) SentByReply(orders []wire.Order) {
+	m.ReplySeq, m.settled = m.Seq, false
+	m.Asked = map[string]uint64{}
+	for _, o := range orders {
+		if o.Verb == wire.Start {
+			m.Asked[o.Task] = o.Attempt
+		}
+	}
+}
 
 // SentDirect notes a direct call.
 func (m *Machine) SentDirect(now Micros, id, token uint64, start bool) {
--- a/internal/core/zone/zone_test.go
+++ b/internal/core/zone/zone_test.go
@@ -145,7 +145,7 @@
 	if !m.Settled() {
 		t.Fatal("not settled though the start is void")
 	}
-	m.SentByReply()
+	m.SentByReply(nil)
 	m.Ingest(6, report(2, 8, 11), false)
 	if m.Settled() {
 		t.Fatal("the answer to a direct call says nothing about the answer to a report")
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -22,7 +22,8 @@
 //
 //	world nodes=3                   a new world, run until there is a leader;
 //	                                held=n1+n2: lower limits are announced, and
-//	                                these nodes are held to the first format
+//	                                these nodes are held to the first format;
+//	                                lease=10s: of workers, else 4 s
 //	announce                        nodes that start from now on are told of limits to come
 //	limits next                     the state service has its new limits
 //	keys under=ch/part/             how many keys there are
@@ -42,6 +43,9 @@
 //	  links: state, watch, answer (to one transaction), workers, peers, cloud
 //	state down|up, cloud down|up    outages
 //	machine name=m-000000 hang|resume|fail|die
+//	machine name=m-000000 deaf|hears its reports arrive, nothing reaches it
+//	machine name=m-000000 restart   it is back within half a second with the next session;
+//	                                anew: its worker remembers nothing
 //	report hold / report late       a worker's report is held back, arrives
 //	starts id=j-1                   how often tasks were started
 //	show                            leader, machines, tasks
@@ -59,6 +63,12 @@
 					d.MaybeScanArgs(t, "held", &held)
 					s = newSimFor(nodes, 1, 0, strings.Split(held, "+"))
 				}
+				if d.HasArg("lease") {
+					s.world.Lease = length(t, d, "lease", "4s")
+					for _, n := range s.nodes {
+						s.start(n) // it is told of it
+					}
+				}
 				s.Run(3 * standin.Second)
 				return "leader " + s.Leader() + "\n"
 			}
@@ -308,6 +318,12 @@
 	case d.HasArg("resume"):
 		m.Hang = false
 		s.Release()
+	case d.HasArg("deaf"):
+		m.Deaf = "drop"
+	case d.HasArg("hears"):
+		m.Deaf = ""
+	case d.HasArg("restart"):
+		s.world.Restart(s.now, standin.Second/2, m, d.HasArg("anew"))
 	case d.HasArg("fail"):
 		s.world.Fails[name] = s.now
 	case d.HasArg("die"):
