--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -70,8 +70,11 @@
 // Terms are what the rules say beside the history.
 type Terms struct {
 	CancelIn Micros // how long tasks may stay after a user was told that they are cancelled
-	Silence  Micros // how long every poll for a job may fail
-	Teams    map[string]Limit
+	Silence  Micros // how long every poll for a job may fail while others are answered
+	// Settled is when the last trouble ended, and Unanswered how long every poll for a job may
+	// fail from then on, however others fare; 0: for any time.
+	Settled, Unanswered Micros
+	Teams               map[string]Limit
 }
 
 // Broken is a rule that was broken.
@@ -249,6 +252,11 @@
 	if x.failing == 0 {
 		x.failing = e.At
 	}
+	if since := max(x.failing, j.terms.Settled); x.accepted && j.terms.Unanswered != 0 && e.At-since >= j.terms.Unanswered {
+		j.broken("forgotten", e.At, "no question about %s has been answered since %.3f s, with all troubles over", e.Job, float64(since)/1e6)
+		x.failing = e.At
+		return
+	}
 	if !x.accepted || j.terms.Silence == 0 || e.At-x.failing < j.terms.Silence || j.lastPoll < x.failing {
 		return
 	}
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// Once all troubles are over a job is forgotten about which no question is answered for 75 s, though
+// no other is answered either.
+func TestUnanswered(t *testing.T) {
+	t.Parallel()
+	settled := terms
+	settled.Settled, settled.Unanswered = 300*second, 75*second
+	for _, tt := range []struct {
+		upTo float64 // polls fail until then
+		want int
+	}{{374, 0}, {376, 1}} {
+		events := sound()
+		for s := 210.0; s <= tt.upTo; s += 5 {
+			events = append(events, Event{At: Micros(s * second), Kind: Told, Job: "j-2", Via: ByPoll, Status: 503})
+		}
+		if got := Judge(settled, events); len(got) != tt.want || tt.want > 0 && got[0].Rule != "forgotten" {
+			t.Errorf("polls fail until %v s: %v", tt.upTo, got)
+		}
+	}
+}
+
 // Every rule has histories that break it, and it alone: the judge can fail.
 func TestMutatedHistories(t *testing.T) {
 	type mutation func([]Event) []Event
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -119,6 +119,16 @@
 		return func() { world(func(w *standin.World, _ standin.Micros) { w.Model.BootTimes = 1 }) }
 	case "machine_hang":
 		return r.onMachines(f, func(m *standin.Machine, _ standin.Micros) { m.Hang = true }, func(m *standin.Machine) { m.Hang = false })
+	case "machine_deaf": // its reports arrive, and nothing reaches it
+		deaf := string(mode)
+		return r.onMachines(f, func(m *standin.Machine, _ standin.Micros) { m.Deaf = deaf }, func(m *standin.Machine) { m.Deaf = "" })
+	case "machine_restart":
+		return r.onMachines(f, func(m *standin.Machine, now standin.Micros) {
+			c.Servers.World.Restart(now, standin.Micros(100_000+rand.Int64N(800_000)), m, false)
+		}, nil)
+	case "reports_again": // copies of reports, up to so many leases late, at any node
+		c.Servers.Repeat(f.Factor * r.scenario.Deploy.LeaseS)
+		return func() { c.Servers.Repeat(0) }
 	case "machine_sick":
 		return r.onMachines(f, func(m *standin.Machine, now standin.Micros) { c.Servers.World.Fails[m.Name] = now },
 			func(m *standin.Machine) { delete(c.Servers.World.Fails, m.Name) })
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -78,6 +78,7 @@
 	Broken   []judge.Broken `json:"rules_broken"`
 	Findings []Finding      `json:"findings"`
 	Classes  []ClassResult  `json:"classes"`
+	Served   Served         `json:"served"`
 	Nodes    []cluster.Use  `json:"nodes"`
 	Requests int            `json:"state_requests"`
 	Refused  int            `json:"state_refused"`
@@ -100,6 +101,7 @@
 	cluster  *cluster.Cluster
 	users    *users
 	jobs     []planned
+	from     int64 // when it began
 
 	mu     sync.Mutex
 	events []judge.Event
@@ -209,6 +211,7 @@
 	})
 	began := time.Now()
 	from := r.now()
+	r.from = from
 	r.say("%d nodes serve; %d jobs over %.0f s", len(c.Nodes), len(r.jobs), s.DurationS)
 	r.play(ctx, began)
 	if err := ctx.Err(); err != nil {
@@ -364,7 +367,8 @@
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	terms := judge.Terms{CancelIn: config.FromSeconds(d.CancelS), Silence: 90 * config.Second, Teams: map[string]judge.Limit{}}
+	terms := judge.Terms{CancelIn: config.FromSeconds(d.CancelS), Silence: 90 * config.Second, Settled: from + config.FromSeconds(r.scenario.settled()),
+		Unanswered: 75 * config.Second, Teams: map[string]judge.Limit{}}
 	for _, name := range r.scenario.teams() {
 		terms.Teams[name] = judge.Limit{GPUs: d.TeamGPUs}
 	}
@@ -377,6 +381,7 @@
 	for i := range r.scenario.Classes {
 		res.Classes = append(res.Classes, r.classResult(&r.scenario.Classes[i], fates))
 	}
+	res.Served, _ = r.served(fates, end, beginWithin)
 	res.Marks, res.Load = r.marks, r.load(from)
 	for i := range res.Marks {
 		res.Marks[i].At -= float64(from) / 1e6
@@ -406,6 +411,16 @@
 		what += fmt.Sprintf(" within %g s", e.WithinS)
 	}
 	f := Finding{Expect: fmt.Sprintf("%s at least %g", what, e.Share)}
+	if e.Kind == "served" {
+		within := e.WithinS
+		if within == 0 {
+			within = beginWithin
+		}
+		served, of := r.served(fates, end, within)
+		f.Found, f.Of = served.least(e.Class), of
+		f.Met = f.Found >= e.Share-1e-9
+		return f
+	}
 	good, weight := 0.0, 0.0
 	inTime := func(at, since float64) bool { return at >= 0 && (e.WithinS == 0 || at-since <= e.WithinS) }
 	for _, x := range fates {
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -208,6 +208,15 @@
 	return nil
 }
 
+// settled is when the last trouble ends, in seconds from the beginning.
+func (s *Scenario) settled() float64 {
+	last := 0.0
+	for i := range s.Faults {
+		last = max(last, s.Faults[i].AtS+s.Faults[i].ForS)
+	}
+	return last
+}
+
 // Scaled returns the scenario with so many times the machines and the load.
 func (s *Scenario) Scaled(times float64) *Scenario {
 	out := *s
--- /dev/null
+++ b/internal/rehearse/served_test.go
@@ -0,0 +1,25 @@
+package rehearse
+
+import (
+	"fmt"
+	"testing"
+)
+
+// The largest tenth of a class counts by itself, whatever the class looks like as a whole.
+func TestShares(t *testing.T) {
+	var all []judged
+	for i := range 40 {
+		all = append(all, judged{id: fmt.Sprint("a", i), class: "narrow", team: "north", tasks: 1 + i, in: i < 36})
+	}
+	all = append(all, judged{id: "b", class: "one", team: "south", tasks: 3, in: true})
+	got := share3(all)
+	if got.Class["narrow"] != 0.9 || got.Largest["narrow"] != 0 || got.Team["north"] != 0.9 || got.Class["one"] != 1 || got.Largest["one"] != 1 {
+		t.Errorf("%+v", got)
+	}
+	if l := got.least(""); l != 0 {
+		t.Errorf("least %v", l)
+	}
+	if l := got.least("one"); l != 1 {
+		t.Errorf("least of one class %v", l)
+	}
+}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -34,6 +34,7 @@
 	writes *rate.Limiter
 	cloud  *rate.Limiter
 	delay  time.Duration // of the state service
+	repeat float64       // reports come again up to so many seconds later; 0: they don't
 }
 
 // NewServers returns stand-ins without quotas.
@@ -58,6 +59,10 @@
 // Delay has the state service take so much longer for each answer.
 func (s *Servers) Delay(d time.Duration) { s.With(func() { s.delay = d }) }
 
+// Repeat has copies of reports come again, each up to so many seconds later and at any node;
+// 0: none do.
+func (s *Servers) Repeat(withinS float64) { s.With(func() { s.repeat = withinS }) }
+
 // Now is the time that the stand-ins go by.
 func (s *Servers) Now() Micros { return time.Since(s.start).Microseconds() + 1 }
 
@@ -301,10 +306,15 @@
 		for {
 			s.mu.Lock()
 			m := s.World.Machines[name]
-			if m == nil || !m.Hang && s.Now() >= m.Up {
+			if m == nil || !m.Hang && m.Deaf == "" && s.Now() >= m.Up {
 				break
 			}
+			lost := m.Deaf == deafDrop
 			s.mu.Unlock()
+			if lost {
+				<-r.Context().Done() // no answer, and nothing of it comes late
+				return
+			}
 			// What a hanging machine was told takes effect when it goes on, though the
 			// sender has given up.
 			wait.For(context.Background(), 100*time.Millisecond)
@@ -329,6 +339,7 @@
 	// reportWait is how long a worker waits for the answer to a report.
 	reportWait = 4 * time.Second
 	maxReports = 512 // at a time
+	copyOneOf  = 4   // of so many reports one comes again
 )
 
 // Drive lets time pass on the machines and sends workers' reports until ctx ends. The
@@ -351,15 +362,29 @@
 				defer func() { <-sem }()
 				s.send(ctx, client, d)
 			})
+			if d.again > 0 {
+				wg.Go(func() {
+					if wait.For(ctx, d.again) {
+						s.post(ctx, client, rand.IntN(len(s.Nodes)), &d.report)
+					}
+				})
+			}
 		}
 	})
 }
 
+// Values of Machine.Deaf.
+const (
+	deafDrop = "drop"
+	deafHold = "hold"
+)
+
 type due struct {
 	m      *Machine
 	report wire.Report
 	sent   Micros
 	node   int
+	again  time.Duration // after which a copy comes; 0: none does
 }
 
 // due lets time pass and lists the reports that are to go out.
@@ -375,7 +400,11 @@
 		m := s.World.Machines[name]
 		m.Addr = addr + "/" + name
 		if len(s.Nodes) > 0 && m.Due(now) {
-			out = append(out, due{m, m.Status(), now, m.Node % len(s.Nodes)})
+			d := due{m, m.Status(), now, m.Node % len(s.Nodes), 0}
+			if s.repeat > 0 && rand.IntN(copyOneOf) == 0 {
+				d.again = time.Duration(1e9 + rand.Float64()*max(s.repeat-1, 0)*1e9)
+			}
+			out = append(out, d)
 			every := s.World.ReportEvery
 			if every == 0 {
 				every = Second
@@ -389,23 +418,14 @@
 
 // send sends a report and does what the answer says.
 func (s *Servers) send(ctx context.Context, client *http.Client, d due) {
-	status, body := 0, []byte(nil)
-	raw, err := wire.Marshal(&d.report)
-	if err == nil {
-		var req *http.Request
-		if req, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Nodes[d.node]+wire.PathReport, bytes.NewReader(raw)); err == nil {
-			var res *http.Response
-			if res, err = client.Do(req); err == nil {
-				status = res.StatusCode
-				body, _ = io.ReadAll(io.LimitReader(res.Body, 1<<20))
-				_ = res.Body.Close()
-			}
-		}
-	}
+	status, body := s.post(ctx, client, d.node, &d.report)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, now := d.m, s.Now()
 	m.busy = false
+	if m.Deaf != "" {
+		status = 0
+	}
 	var a wire.ReportAnswer
 	var to wire.Redirect
 	switch {
@@ -422,3 +442,25 @@
 	}
 	m.Node, m.NextAt = d.node+1, now+Second
 }
+
+// post sends a report to a node; a status of 0: there was no answer.
+func (s *Servers) post(ctx context.Context, client *http.Client, node int, report *wire.Report) (int, []byte) {
+	raw, err := wire.Marshal(report)
+	if err != nil {
+		return 0, nil
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Nodes[node]+wire.PathReport, bytes.NewReader(raw))
+	if err != nil {
+		return 0, nil
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	if err != nil {
+		return 0, nil
+	}
+	return res.StatusCode, body
+}
