--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"coralhub/internal/config"
+	"coralhub/internal/core/accounts"
 	"coralhub/internal/core/claim"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/front"
@@ -251,5 +252,8 @@
 // Looked tells what this node's passes have looked at.
 func (c *Core) Looked() leader.Looked { return c.leader.Looked() }
 
+// Accounts are what the records say that teams and classes have used.
+func (c *Core) Accounts() *accounts.Book { return c.leader.Accounts() }
+
 // Audit holds what passes go by against the records, for tests.
 func (c *Core) Audit() error { return c.leader.Audit() }
--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -253,7 +253,7 @@
 	leastTasks = 16
 	// placementBytes is what a placement takes at most, but for its zone, with a
 	// machine's name of usual length.
-	placementBytes = 46
+	placementBytes = 52
 )
 
 func (f *Front) placementSize() int {
@@ -503,8 +503,12 @@
 	if rec.Attempt == 0 || len(rec.Open) == 0 && rec.Spec.Tasks <= job.PartTasks && !rec.Apart {
 		// Nothing of it is on any machine, and the guard on the record's
 		// version keeps it so: no leader is needed.
+		// What it had on machines before is all over, by what this copy holds, and charged.
 		rec.Phase, rec.Count = job.Cancelled, rec.Part.Count()
-		rec.Shrink()
+		account := job.AccountOf(rec.Spec, rec.Spent, 0)
+		if rec.Shrink(); f.form.Format >= job.Standing {
+			rec.Account = account
+		}
 	}
 	value, err := job.EncodeRecord(&rec, f.form.Format)
 	if err == nil && !f.form.Fits(value) && rec.Spec != nil {
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -34,6 +34,8 @@
 	Machine  string
 	Session  uint64
 	Zone     string
+	At       int64 `msgpack:"-"` // when it was made, see TimeOf; stored by groups from Standing on
+	Cheap    bool  `msgpack:"-"` // on a spot machine
 }
 
 // Key names an attempt of a task.
@@ -47,12 +49,13 @@
 func (p Placement) Key(job string) Key { return Key{job, p.Task, p.Attempt} }
 
 // Part holds the state of PartTasks tasks. Part 0 is kept inside the record,
-// the others have keys of their own. Of Open and Groups, a value has the one or
-// the other; in memory it is always Open.
+// the others have keys of their own. Of Open, Groups and Timed, a value has one; in memory it is always Open.
 type Part struct {
 	Done   string      `msgpack:"d,omitempty"` // hexadecimal bit set
 	Open   []Placement `msgpack:"o,omitempty"`
 	Groups []group     `msgpack:"g,omitempty"`
+	Timed  []timed     `msgpack:"h,omitempty"` // from Standing on, in the place of groups
+	Spent  *Spent      `msgpack:"u,omitempty"` // never changed, only replaced
 }
 
 // IsDone tells whether the i-th task of the part is done.
@@ -92,7 +95,9 @@
 }
 
 // Clone returns a copy that shares nothing with p.
-func (p *Part) Clone() Part { return Part{Done: p.Done, Open: append([]Placement(nil), p.Open...)} }
+func (p *Part) Clone() Part {
+	return Part{Done: p.Done, Open: append([]Placement(nil), p.Open...), Spent: p.Spent}
+}
 
 // Remove closes the placement of a task's attempt on a machine.
 func (p *Part) Remove(task int, attempt uint64, machine string) bool {
@@ -127,6 +132,8 @@
 	// Apart tells that the description leaves no room for tasks: they are all in
 	// parts, from 1 on. Written from Grouped on.
 	Apart bool `msgpack:"p,omitempty"`
+	// Account is what the job has used, once it is over and nothing else is left.
+	Account *Account `msgpack:"b,omitempty"`
 	Part
 }
 
--- a/internal/core/leader/admin.go
+++ b/internal/core/leader/admin.go
@@ -94,6 +94,7 @@
 	EstimateRuns uint64
 
 	Served, Begun served.Shares // of a leader
+	Used          []AccountRow
 }
 
 // gauges counts.
@@ -114,6 +115,7 @@
 		g.Waiting[class]++
 	}
 	g.Machines = l.states()
+	g.Used = l.listAccounts(maxClasses)
 	g.Served, g.Begun = l.service.tally.Shares(l.wall()), l.service.tally.Begun(l.wall())
 	if l.learning.model != nil {
 		g.EstimateRuns = l.learning.model.Observed()
@@ -127,18 +129,25 @@
 		l.box.Answer(x.Req, http.StatusOK, l.gauges())
 		return
 	}
+	most := maxListed
+	if x.Most > 0 {
+		most = min(most, x.Most)
+	}
+	if x.What == msg.AskAccounts {
+		l.box.Answer(x.Req, http.StatusOK, l.listAccounts(most))
+		return
+	}
 	if !l.ready {
 		l.box.LaterWith(x.Req, AdminError{"not the leader", l.claim.Holder().Node})
 		return
 	}
+	if l.adminOfAll(x, most) {
+		return
+	}
 	if l.learning.model == nil {
 		l.box.Answer(x.Req, http.StatusNotFound, AdminError{Error: "run times are not learnt: see the setting estimates"})
 		return
 	}
-	most := maxListed
-	if x.Most > 0 {
-		most = min(most, x.Most)
-	}
 	switch x.What {
 	case msg.AskEstimates:
 		l.box.Answer(x.Req, http.StatusOK, l.listEstimates(most))
@@ -208,9 +217,13 @@
 	return out
 }
 
-func (l *Leader) jobOutlook(j *Job) JobOutlook {
+func (l *Leader) stateOfJob(j *Job) JobState {
 	st := front.Status(j.Job)
-	out := JobOutlook{Job: JobState{ID: st.ID, Status: st.Status, Done: *st.Done, Running: *st.Running}}
+	return JobState{ID: st.ID, Status: st.Status, Done: *st.Done, Running: *st.Running}
+}
+
+func (l *Leader) jobOutlook(j *Job) JobOutlook {
+	out := JobOutlook{Job: l.stateOfJob(j)}
 	spec := j.Rec.Spec
 	if spec == nil {
 		return out
--- a/internal/core/leader/audit.go
+++ b/internal/core/leader/audit.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -15,6 +14,9 @@
 // on the lists to be looked at again is left out. It is for tests: a change that
 // nobody has put on a list would show here.
 func (l *Leader) Audit() error {
+	if err := l.auditAccounts(); err != nil {
+		return err
+	}
 	if !l.ready || l.survey.whole || l.claim.Raising() {
 		return nil
 	}
@@ -67,9 +69,7 @@
 
 // auditGuarantees adds up from the front of each team's line who is within its guarantee.
 func (l *Leader) auditGuarantees() error {
-	inLine := slices.SortedFunc(slices.Values(l.active), func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(a.inLine(), b.inLine()), cmp.Compare(a.ID, b.ID))
-	})
+	inLine := slices.SortedFunc(slices.Values(l.active), (*Job).before)
 	sums := map[string]queue.Amount{}
 	for _, j := range inLine {
 		spec := j.Rec.Spec
--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		t.closes = append(t.closes, cl)
-		if p.Remove(cl.key.Task, cl.key.Attempt, cl.machine) {
+		if p.Close(cl.key.Task, cl.key.Attempt, cl.machine, cl.stay) {
 			keep(cl.key.Task, p)
 		}
 		if cl.done && !p.IsDone(cl.key.Task%job.PartTasks) {
@@ -297,6 +297,9 @@
 	default:
 		return nil
 	}
+	if l.form.Format >= job.Standing {
+		rec.Account = job.AccountOf(spec, j.spent(true), l.wall())
+	}
 	t := &txn{token: l.claim.Token(), closes: slices.Clone(j.closes), whole: true}
 	if err := l.fill(j, t, rec); err != nil {
 		l.box.Log("record not written", "job", j.ID, "error", err.Error())
@@ -517,6 +520,11 @@
 
 // close notes proof that a placement is over.
 func (l *Leader) close(key job.Key, machine string, done bool) {
+	l.closeSaved(key, machine, done, false)
+}
+
+// closeSaved does so for a task whose progress may have been saved.
+func (l *Leader) closeSaved(key job.Key, machine string, done, saved bool) {
 	j := l.jobs[key.Job]
 	if j == nil {
 		return
@@ -525,7 +533,7 @@
 		return
 	}
 	l.learnRun(j, key, machine, done)
-	j.closes = append(j.closes, closing{key: key, machine: machine, done: done})
+	j.closes = append(j.closes, closing{key: key, machine: machine, done: done, stay: l.stay(j, key, machine, done || saved)})
 	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang {
 		if j.left == nil {
 			j.left = map[string]uint64{}
--- a/internal/core/leader/ended.go
+++ b/internal/core/leader/ended.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"coralhub/internal/config"
-	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/records"
 	"coralhub/wire"
@@ -48,7 +47,7 @@
 			if o := &j.closes[i]; o.key == cl.key && o.machine == cl.machine && !o.noted {
 				o.noted = true
 				l.ended.fresh = append(l.ended.fresh, records.Ended{Job: cl.key.Job, Task: cl.key.Task, Attempt: cl.key.Attempt,
-					Machine: cl.machine, Done: cl.done})
+					Machine: cl.machine, Done: cl.done, Stay: cl.stay})
 			}
 		}
 	}
@@ -95,7 +94,7 @@
 // fitEnded adds as many fresh lines to a page as it has room for; nil: none.
 func (l *Leader) fitEnded(lines []records.Ended) []byte {
 	for n := len(l.ended.fresh); n > 0; n /= 2 {
-		value, err := job.Encode(append(lines[:len(lines):len(lines)], l.ended.fresh[:n]...))
+		value, err := records.EncodePage(append(lines[:len(lines):len(lines)], l.ended.fresh[:n]...), l.form.Format)
 		if err == nil && l.form.Fits(value) {
 			return value
 		}
--- a/internal/core/leader/intime.go
+++ b/internal/core/leader/intime.go
@@ -173,14 +173,22 @@
 	if !l.ready || j.Rec.Spec == nil || !l.cfg.Settings.InTimeFirst {
 		return
 	}
-	k := l.kindOf(j.Rec.Spec.Class)
+	k := l.kindOf(j)
 	k.pace.add(l.box.Now())
 	if k.inTime++; l.box.Now()-j.arrived >= l.lateAfter() {
 		k.inTime, k.lateAt = 0, l.box.Now()
 	}
 }
 
-func (l *Leader) kindOf(class string) *kind {
+// kindOf returns what is known of a job's class.
+func (l *Leader) kindOf(j *Job) *kind {
+	if j.kind == nil {
+		j.kind = l.kindNamed(j.Rec.Spec.Class)
+	}
+	return j.kind
+}
+
+func (l *Leader) kindNamed(class string) *kind {
 	k := l.order.kinds[class]
 	if k == nil && len(l.order.kinds) >= mostKinds {
 		class = ""
@@ -205,16 +213,19 @@
 	if !l.cfg.Settings.InTimeFirst {
 		return
 	}
-	l.claims()
 	now, late := l.box.Now(), l.lateAfter()
 	for _, k := range l.order.kinds {
 		k.waiting, k.late, k.first, k.work = 0, 0, nil, work{}
 	}
+	var claiming []*Job
 	for j := range l.survey.wanting { // in any order: counted, and the first is picked by an order that knows no ties
 		if j.begun() {
 			continue
 		}
-		k := l.kindOf(j.Rec.Spec.Class)
+		if j.behind && now < j.preempted {
+			claiming = append(claiming, j)
+		}
+		k := l.kindOf(j)
 		if k.waiting++; k.waiting == 1 || j.arrived < k.oldest {
 			k.oldest = j.arrived
 		}
@@ -226,6 +237,7 @@
 			k.first = j
 		}
 	}
+	l.claims(claiming)
 	any, turned := false, false
 	for _, k := range l.order.kinds {
 		lasts, known := k.pace.lasts(now, k.waiting)
@@ -260,13 +272,28 @@
 		k := l.order.kinds[name]
 		l.box.Debug("places", "class", k.name, "short", k.short, "waiting", k.waiting, "late", k.late)
 	}
-	wanting := slices.SortedFunc(maps.Keys(l.survey.wanting), byID)
-	for _, j := range wanting {
+	moved := false
+	for j := range l.survey.wanting {
 		if behind := l.shortOf(j) != nil; behind != j.behind {
-			j.behind = behind
-			l.refreshLine(j)
+			j.behind, moved = behind, true
 		}
 	}
+	if !moved {
+		return
+	}
+	// Thousands may have to move: the lines are made anew, from the front on.
+	clear(l.survey.lines)
+	inLine := slices.Clone(l.active)
+	slices.SortFunc(inLine, (*Job).before)
+	for _, j := range inLine {
+		j.member, j.lineOf = queue.Member{}, ""
+		l.refreshLine(j)
+	}
+}
+
+// before orders jobs as they stand in the lines of their teams.
+func (j *Job) before(o *Job) int {
+	return cmp.Or(cmp.Compare(j.inLine(), o.inLine()), cmp.Compare(j.ID, o.ID))
 }
 
 func byID(a, b *Job) int { return cmp.Compare(a.ID, b.ID) }
@@ -318,7 +345,7 @@
 
 // shortOf returns the class of a job that has not begun, if that is short of places.
 func (l *Leader) shortOf(j *Job) *kind {
-	if k := l.order.kinds[j.Rec.Spec.Class]; k != nil && k.short && !j.begun() {
+	if k := j.kind; k != nil && k.short && !j.begun() {
 		return k
 	}
 	return nil
@@ -334,7 +361,7 @@
 		l.changed(j)
 	}
 	if k == nil {
-		if k = l.order.kinds[j.Rec.Spec.Class]; k != nil && k.short {
+		if j.kind != nil && j.kind.short {
 			return usualTurn, 0
 		}
 		return firstTurn, 0
@@ -390,14 +417,8 @@
 }
 
 // claims adds up what is claimed as a pass begins.
-func (l *Leader) claims() {
+func (l *Leader) claims(claiming []*Job) {
 	clear(l.order.claimed)
-	var claiming []*Job
-	for j := range l.survey.wanting {
-		if j.behind && l.box.Now() < j.preempted {
-			claiming = append(claiming, j)
-		}
-	}
 	slices.SortFunc(claiming, byID) // sums of amounts depend on their order
 	for _, j := range claiming {
 		l.claimFor(j)
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"coralhub/internal/config"
+	"coralhub/internal/core/accounts"
 	"coralhub/internal/core/claim"
 	"coralhub/internal/core/fleet"
 	"coralhub/internal/core/home"
@@ -56,6 +57,7 @@
 	learning  learning
 	survey    survey
 	usage     *queue.Usage
+	weights   map[string]float64 // of teams
 	passDue   bool
 	passAt    Micros // when one is due though nothing happens; 0: never
 	lastPass  Micros
@@ -70,6 +72,8 @@
 	service   service
 	order     order
 	deciding  deciding
+	accounts  accounts.Book
+	toldUseAt Micros
 	standIns  map[string]standIn // by node
 	assured   uint64             // the last version of a record by which a cancellation was told
 }
@@ -78,7 +82,7 @@
 // hears from it and tells it, see Use.
 func New(cfg *config.Config, box *outbox.Box, form *records.Form, catalog *zone.Catalog, claim *claim.Claim) *Leader {
 	return &Leader{cfg: cfg, box: box, form: form, catalog: catalog, claim: claim, jobs: map[string]*Job{}, teams: cfg.Cluster.TeamsByName(),
-		service: service{tally: served.New(config.FromSeconds(cfg.Settings.BeginWithinS))}}
+		weights: queue.Weights(cfg.Cluster.Teams), service: service{tally: served.New(config.FromSeconds(cfg.Settings.BeginWithinS))}}
 }
 
 // Use gives the leader the rooms that it commands and goes by.
@@ -169,6 +173,7 @@
 	l.tidyEnded()
 	l.count()
 	l.tellServed()
+	l.tellUse()
 	l.keepLearnt()
 	l.owner.Announce()
 	l.owner.Probe()
@@ -223,6 +228,7 @@
 		l.watch(m)
 	}
 	l.startLearning()
+	l.recallUse()
 	l.passDue = true
 	l.box.Log("records read", "open_placements", open, "machines", l.owner.Roster().Len(), "after_ms", (l.box.Now()-l.since)/1000)
 }
@@ -230,7 +236,7 @@
 func (l *Leader) reset() {
 	for _, j := range l.jobs {
 		j.closes, j.plan, j.txn, j.reserved, j.mergeNow, j.moved = nil, nil, nil, nil, false, nil
-		j.surveyed, j.runs, j.like, j.drainSince, j.behind = surveyed{}, runs{}, 0, 0, false
+		j.surveyed, j.runs, j.like, j.drainSince, j.behind, j.kind = surveyed{}, runs{}, 0, 0, false, nil
 	}
 	l.ready = false
 	looked := l.survey.lookedAt
@@ -270,6 +276,10 @@
 	drainSince Micros // since when machines are kept for it as they become free
 	behind     bool   // in the line for its team's guarantee, whatever its age
 	counted    bool   // among those that have begun
+	kind       *kind  // of its class; nil: not looked up yet
+
+	account accounts.Key // whose use it is
+	charged job.Use      // what it counts for there
 
 	judged *served.Job // how it counts among what is served; nil: it doesn't, or not any more
 
@@ -293,6 +303,7 @@
 	key     job.Key
 	machine string
 	done    bool
+	stay    job.Stay
 	noted   bool // on its way into the log of ended attempts
 }
 
@@ -408,6 +419,7 @@
 func (l *Leader) Changed(r *records.Job) {
 	j := l.jobs[r.ID]
 	l.began(j)
+	l.charge(j)
 	l.countServed(j)
 	l.changed(j)
 	l.revise(j)
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -193,7 +193,7 @@
 // pending lists the jobs that want places.
 func (l *Leader) pending(s *scan) []queue.Entry {
 	out := make([]queue.Entry, 0, len(l.survey.wanting))
-	shares := l.usage.Shares()
+	shares := l.usage.Shares(l.weights)
 	for j := range l.survey.wanting { // in any order: ranking knows no ties
 		spec := j.Rec.Spec
 		if j.txn != nil || len(j.plan) > 0 || len(j.closes) > 0 {
@@ -345,7 +345,7 @@
 				s.budget-- // another value is written
 			}
 			l.addPlan(j, job.Placement{Task: tasks[i], Attempt: attempt, Machine: r.Machine.Name,
-				Session: r.Machine.Session, Zone: r.Machine.Zone})
+				Session: r.Machine.Session, Zone: r.Machine.Zone, At: job.TimeOf(j.Rec.Created, l.wall()), Cheap: r.Machine.Spot})
 		}
 		if commit {
 			l.box.Debug("placing", "job", j.ID, "class", spec.Class, "tasks", len(bid.Rooms), "warm", bid.Warm, "zone", bid.Zone,
--- a/internal/core/leader/workers.go
+++ b/internal/core/leader/workers.go
@@ -49,7 +49,7 @@
 	if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang && t.Cause != wire.CauseNoRoom && t.Cause != wire.CauseBusy {
 		j.deadGang = max(j.deadGang, key.Attempt)
 	}
-	l.close(key, m.Name, t.Cause == wire.Done)
+	l.closeSaved(key, m.Name, t.Cause == wire.Done, t.Saved)
 }
 
 // failed tells machines that fail everything from jobs that fail everywhere.
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -304,6 +304,9 @@
 	AskEstimates AdminQuery = iota
 	AskJob
 	AskRuns
+	AskAccounts // of any node
+	AskStanding
+	AskWaits
 	// AskGauges is answered by every node.
 	AskGauges
 )
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -79,28 +79,60 @@
 		u.avg[team] *= keep
 	}
 	for team, a := range used {
-		u.avg[team] += (1 - keep) * weigh(a)
+		u.avg[team] += (1 - keep) * Weigh(a)
 	}
 }
 
-// weigh makes one number of an amount; a GPU counts for far more than a CPU.
-func weigh(a Amount) float64 { return a.GPUs + a.CPUs/64 }
+// Weigh makes one number of an amount; a GPU counts for far more than a CPU.
+func Weigh(a Amount) float64 { return a.GPUs + a.CPUs/64 }
 
-// Shares are the parts of all use that are the teams', 0 to 1.
-func (u *Usage) Shares() map[string]float64 {
+// Recall takes what a team has used on average, as the accounts tell it, from before this
+// Usage began.
+func (u *Usage) Recall(now config.Micros, team string, used float64) {
+	u.at = now
+	u.avg[team] = used
+}
+
+// Shares are the parts of all use that are the teams', 0 to 1, each held against its weight;
+// one that isn't given is 1.
+func (u *Usage) Shares(weights map[string]float64) map[string]float64 {
+	of := func(team string) float64 {
+		if w := weights[team]; w > 0 {
+			return u.avg[team] / w
+		}
+		return u.avg[team]
+	}
 	total := 0.0
 	for _, team := range slices.Sorted(maps.Keys(u.avg)) {
-		total += u.avg[team]
+		total += of(team)
 	}
 	out := make(map[string]float64, len(u.avg))
-	for team, used := range u.avg {
+	for team := range u.avg {
 		if total > 0 {
-			out[team] = used / total
+			out[team] = of(team) / total
 		}
 	}
 	return out
 }
 
+// Weights are what teams may use of the whole beside each other: what each is guaranteed, if
+// every one is guaranteed anything; nil: all the same.
+func Weights(teams []config.Team) map[string]float64 {
+	out, sum := make(map[string]float64, len(teams)), 0.0
+	for i := range teams {
+		w := Weigh(Amount{teams[i].CPUs, teams[i].GPUs})
+		if w <= 0 {
+			return nil
+		}
+		out[teams[i].Name] = w
+		sum += w
+	}
+	for name := range out {
+		out[name] *= float64(len(teams)) / sum
+	}
+	return out
+}
+
 // Credit is the paper's credit of a job: its age up to a cap, and what its
 // team leaves unused of its share.
 func Credit(s *config.Settings, age config.Micros, share float64) float64 {
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -66,10 +66,10 @@
 	for i := range config.Micros(120) {
 		u.Observe((i+1)*config.Second, map[string]Amount{"a": {GPUs: 3}, "b": {GPUs: 1}})
 	}
-	if s := u.Shares()["a"]; s < 0.74 || s > 0.76 {
+	if s := u.Shares(nil)["a"]; s < 0.74 || s > 0.76 {
 		t.Errorf("share %v", s)
 	}
-	if s := u.Shares()["c"]; s != 0 {
+	if s := u.Shares(nil)["c"]; s != 0 {
 		t.Errorf("share %v of a team without use", s)
 	}
 }
--- a/internal/core/records/log.go
+++ b/internal/core/records/log.go
@@ -26,6 +26,48 @@
 	Attempt  uint64
 	Machine  string
 	Done     bool
+	job.Stay // from Standing on
+}
+
+// endedBefore is a line in the formats before Standing.
+type endedBefore struct {
+	//lint:ignore U1000 read by the encoder
+	_msgpack struct{} `msgpack:",as_array"`
+	Job      string
+	Task     int
+	Attempt  uint64
+	Machine  string
+	Done     bool
+}
+
+// EncodePage turns lines into the value of a page.
+func EncodePage(lines []Ended, f job.Format) ([]byte, error) {
+	if f >= job.Standing {
+		return job.Encode(lines)
+	}
+	before := make([]endedBefore, len(lines))
+	for i, l := range lines {
+		before[i] = endedBefore{Job: l.Job, Task: l.Task, Attempt: l.Attempt, Machine: l.Machine, Done: l.Done}
+	}
+	return job.Encode(before)
+}
+
+// DecodePage reads a page of any format.
+func DecodePage(value []byte) ([]Ended, error) {
+	var lines []Ended
+	err := job.Decode(value, &lines)
+	if err == nil {
+		return lines, nil
+	}
+	var before []endedBefore
+	if job.Decode(value, &before) != nil {
+		return nil, err // of the present format
+	}
+	lines = make([]Ended, len(before))
+	for i, l := range before {
+		lines[i] = Ended{Job: l.Job, Task: l.Task, Attempt: l.Attempt, Machine: l.Machine, Done: l.Done}
+	}
+	return lines, nil
 }
 
 // Fact is a line of a page as its job knows it.
@@ -57,8 +99,8 @@
 		}
 		return nil
 	}
-	var lines []Ended
-	if err := job.Decode(ev.Value, &lines); err != nil {
+	lines, err := DecodePage(ev.Value)
+	if err != nil {
 		return fmt.Errorf("log of ended attempts, page %d: %w", n, err)
 	}
 	if p == nil {
@@ -105,7 +147,7 @@
 
 // apply brings a part up to a line; it returns whether that changed anything.
 func (f *Fact) apply(p *job.Part) bool {
-	changed := p.Remove(f.Task, f.Attempt, f.Machine)
+	changed := p.Close(f.Task, f.Attempt, f.Machine, f.Stay)
 	if f.Done && !p.IsDone(f.Task%job.PartTasks) {
 		p.SetDone(f.Task % job.PartTasks)
 		changed = true
--- a/internal/core/upgrade_test.go
+++ b/internal/core/upgrade_test.go
@@ -57,8 +57,8 @@
 	if err := job.DecodePart(production(t, "part"), &p); err != nil || !reflect.DeepEqual(p, productionPart) {
 		t.Errorf("%v %+v", err, p)
 	}
-	var ended []records.Ended
-	if err := job.Decode(production(t, "ended"), &ended); err != nil || !reflect.DeepEqual(ended, []records.Ended{
+	ended, err := records.DecodePage(production(t, "ended"))
+	if err != nil || !reflect.DeepEqual(ended, []records.Ended{
 		{Job: "j-000412", Task: 33, Attempt: 3, Machine: "m-000240", Done: true}, {Job: "j-7", Attempt: 1, Machine: "m-1"}}) {
 		t.Errorf("%v %+v", err, ended)
 	}
--- a/internal/node/httpapi/httpapi.go
+++ b/internal/node/httpapi/httpapi.go
@@ -45,6 +45,9 @@
 		e.GET(PathEstimates, a.admin(msg.AskEstimates))
 		e.GET(PathJob+"/:id", a.admin(msg.AskJob))
 		e.GET(PathRuns, a.admin(msg.AskRuns))
+		e.GET(PathAccounts, a.admin(msg.AskAccounts))
+		e.GET(PathStanding, a.admin(msg.AskStanding))
+		e.GET(PathWaits+"/:id", a.admin(msg.AskWaits))
 	}
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		status := http.StatusInternalServerError
@@ -64,6 +67,9 @@
 	PathEstimates = "/admin/v1/estimates"
 	PathJob       = "/admin/v1/jobs"
 	PathRuns      = "/admin/v1/runs"
+	PathAccounts  = "/admin/v1/accounts"
+	PathStanding  = "/admin/v1/standing"
+	PathWaits     = "/admin/v1/waits"
 )
 
 // admin answers an operator's question. The query may have from and most.
--- a/internal/node/metrics/metrics.go
+++ b/internal/node/metrics/metrics.go
@@ -73,13 +73,15 @@
 	pace       = desc("changes_later_pace", "Changes a second that may be made by those that give way.")
 	inTime     = desc("served_share", "Part of the jobs whose time was up within ten minutes that were done, or had all replicas, by then; of the leader.", "by", "name")
 	judged     = desc("judged_jobs", "How many jobs served_share is of.", "by", "name")
+	usedGPU    = desc("used_gpu_seconds", "GPU time of placements whose end is proven, by team, class and kind; of the leader.", "team", "class", "kind")
+	usedTask   = desc("used_task_seconds", "Task time of such placements: all, on spot machines, and work that had to be repeated.", "team", "class", "kind", "of")
 	begun      = desc("begun_share", "Part of the jobs whose time to begin was up within ten minutes that had a place by then, by class, team and the largest tenth of a class; of the leader.", "by", "name")
 	begunOf    = desc("begun_jobs", "How many jobs begun_share is of.", "by", "name")
 	reports    = desc("reports_total", "Reports of workers that were handed to the leader, or lost on the way.", "what")
 )
 
 func (c *counted) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{leading, records, unfinished, placements, waiting, machines, writing, takeovers, passes, looked, learnt, changes, pace, reports, inTime, judged, begun, begunOf} {
+	for _, d := range []*prometheus.Desc{leading, records, unfinished, placements, waiting, machines, writing, takeovers, passes, looked, learnt, changes, pace, reports, inTime, judged, begun, begunOf, usedGPU, usedTask} {
 		ch <- d
 	}
 }
@@ -126,6 +128,12 @@
 			}
 		}
 	}
+	for _, u := range g.Used {
+		gauge(usedGPU, u.GPUS, u.Team, u.Class, u.Kind)
+		for of, s := range map[string]float64{"all": u.TaskS, "spot": u.CheapS, "repeated": u.AgainS} {
+			gauge(usedTask, s, u.Team, u.Class, u.Kind, of)
+		}
+	}
 	tell(inTime, judged, g.Served)
 	tell(begun, begunOf, g.Begun)
 	for state, n := range g.Machines {
--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -195,6 +195,7 @@
 			t.Errorf("%s (%s, %d tasks) has not ended: %s", id, s.world.Jobs[id].Shape, s.world.Jobs[id].Tasks, describe(a))
 		}
 	}
+	s.sameAccounts(t)
 	for _, b := range s.world.Broken {
 		t.Error(b)
 	}
@@ -207,6 +208,18 @@
 	}
 }
 
+// sameAccounts holds the accounts of all nodes against each other's, and against those of one
+// that has just read the records.
+func (s *Sim) sameAccounts(t *testing.T) {
+	s.start(s.nodes[0])
+	s.Run(5 * standin.Second)
+	for _, n := range s.nodes[1:] {
+		if !n.core.Accounts().Equal(s.nodes[0].core.Accounts()) {
+			t.Errorf("accounts of %s and of one that has just begun differ: %s and %s", n.name, accountsOf(n), accountsOf(s.nodes[0]))
+		}
+	}
+}
+
 // answered asks about every job, each time at the next node, until it has had an answer. No
 // job may be without one for longer than this once all troubles are over.
 func (s *Sim) answered(t *testing.T, jobs map[string]bool) {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"coralhub/internal/core/accounts"
+	"coralhub/internal/core/job"
 	"coralhub/internal/core/leader"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/served"
@@ -37,6 +39,8 @@
 //	                                writes a key there ends with it, before it takes effect
 //	                                or after
 //	served                          what the leader says was served, by class and team
+//	waits id=j-1 node=leader        why it waits, by the leader
+//	accounts node=n1                what it says that teams have used
 //	busy node=n1 for=3s             its loop takes so long for one input
 //	cut node=n1 link=state mode=hold / heal node=n1; with keep, what was held
 //	                                back stays so until the next heal
@@ -144,6 +148,15 @@
 			}
 		}
 		return out
+	case "waits":
+		a := s.Ask(pick(t, s, d), func(req uint64) msg.Input { return msg.AdminIn{Req: req, What: msg.AskWaits, ID: id} })
+		w, ok := a.Body.(leader.Waits)
+		if !ok {
+			return describe(a)
+		}
+		return fmt.Sprintf("%s; rank %d of %d, before it %v, kept %v, yield %v\n", w.Why, w.Rank, w.Of, w.Before, w.Kept, w.Yield)
+	case "accounts":
+		return accountsOf(pick(t, s, d))
 	case "busy":
 		n := pick(t, s, d)
 		n.busy = s.now + length(t, d, "for", "3s")
@@ -263,6 +276,20 @@
 	return ok && st.Status == want
 }
 
+// accountsOf lists what a node's records say was used.
+func accountsOf(n *node) string {
+	var b strings.Builder
+	n.core.Accounts().Each(func(k accounts.Key, u job.Use) {
+		kind := "batch"
+		if k.Service {
+			kind = "service"
+		}
+		fmt.Fprintf(&b, "%s %s %s: %.1f GPU s in %.1f task s, %.1f on spot machines, %.1f repeated\n", k.Team, k.Class, kind,
+			float64(u.GPU)/1e6, float64(u.Time)/1e6, float64(u.Cheap)/1e6, float64(u.Lost)/1e6)
+	})
+	return b.String()
+}
+
 // report holds a worker's report back, or has it arrive at last.
 func report(s *Sim, d *datadriven.TestData) string {
 	if d.HasArg("hold") {
