--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -289,7 +289,8 @@
 		switch d.Outcome {
 		case msg.OK:
 			f.node.Wrote(wire.Change{Put: key, Value: value, Version: d.Revision})
-			f.box.Debug("accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
+			f.box.Debug("accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks,
+				"shape", spec.Shape, "gpus", spec.GPUs, "estimate_s", spec.EstimateS)
 			f.box.Answer(x.Req, http.StatusCreated, wire.JobStatus{ID: spec.ID, Status: status})
 		case msg.Conflict:
 			f.refuse(x, spec.ID, 0, "try again")
--- /dev/null
+++ b/internal/planner/log.go
@@ -0,0 +1,155 @@
+package planner
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+
+	"coralhub/wire"
+)
+
+// Row is a class as a log tells of it: what anyone could have begun in time, and what had.
+type Row struct {
+	Class          string
+	Jobs           int
+	Gang           bool
+	Bound          float64 // of gangs; 1 for what begins with one task
+	Begun, Largest float64
+}
+
+// Log is what the debug logs of the nodes tell of a day.
+type Log struct {
+	jobs     map[string]*Job
+	first    map[string]float64 // when a job was placed first, from its acceptance
+	machines []machines
+	began    time.Time
+}
+
+type machines struct {
+	at float64
+	n  int
+}
+
+// longest is the longest line that is read.
+const longest = 1 << 20
+
+// Read takes the lines of a node's debug log. Lines of other kinds, and what comes before the time of a
+// line, are passed over.
+func (l *Log) Read(r io.Reader) error {
+	if l.jobs == nil {
+		l.jobs, l.first = map[string]*Job{}, map[string]float64{}
+	}
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, longest)
+	for s.Scan() {
+		line := s.Text()
+		if i := strings.Index(line, "time="); i >= 0 && strings.Contains(line, "level=") {
+			l.line(line[i:])
+		}
+	}
+	if err := s.Err(); err != nil {
+		return fmt.Errorf("debug log: %w", err)
+	}
+	return nil
+}
+
+func (l *Log) line(text string) {
+	d := logfmt.NewDecoder(strings.NewReader(text))
+	of := map[string]string{}
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			of[string(d.Key())] = string(d.Value())
+		}
+	}
+	at, err := time.Parse(time.RFC3339Nano, of["time"])
+	if err != nil || d.Err() != nil {
+		return
+	}
+	if l.began.IsZero() {
+		l.began = at
+	}
+	now := at.Sub(l.began).Seconds()
+	number := func(key string) float64 {
+		x, _ := strconv.ParseFloat(of[key], 64) // absent: 0
+		return x
+	}
+	switch of["msg"] {
+	case "accepted":
+		l.jobs[of["job"]] = &Job{Class: of["class"], Team: of["team"], At: max(now, 0), Tasks: max(1, int(number("tasks"))), GPUs: number("gpus"),
+			RunS: number("estimate_s"), Gang: of["shape"] == wire.Gang, Ends: of["shape"] != wire.Service}
+	case "placing":
+		if _, had := l.first[of["job"]]; !had {
+			l.first[of["job"]] = number("age_ms") / 1000
+		}
+	case "leader":
+		l.machines = append(l.machines, machines{now, int(number("usable"))})
+	}
+}
+
+const (
+	period = 20.0 // seconds
+	// settle is left out at the end of a log: what came then may begin in time after it.
+	settle = 1
+)
+
+// Rows reckons, for machines with so many GPUs each and jobs that are to begin within so many
+// seconds.
+func (l *Log) Rows(gpus, within float64) ([]Row, error) {
+	if len(l.machines) == 0 || len(l.jobs) == 0 {
+		return nil, fmt.Errorf("the log has no lines of a leader, or of accepted jobs: was LOG_LEVEL debug?")
+	}
+	end := l.machines[len(l.machines)-1].at
+	d := Day{PeriodS: period, WithinS: within, GPUs: make([]float64, int(end/period)+settle)}
+	k := 0
+	for t := range d.GPUs {
+		for k+1 < len(l.machines) && l.machines[k+1].at <= float64(t+1)*period {
+			k++
+		}
+		d.GPUs[t] = float64(l.machines[k].n) * gpus
+	}
+	rows := map[string]*Row{}
+	of := map[string][]string{}
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+		j := l.jobs[id]
+		d.Jobs = append(d.Jobs, *j)
+		of[j.Class] = append(of[j.Class], id)
+		if rows[j.Class] == nil {
+			rows[j.Class] = &Row{Class: j.Class, Gang: j.Gang, Bound: 1}
+		}
+	}
+	bound, err := Reckon(&d)
+	if err != nil {
+		return nil, err
+	}
+	var out []Row
+	for _, class := range slices.Sorted(maps.Keys(rows)) {
+		row, ids := rows[class], of[class]
+		slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(l.jobs[b].Tasks, l.jobs[a].Tasks) })
+		row.Jobs = len(ids)
+		row.Begun = l.begun(ids, within)
+		row.Largest = l.begun(ids[:max(1, int(float64(len(ids))*largestPart))], within)
+		if row.Gang {
+			row.Bound = bound.Share[class]
+		}
+		out = append(out, *row)
+	}
+	return out, nil
+}
+
+func (l *Log) begun(ids []string, within float64) float64 {
+	n := 0
+	for _, id := range ids {
+		if age, ok := l.first[id]; ok && age <= within {
+			n++
+		}
+	}
+	return float64(n) / float64(len(ids))
+}
--- /dev/null
+++ b/internal/planner/log_test.go
@@ -0,0 +1,40 @@
+package planner
+
+import (
+	"strings"
+	"testing"
+)
+
+// A log of a day with twice the gangs that there is room for.
+func TestLog(t *testing.T) {
+	var b strings.Builder
+	line := func(at, rest string) {
+		b.WriteString("  12.5 n1 time=2026-09-21T14:" + at + ".000Z level=DEBUG msg=" + rest + "\n")
+	}
+	line("00:00", "leader passes=1 usable=10")
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		line("00:00", "accepted job=j-"+id+" class=train team=north tasks=5 shape=group gpus=1 estimate_s=120")
+	}
+	line("00:01", "accepted job=j-s class=sweep team=north tasks=50 shape=sweep gpus=0 estimate_s=10")
+	line("00:02", "placing job=j-a class=train tasks=5 age_ms=2000")
+	line("04:30", "placing job=j-b class=train tasks=5 age_ms=270000")
+	line("05:00", "leader passes=1 usable=10")
+	b.WriteString("a line of something else\n")
+	var l Log
+	if err := l.Read(strings.NewReader(b.String())); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := l.Rows(1, 240)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(rows) != 2 || rows[1].Class != "train" || rows[1].Jobs != 8 || rows[1].Bound < 0.45 || rows[1].Bound > 0.55 || rows[1].Begun != 0.125 || rows[1].Largest != 1 {
+		t.Errorf("%+v", rows)
+	}
+	if rows[0].Bound != 1 || rows[0].Begun != 0 {
+		t.Errorf("%+v", rows[0])
+	}
+	if _, err := new(Log).Rows(1, 240); err == nil {
+		t.Error("an empty log has rows")
+	}
+}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,57 @@
+package planner
+
+import (
+	"math"
+	"testing"
+)
+
+// Days whose bound can be reckoned by hand.
+func TestReckon(t *testing.T) {
+	gpus := func(n float64, periods int) []float64 {
+		out := make([]float64, periods)
+		for i := range out {
+			out[i] = n
+		}
+		return out
+	}
+	gang := func(n, tasks int, at float64) []Job {
+		var out []Job
+		for range n {
+			out = append(out, Job{Class: "g", At: at, Tasks: tasks, GPUs: 1, RunS: 100, Gang: true, Ends: true})
+		}
+		return out
+	}
+	join := func(a ...[]Job) []Job {
+		var out []Job
+		for _, x := range a {
+			out = append(out, x...)
+		}
+		return out
+	}
+	for _, tt := range []struct {
+		name string
+		day  Day
+		want float64
+	}{
+		{"room for all", Day{20, 200, gpus(100, 20), gang(10, 4, 0)}, 1},
+		// Ten GPUs, 100 s a run, 200 s to begin: two rounds of ten.
+		{"half of them", Day{20, 200, gpus(10, 20), gang(40, 1, 0)}, 0.5},
+		{"one size", Day{20, 200, gpus(10, 20), gang(8, 5, 0)}, 0.5},
+		// Twenty GPU rounds: z of 2 wide ones take 20 z, the others of z of the 18 narrow ones 20 z - 2 z.
+		{"two sizes", Day{20, 200, gpus(10, 20), join(gang(2, 10, 0), gang(18, 1, 0))}, 20.0 / 38},
+		{"beside a service", Day{20, 200, gpus(10, 20), join(gang(40, 1, 0), []Job{{Class: "s", Tasks: 5, GPUs: 1}})}, 0.25},
+		{"late capacity", Day{20, 200, append(gpus(0, 10), gpus(10, 10)...), gang(10, 1, 0)}, 0},
+	} {
+		got, err := Reckon(&tt.day)
+		if err != nil {
+			t.Errorf("%s: %v", tt.name, err)
+			continue
+		}
+		if math.Abs(got.Share["g"]-tt.want) > 0.03 {
+			t.Errorf("%s: %.3f, should be %.3f", tt.name, got.Share["g"], tt.want)
+		}
+	}
+	if _, err := Reckon(&Day{}); err == nil {
+		t.Error("a day of nothing has a bound")
+	}
+}
