Images are believed by size and recency; replicas of a service go apart

A machine was believed to hold every image it ever had. Now the most recently used ones within its cache (zone/cache.go), with sizes from the jobs that were seen there; what was noted by a predecessor counts as oldest. A service's replicas keep to at most half, rounded up, on one machine where there is room elsewhere (leader/apart.go): its loss leaves the rest. A bid that fails with machines avoided says nothing of others and isn't remembered.

--- /dev/null
+++ b/internal/core/leader/apart.go
@@ -0,0 +1,68 @@
+package leader
+
+import (
+	"maps"
+
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/zone"
+	"coralhub/wire"
+)
+
+// apart keeps the replicas of a service on more than one machine: most-room packing and images
+// draw them all to the same one, and its loss would take the whole service. No machine gets more
+// than half of them, rounded up, as long as there is room elsewhere.
+type apart struct {
+	most int            // on one machine
+	on   map[string]int // replicas by machine
+}
+
+// replicasApart tells where a service's replicas are; nil: a job whose tasks may be anywhere.
+func (l *Leader) replicasApart(j *Job) *apart {
+	spec := j.Rec.Spec
+	if spec.Shape != wire.Service || spec.Tasks < 2 {
+		return nil
+	}
+	a := &apart{most: (spec.Tasks + 1) / 2, on: map[string]int{}}
+	j.EachOpen(func(p job.Placement) { a.on[p.Machine]++ })
+	return a
+}
+
+func (a *apart) place(machine string) {
+	if a != nil {
+		a.on[machine]++
+	}
+}
+
+// bid asks for a bid without the machines that have enough of the replicas, and if there is none that
+// needs no victims, with them.
+func (a *apart) bid(q *zone.Request, ask func() *zone.Bid) *zone.Bid {
+	if a == nil {
+		return ask()
+	}
+	avoid := q.Avoid
+	full := false
+	for name, n := range a.on {
+		if n < a.most {
+			continue
+		}
+		if !full {
+			full, q.Avoid = true, maps.Clone(q.Avoid)
+			if q.Avoid == nil {
+				q.Avoid = map[string]Micros{}
+			}
+		}
+		q.Avoid[name] = forLong
+	}
+	if !full {
+		return ask()
+	}
+	b := ask()
+	q.Avoid = avoid
+	if b != nil && len(b.Victims) == 0 {
+		return b
+	}
+	return ask()
+}
+
+// forLong is beyond any time that a pass has.
+const forLong = Micros(1) << 62
--- a/internal/core/leader/desk.go
+++ b/internal/core/leader/desk.go
@@ -24,7 +24,15 @@
 // MayOffer hears that what a machine can offer at all may have changed.
 func (d Desk) MayOffer(m *zone.Machine) { d.l.reconsider(m) }
 
-// Cached hears that a machine has another image.
+// CacheGB tells how much of images a machine keeps; 0: not known.
+func (d Desk) CacheGB(m *zone.Machine) float64 {
+	if t := d.l.catalog.Types[m.Type]; t != nil {
+		return t.CacheGB
+	}
+	return 0
+}
+
+// Cached hears that a machine is believed to have other images.
 func (d Desk) Cached(m *zone.Machine) {
 	d.l.noteMachine(m.Name)
 	d.l.touch(m) // its zone finds it by its images
--- a/internal/core/leader/hints.go
+++ b/internal/core/leader/hints.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"maps"
 	"slices"
 	"strconv"
 
@@ -72,7 +71,7 @@
 	for _, m := range l.owner.Roster().All() {
 		if pageOf(m.Name) == n && !m.Releasing {
 			hints = append(hints, Hint{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
-				Images: slices.Sorted(maps.Keys(m.Images))})
+				Images: m.Cache.Names()})
 		}
 	}
 	p := &l.pages[n]
@@ -124,9 +123,7 @@
 		h := &hints[i]
 		p.names = append(p.names, h.Name)
 		m := l.owner.Machine(h.Name)
-		for _, image := range h.Images {
-			m.Images[image] = true
-		}
+		m.Cache.Believe(h.Images)
 		m.Describe(h.Addr, h.Type, h.Zone, h.Spot)
 	}
 	for _, gone := range old {
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -320,8 +320,9 @@
 	// highest have gone first. The rest hold their places in this pass, so that
 	// nothing ranking lower takes them and machines are rented for what is left.
 	commit := s.budget > 0
+	apart := l.replicasApart(j)
 	for len(tasks) > 0 {
-		bid := l.auction(s, j, e, q, tasks, inZone)
+		bid := apart.bid(q, func() *zone.Bid { return l.auction(s, j, e, q, tasks, inZone) })
 		if bid == nil {
 			break
 		}
@@ -338,6 +339,7 @@
 			l.survey.byName[r.Zone].Use(r, q.Needs)
 			l.touch(r.Machine)
 			inZone[bid.Zone]++
+			apart.place(r.Machine.Name)
 			if !commit {
 				continue
 			}
@@ -456,8 +458,10 @@
 			continue
 		}
 		bid := of.Plan(l.box.Now(), &r)
-		if bid == nil {
+		if bid == nil && len(q.Avoid) == 0 { // else it says little of others
 			s.failed = append(s.failed, failure{z, r.Needs, r.Spot, r.TypeKey, e.Level, need(&r)})
+		}
+		if bid == nil {
 			continue
 		}
 		if service && (best == nil || len(bid.Victims) <= len(best.Victims)) && (fewest < 0 || inZone[z] < fewest) ||
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -28,7 +28,8 @@
 	Joined(*zone.Machine)                              // its worker has said its first word
 	Looks(*zone.Machine)                               // something about it has changed
 	MayOffer(*zone.Machine)                            // what it can offer at all may have changed
-	Cached(*zone.Machine)                              // it is known to have another image from now on
+	Cached(*zone.Machine)                              // it is believed to have other images from now on
+	CacheGB(*zone.Machine) float64                     // how much of images it keeps; 0: not known
 	Running(key job.Key)                               // a task runs
 	Exited(m *zone.Machine, key job.Key, t *zone.Task) // a task has ended, by its worker's word
 	Close(key job.Key, machine string, done bool)      // proof that a placement is over
@@ -74,7 +75,7 @@
 	}
 	for _, m := range old.All() {
 		fresh := zone.New(m.Name, m.Addr, m.Type, m.Zone, m.Spot, m.Rented)
-		fresh.Images = m.Images
+		fresh.Cache = m.Cache
 		o.roster.Add(fresh)
 	}
 }
@@ -191,14 +192,11 @@
 	if !first && m.Token > token {
 		o.hears(m)
 	}
+	images := map[string]float64{}
 	for _, key := range job.SortedKeys(m.Tasks) {
 		t := m.Tasks[key]
-		j := o.book.Job(key.Job)
-		if j != nil && j.Rec.Spec != nil && t.State != wire.Fetching && t.State != wire.Exited {
-			if image := j.Rec.Spec.Image; !m.Images[image] {
-				m.Images[image] = true
-				o.to.Cached(m)
-			}
+		if j := o.book.Job(key.Job); j != nil && j.Rec.Spec != nil && t.State != wire.Fetching && t.State != wire.Exited {
+			images[j.Rec.Spec.Image] = j.Rec.Spec.ImageGB
 		}
 		p, ok := expected[key]
 		if !ok || p.Session != m.Session {
@@ -214,6 +212,9 @@
 			o.to.Exited(m, key, &t)
 		}
 	}
+	if m.Cache.Use(o.to.CacheGB(m), images) {
+		o.to.Cached(m)
+	}
 	return true
 }
 
--- a/internal/core/zone/bid.go
+++ b/internal/core/zone/bid.go
@@ -318,7 +318,7 @@
 			}
 			listed[r] = true
 			if free := r.Free.Plus(r.gain, 1); q.Needs.Fits(free) {
-				left = append(left, offer{r, free, r.Machine.Images[q.Image]})
+				left = append(left, offer{r, free, r.Machine.Cache.Has(q.Image)})
 			}
 		}
 	}
--- /dev/null
+++ b/internal/core/zone/cache.go
@@ -0,0 +1,77 @@
+package zone
+
+import "slices"
+
+// Cache is what a machine is believed to have of images: the most recently used ones within its
+// size. A machine fetches what it lacks, and gives up what was used longest ago; nobody reports
+// it, so it is reckoned from the tasks that were seen there.
+type Cache struct{ images []cached } // least recently used first
+
+type cached struct {
+	name string
+	gb   float64 // 0: not known
+}
+
+// Has tells whether an image is believed to be there.
+func (c *Cache) Has(image string) bool { return c.find(image) >= 0 }
+
+func (c *Cache) find(image string) int {
+	return slices.IndexFunc(c.images, func(x cached) bool { return x.name == image })
+}
+
+// Use notes that images are in use, with their sizes in GB, on a machine that caches so many GB; 0:
+// any number. What is in use stays, whatever its size. It returns whether anything came or went.
+func (c *Cache) Use(limit float64, images map[string]float64) bool {
+	changed := false
+	for _, name := range sortedNames(images) {
+		x := cached{name, images[name]}
+		if i := c.find(name); i >= 0 {
+			x.gb = max(x.gb, c.images[i].gb)
+			c.images = slices.Delete(c.images, i, i+1)
+		} else {
+			changed = true
+		}
+		c.images = append(c.images, x)
+	}
+	if limit <= 0 {
+		return changed
+	}
+	sum := 0.0
+	for _, x := range c.images {
+		sum += x.gb
+	}
+	for sum > limit+slack && len(c.images) > len(images) {
+		sum -= c.images[0].gb
+		c.images = slices.Delete(c.images, 0, 1)
+		changed = true
+	}
+	return changed
+}
+
+// Believe takes what somebody else has noted, until the machine's tasks tell more.
+func (c *Cache) Believe(images []string) {
+	for _, name := range images {
+		if !c.Has(name) {
+			c.images = slices.Insert(c.images, 0, cached{name: name})
+		}
+	}
+}
+
+// Names lists the images, in the order of their names.
+func (c *Cache) Names() []string {
+	out := make([]string, len(c.images))
+	for i, x := range c.images {
+		out[i] = x.name
+	}
+	slices.Sort(out)
+	return out
+}
+
+func sortedNames(of map[string]float64) []string {
+	out := make([]string, 0, len(of))
+	for name := range of {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -32,12 +32,12 @@
 	// From the newest message, by (session, sequence).
 	Session, Seq, Token uint64
 	Tasks               map[job.Key]Task
-	Heard               Micros          // when the newest message came
-	Spoke               Micros          // when the worker was last in touch with us itself, see Roster.Touch
-	Mailed              bool            // the newest message came by way of the state service
-	Wanted              bool            // the next report is to come to the leader itself
-	NoticeAt            Micros          // when the cloud takes it; 0: no notice
-	Images              map[string]bool // those that it is known to have
+	Heard               Micros // when the newest message came
+	Spoke               Micros // when the worker was last in touch with us itself, see Roster.Touch
+	Mailed              bool   // the newest message came by way of the state service
+	Wanted              bool   // the next report is to come to the leader itself
+	NoticeAt            Micros // when the cloud takes it; 0: no notice
+	Cache               Cache  // images that it is believed to have
 
 	// What may still be on its way. A start that was sent by a direct call
 	// without an answer may be executed as long as the worker has seen no
@@ -75,7 +75,7 @@
 // New returns a machine that has said nothing yet.
 func New(name, addr, typ, zone string, spot bool, rented Micros) *Machine {
 	return &Machine{Name: name, Addr: addr, Type: typ, Zone: zone, Spot: spot, Rented: rented,
-		Tasks: map[job.Key]Task{}, Images: map[string]bool{}, Errors: map[string]Micros{}}
+		Tasks: map[job.Key]Task{}, Errors: map[string]Micros{}}
 }
 
 // Describe takes what others than its worker say of a machine, until the worker
--- a/internal/core/zone/shelf.go
+++ b/internal/core/zone/shelf.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 
@@ -77,7 +76,7 @@
 	if z.warm == nil {
 		z.warm = map[string]map[*Room]bool{}
 	}
-	r.images = slices.Collect(maps.Keys(r.Machine.Images)) // in any order: each is handled by itself
+	r.images = r.Machine.Cache.Names()
 	for _, image := range r.images {
 		if z.warm[image] == nil {
 			z.warm[image] = map[*Room]bool{}
@@ -147,7 +146,7 @@
 			return false
 		}
 		r.offered = true
-		out = append(out, offer{r, r.Free, r.Machine.Images[q.Image]})
+		out = append(out, offer{r, r.Free, r.Machine.Cache.Has(q.Image)})
 		return true
 	}
 	var on *shelf
--- a/internal/core/zone/zone_test.go
+++ b/internal/core/zone/zone_test.go
@@ -20,7 +20,7 @@
 func room(name string, gpus float64, images ...string) *Room {
 	m := New(name, "", "t", "a", false, 0)
 	for _, i := range images {
-		m.Images[i] = true
+		m.Cache.Believe([]string{i})
 	}
 	return &Room{Machine: m, Free: Res{CPUs: 16, GPUs: gpus, MemoryGB: 64}}
 }
@@ -180,7 +180,7 @@
 	for len(bid.Rooms) < q.Count {
 		var best *offer
 		for _, r := range rooms {
-			o := &offer{r, r.Free.Plus(used[r], -1), r.Machine.Images[q.Image]}
+			o := &offer{r, r.Free.Plus(used[r], -1), r.Machine.Cache.Has(q.Image)}
 			if (q.Spot || !r.Machine.Spot) && q.mayUse(1, r) && q.Needs.Fits(o.free) && (best == nil || o.roomier(best)) {
 				best = o
 			}
