--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -150,6 +150,7 @@
 	BeginWithinS    float64 `json:"begin_within_s"`
 	InTimeFirst     bool    `json:"in_time_first"`
 	DrainS          float64 `json:"drain_s"`
+	ShareFetches    bool    `json:"share_fetches"`
 	HoldFormat      bool    `json:"hold_format"`
 
 	Estimates       bool    `json:"estimates"`
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -336,7 +336,11 @@
 			s.budget-- // its record is written
 		}
 		for i, r := range bid.Rooms {
-			l.survey.byName[r.Zone].Use(r, q.Needs)
+			image := ""
+			if q.Share {
+				image = q.Image
+			}
+			l.survey.byName[r.Zone].Use(r, q.Needs, image)
 			l.touch(r.Machine)
 			inZone[bid.Zone]++
 			apart.place(r.Machine.Name)
@@ -408,7 +412,7 @@
 func (l *Leader) request(s *scan, j *Job, e *queue.Entry) *zone.Request {
 	spec := j.Rec.Spec
 	q := &zone.Request{Job: j.ID, Needs: taskRes(spec), Whole: spec.Shape == wire.Gang, Spot: spec.Spot,
-		Types: j.types.set, TypeKey: j.types.text, Image: spec.Image, Avoid: j.failedOn}
+		Types: j.types.set, TypeKey: j.types.text, Image: spec.Image, Avoid: j.failedOn, Share: l.cfg.Settings.ShareFetches}
 	if l.box.Now() < j.preempted {
 		q.Keep = j.reserved
 		return q
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
@@ -229,11 +230,33 @@
 	}
 	l.addUp(m, open, plans)
 	t := l.catalog.Types[m.Type]
-	m.Room = &zone.Room{Machine: m, Zone: m.Zone, Idle: len(open) == 0,
+	m.Room = &zone.Room{Machine: m, Zone: m.Zone, Idle: len(open) == 0, Coming: l.coming(open, plans),
 		Free: zone.Res{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}.Plus(m.Used, -1)}
 	s.byName[m.Zone].Put(m.Room)
 }
 
+// coming lists the images of what is placed on a machine or about to be, in the order of
+// their names.
+func (l *Leader) coming(open map[job.Key]job.Placement, plans map[*Job]int) []string {
+	if !l.cfg.Settings.ShareFetches {
+		return nil
+	}
+	var out []string
+	add := func(j *Job) {
+		if j != nil && j.Rec.Spec != nil && !slices.Contains(out, j.Rec.Spec.Image) {
+			out = append(out, j.Rec.Spec.Image)
+		}
+	}
+	for key := range open {
+		add(l.jobs[key.Job])
+	}
+	for j := range plans {
+		add(j)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // addUp adds up what is placed on a machine or about to be. Everything open counts,
 // whatever the worker last said of it. Whole millionths add up to the same in any order,
 // so nothing has to be sorted.
--- a/internal/core/zone/bid.go
+++ b/internal/core/zone/bid.go
@@ -55,8 +55,9 @@
 	Machine *Machine
 	Zone    string
 	Free    Res
-	Barred  bool // kept for a job that ranks higher
-	Idle    bool // nothing is placed there
+	Barred  bool     // kept for a job that ranks higher
+	Idle    bool     // nothing is placed there
+	Coming  []string // images of what is placed there, or about to be: they are there or being fetched
 
 	shelf   *shelf
 	images  []string // by which its zone finds it
@@ -120,6 +121,7 @@
 	Avoid   map[string]Micros
 	May     func(v *Victim) bool // nil: no preemption
 	Keep    map[string]bool      // machines barred for others but not for this job
+	Share   bool                 // a machine that is fetching the image is better than one that isn't
 }
 
 // Bid is a zone's offer: a machine for each of the tasks it can take, and the
@@ -194,7 +196,25 @@
 type offer struct {
 	*Room
 	free Res
-	warm bool
+	near int
+}
+
+// How near a machine is to having an image.
+const (
+	far    = iota
+	coming // it is being fetched, and comes once for all tasks that want it
+	there
+)
+
+// near tells how near the room's machine is to having a request's image.
+func (r *Room) near(q *Request) int {
+	switch {
+	case r.Machine.Cache.Has(q.Image):
+		return there
+	case q.Share && slices.Contains(r.Coming, q.Image):
+		return coming
+	}
+	return far
 }
 
 // offers is a heap of them, the best first.
@@ -219,8 +239,10 @@
 	for len(b.Rooms) < q.Count && len(from) > 0 {
 		o := &from[0]
 		b.Rooms = append(b.Rooms, o.Room)
-		if o.warm {
+		if o.near == there {
 			b.Warm++
+		} else if q.Share {
+			o.near = coming
 		}
 		if o.free = o.free.Plus(q.Needs, -1); q.Needs.Fits(o.free) {
 			heap.Fix(&from, 0)
@@ -234,8 +256,8 @@
 	if a.Machine.Spot != b.Machine.Spot { // what may use spot machines leaves the others free
 		return a.Machine.Spot
 	}
-	if a.warm != b.warm {
-		return a.warm
+	if a.near != b.near {
+		return a.near > b.near
 	}
 	if a.Idle != b.Idle { // whole machines are kept for what needs them, or go back
 		return b.Idle
@@ -318,7 +340,7 @@
 			}
 			listed[r] = true
 			if free := r.Free.Plus(r.gain, 1); q.Needs.Fits(free) {
-				left = append(left, offer{r, free, r.Machine.Cache.Has(q.Image)})
+				left = append(left, offer{r, free, r.near(q)})
 			}
 		}
 	}
--- a/internal/core/zone/shelf.go
+++ b/internal/core/zone/shelf.go
@@ -76,15 +76,19 @@
 	if z.warm == nil {
 		z.warm = map[string]map[*Room]bool{}
 	}
-	r.images = r.Machine.Cache.Names()
+	r.images = append(r.Machine.Cache.Names(), r.Coming...)
 	for _, image := range r.images {
-		if z.warm[image] == nil {
-			z.warm[image] = map[*Room]bool{}
-		}
-		z.warm[image][r] = true
+		z.index(r, image)
 	}
 }
 
+func (z *Zone) index(r *Room, image string) {
+	if z.warm[image] == nil {
+		z.warm[image] = map[*Room]bool{}
+	}
+	z.warm[image][r] = true
+}
+
 // Drop gives up a room that is in the zone.
 func (z *Zone) Drop(r *Room) {
 	r.unshelve()
@@ -95,11 +99,16 @@
 	}
 }
 
-// Use takes what a task needs from a room that is in the zone.
-func (z *Zone) Use(r *Room, needs Res) {
+// Use takes what a task with an image needs from a room that is in the zone.
+func (z *Zone) Use(r *Room, needs Res, image string) {
 	r.unshelve()
 	r.Free, r.Idle = r.Free.Plus(needs, -1), false
 	z.shelve(r)
+	if image != "" && !slices.Contains(r.Coming, image) {
+		r.Coming = append(r.Coming, image)
+		r.images = append(r.images, image)
+		z.index(r, image)
+	}
 }
 
 // Free adds up the room that is left in the zone.
@@ -146,7 +155,7 @@
 			return false
 		}
 		r.offered = true
-		out = append(out, offer{r, r.Free, r.Machine.Cache.Has(q.Image)})
+		out = append(out, offer{r, r.Free, r.near(q)})
 		return true
 	}
 	var on *shelf
--- a/internal/core/zone/zone_test.go
+++ b/internal/core/zone/zone_test.go
@@ -180,7 +180,10 @@
 	for len(bid.Rooms) < q.Count {
 		var best *offer
 		for _, r := range rooms {
-			o := &offer{r, r.Free.Plus(used[r], -1), r.Machine.Cache.Has(q.Image)}
+			o := &offer{r, r.Free.Plus(used[r], -1), r.near(q)}
+			if _, taken := used[r]; taken && q.Share {
+				o.near = max(o.near, coming)
+			}
 			if (q.Spot || !r.Machine.Spot) && q.mayUse(1, r) && q.Needs.Fits(o.free) && (best == nil || o.roomier(best)) {
 				best = o
 			}
@@ -190,7 +193,7 @@
 		}
 		used[best.Room] = used[best.Room].Plus(q.Needs, 1)
 		bid.Rooms = append(bid.Rooms, best.Room)
-		if best.warm {
+		if best.near == there {
 			bid.Warm++
 		}
 	}
@@ -211,7 +214,7 @@
 			what := rapid.IntRange(0, 6).Draw(t, "what")
 			old := rooms[name]
 			if old != nil && what > 4 {
-				kept.Use(old, Res{CPUs: 1, GPUs: float64(rapid.IntRange(0, 2).Draw(t, "used")) / 2})
+				kept.Use(old, Res{CPUs: 1, GPUs: float64(rapid.IntRange(0, 2).Draw(t, "used")) / 2}, []string{"", "i1", "i2"}[i%3])
 				continue
 			}
 			if old != nil {
@@ -221,12 +224,16 @@
 			if what > 0 {
 				r := room(name, float64(rapid.IntRange(0, 8).Draw(t, "gpus"))/2, fmt.Sprint("i", i%2))
 				r.Machine.Spot, r.Idle, r.Barred = i%3 == 0, i%5 == 0, i%7 == 0
+				if i%4 == 0 {
+					r.Coming = []string{"i1"}
+				}
 				rooms[name] = r
 				kept.Put(r)
 			}
 		}
 		q := request(float64(rapid.IntRange(0, 6).Draw(t, "needs"))/2, rapid.IntRange(1, 9).Draw(t, "count"), rapid.Bool().Draw(t, "whole"))
 		q.Image, q.Spot = "i1", rapid.Bool().Draw(t, "spot")
+		q.Share = rapid.Bool().Draw(t, "share")
 		q.Avoid, q.Keep = map[string]Micros{"m3": 9}, map[string]bool{"m4": true}
 		a, b := kept.Plan(1, q), everywhere(rooms, q)
 		if (a == nil) != (b == nil) || a != nil && (a.Warm != b.Warm || !slices.Equal(names(a), names(b))) {
