Late jobs in the order of their lanes; the planner takes a class's mean run time

Late gangs behind those in time went by age, all sizes alike; now by the same order as the others, the smaller first, with the oldest still before all now and then.

--- a/internal/core/leader/intime.go
+++ b/internal/core/leader/intime.go
@@ -62,7 +62,7 @@
 	firstTurn  = 0
 	laneTurn   = 1 // and those that follow: lanes of which not enough has begun
 	usualTurn  = 1 << 19
-	lateTurn   = 1 << 20
+	lateTurn   = 1 << 20         // and that of its lane
 	lineBehind = Micros(1) << 55 // in the line for a team's guarantee, behind what has begun
 )
 
@@ -366,17 +366,18 @@
 		}
 		return firstTurn, 0
 	}
-	if l.box.Now()-j.arrived >= l.lateAfter() {
-		if j == k.first && (k.inTime >= lateShare || l.box.Now()-k.lateAt >= lateEvery) {
-			return firstTurn, 0
-		}
-		return lateTurn, 0
+	late := l.box.Now()-j.arrived >= l.lateAfter()
+	if late && j == k.first && (k.inTime >= lateShare || l.box.Now()-k.lateAt >= lateEvery) {
+		return firstTurn, 0
 	}
 	spec := j.Rec.Spec
 	lane := k.lane(j)
 	if turn = k.turns[lane]; turn < usualTurn && lane == others && spec.Shape == wire.Gang {
 		cost = float64(spec.Tasks) * taskRes(spec).Weight() // all or nothing: the smaller, the more begin
 	}
+	if late {
+		turn += lateTurn // in the same order: they can still be done
+	}
 	return turn, cost
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -131,11 +131,18 @@
 	slices.SortStableFunc(sorted, func(a, b Job) int { return cmp.Compare(b.Tasks, a.Tasks) })
 	top := max(1, int(float64(len(sorted))*largestPart))
 	least := sorted[top-1].Tasks
+	// Owners' estimates differ from job to job: alike are those of a size and of a period, and
+	// all run for as long as the class does on average.
+	sum := 0.0
+	for _, j := range jobs {
+		sum += j.RunS
+	}
+	run := max(1, int(math.Round(sum/float64(len(jobs))/d.PeriodS)))
 	byKey := map[group]*group{}
 	var out []*group
 	for _, j := range jobs {
 		k := group{class: j.Class, largest: j.Tasks >= least, tasks: j.Tasks, gpus: j.GPUs,
-			run: max(1, int(math.Round(j.RunS/d.PeriodS/2))*2), from: int(j.At / d.PeriodS)}
+			run: run, from: int(j.At / d.PeriodS)}
 		g := byKey[k]
 		if g == nil {
 			c := k
