--- a/internal/core/leader/intime.go
+++ b/internal/core/leader/intime.go
@@ -25,8 +25,8 @@
 	// lateLead is the part of the time that a job has to begin which a place takes to become
 	// a start: its image has to be fetched, too.
 	lateLead = 8
-	// fewLate is how many jobs of a class, beside the first, may be late without the class
-	// being short of places: one alone may want what only it wants.
+	// fewLate is how many jobs of a class may be late without the class being short of places:
+	// one alone may want what only it wants.
 	fewLate = 2
 	// longLine is the part of the time to begin that a class's line may take to be gone
 	// through; one that takes longer tells that the class is short before any job is late.
