The change read once more: one piece each for what a job takes to begin, and for sorted names

What a job takes to begin was worked out three times, sorted keys once more by hand, the jobs' ids sorted twice in a takeover, and what was served judged by two switches over the same cases; the planner had a parameter that was always true and a field that nobody read.

--- a/internal/core/leader/accounts.go
+++ b/internal/core/leader/accounts.go
@@ -83,14 +83,14 @@
 }
 
 // recallUse has an heir's ranks go by what teams have used before it led, by the accounts: what
-// is over, what runs, all decayed as if it had led all along.
-func (l *Leader) recallUse() {
+// is over, what runs, all decayed as if it had led all along. Sums depend on the order of ids.
+func (l *Leader) recallUse(ids []string) {
 	wall, window := l.wall(), config.FromSeconds(l.cfg.Settings.UsageWindowS)
 	if wall == 0 || l.form.Format < job.Standing {
 		return
 	}
 	used := map[string]float64{}
-	for _, id := range slices.Sorted(maps.Keys(l.jobs)) { // sums depend on their order
+	for _, id := range ids {
 		j := l.jobs[id]
 		switch rec := &j.Rec; {
 		case rec.Account != nil:
--- a/internal/core/leader/decide.go
+++ b/internal/core/leader/decide.go
@@ -169,11 +169,10 @@
 			l.readDecisions(t)
 			return
 		default:
+			d.writeAt = l.box.Now() + commitPause
 			if d.unsure { // this sending was refused; an earlier one may still be applied
-				d.writeAt = l.box.Now() + commitPause
 				return
 			}
-			d.writeAt = l.box.Now() + commitPause
 			l.undecide(d.of)
 		}
 		d.txn, d.of = nil, nil
--- a/internal/core/leader/intime.go
+++ b/internal/core/leader/intime.go
@@ -399,22 +399,14 @@
 	}
 	spec := j.Rec.Spec
 	team := l.teams[spec.Team]
-	n := 1
-	if spec.Shape == wire.Gang {
-		n = spec.Tasks
-	}
-	return !queue.HasGuarantee(team) || queue.UnderGuarantee(team, used[spec.Team].Plus(l.order.claimed[spec.Team], 1).Plus(taskAmount(spec), float64(n)))
+	return !queue.HasGuarantee(team) || queue.UnderGuarantee(team, used[spec.Team].Plus(l.order.claimed[spec.Team], 1).Plus(beginAmount(spec), 1))
 }
 
 // claimFor counts, for the pass under way, what a job waits for that had others stopped: until it
 // is placed nothing else tells that its team has claimed it.
 func (l *Leader) claimFor(j *Job) {
 	spec := j.Rec.Spec
-	n := 1
-	if spec.Shape == wire.Gang {
-		n = spec.Tasks
-	}
-	l.order.claimed[spec.Team] = l.order.claimed[spec.Team].Plus(taskAmount(spec), float64(n))
+	l.order.claimed[spec.Team] = l.order.claimed[spec.Team].Plus(beginAmount(spec), 1)
 }
 
 // claims adds up what is claimed as a pass begins.
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -205,7 +205,8 @@
 	}
 	l.ready = true
 	open := 0
-	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+	ids := slices.Sorted(maps.Keys(l.jobs))
+	for _, id := range ids {
 		j := l.jobs[id]
 		j.closes, j.plan, j.txn = nil, nil, nil
 		l.placed(j, nil, j.Rec.Open)
@@ -228,7 +229,7 @@
 		l.watch(m)
 	}
 	l.startLearning()
-	l.recallUse()
+	l.recallUse(ids)
 	l.passDue = true
 	l.box.Log("records read", "open_placements", open, "machines", l.owner.Roster().Len(), "after_ms", (l.box.Now()-l.since)/1000)
 }
--- a/internal/core/leader/served.go
+++ b/internal/core/leader/served.go
@@ -51,11 +51,9 @@
 		if j.begun() {
 			l.service.tally.Began(now, j.judged)
 		}
-	}
-	switch {
-	case j.judged == nil:
-	case rec.Phase == job.Done || rec.Spec != nil && rec.Spec.Shape == wire.Service && j.Open >= rec.Spec.Tasks:
-		l.service.tally.Served(now, j.judged)
+		if rec.Phase == job.Done || rec.Spec != nil && rec.Spec.Shape == wire.Service && j.Open >= rec.Spec.Tasks {
+			l.service.tally.Served(now, j.judged)
+		}
 	}
 	if rec.Final() {
 		j.judged = nil
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -363,4 +363,12 @@
 
 func taskRes(s *wire.Job) zone.Res { return zone.Res{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB} }
 
+// beginAmount is what a job takes of its team's part to begin: one task, or all of a gang.
+func beginAmount(s *wire.Job) queue.Amount {
+	if s.Shape == wire.Gang {
+		return queue.Amount{}.Plus(taskAmount(s), float64(s.Tasks))
+	}
+	return taskAmount(s)
+}
+
 func taskAmount(s *wire.Job) queue.Amount { return queue.Amount{CPUs: s.CPUs, GPUs: s.GPUs} }
--- a/internal/core/leader/waits.go
+++ b/internal/core/leader/waits.go
@@ -8,7 +8,6 @@
 	"coralhub/internal/core/msg"
 	"coralhub/internal/core/queue"
 	"coralhub/internal/core/standing"
-	"coralhub/wire"
 )
 
 // mostBefore is how many of those that go before a job are named.
@@ -49,11 +48,7 @@
 	case now < j.preempted:
 		return "others are leaving machines for it"
 	}
-	n := 1
-	if spec.Shape == wire.Gang {
-		n = spec.Tasks
-	}
-	if team := l.teams[spec.Team]; team != nil && !queue.UnderLimit(team, l.survey.used[spec.Team].Plus(taskAmount(spec), float64(n))) {
+	if team := l.teams[spec.Team]; team != nil && !queue.UnderLimit(team, l.survey.used[spec.Team].Plus(beginAmount(spec), 1)) {
 		return "its team's limit"
 	}
 	return "no machine has room, or others go before it"
--- a/internal/core/standing/standing.go
+++ b/internal/core/standing/standing.go
@@ -81,7 +81,7 @@
 	Winner   string
 	Why      Why
 	Level    int    // at which the winner ranked
-	Order    uint64 // revision of the order in force
+	Order    uint64 // 0; kept for a revision of the order in force
 	Until    Micros // time of day: the machines are kept until then
 	Keep     []string
 	Victims  []Victim
--- a/internal/core/zone/cache.go
+++ b/internal/core/zone/cache.go
@@ -1,6 +1,9 @@
 package zone
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Cache is what a machine is believed to have of images: the most recently used ones within its
 // size. A machine fetches what it lacks, and gives up what was used longest ago; nobody reports
@@ -23,7 +26,7 @@
 // any number. What is in use stays, whatever its size. It returns whether anything came or went.
 func (c *Cache) Use(limit float64, images map[string]float64) bool {
 	changed := false
-	for _, name := range sortedNames(images) {
+	for _, name := range slices.Sorted(maps.Keys(images)) {
 		x := cached{name, images[name]}
 		if i := c.find(name); i >= 0 {
 			x.gb = max(x.gb, c.images[i].gb)
@@ -66,12 +69,3 @@
 	slices.Sort(out)
 	return out
 }
-
-func sortedNames(of map[string]float64) []string {
-	out := make([]string, 0, len(of))
-	for name := range of {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -83,7 +83,7 @@
 	}
 	switch of["msg"] {
 	case "accepted":
-		l.jobs[of["job"]] = &Job{Class: of["class"], Team: of["team"], At: max(now, 0), Tasks: max(1, int(number("tasks"))), GPUs: number("gpus"),
+		l.jobs[of["job"]] = &Job{Class: of["class"], At: max(now, 0), Tasks: max(1, int(number("tasks"))), GPUs: number("gpus"),
 			RunS: number("estimate_s"), Gang: of["shape"] == wire.Gang, Ends: of["shape"] != wire.Service}
 	case "placing":
 		if _, had := l.first[of["job"]]; !had {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -19,7 +19,6 @@
 // Job is a job that was accepted. Times are in seconds.
 type Job struct {
 	Class string
-	Team  string
 	At    float64
 	Tasks int
 	GPUs  float64 // of a task
@@ -55,12 +54,7 @@
 }
 
 // needs is what one of the group takes to begin.
-func (g *group) needs(gang bool) float64 {
-	if gang {
-		return float64(g.tasks) * g.gpus
-	}
-	return g.gpus
-}
+func (g *group) needs() float64 { return float64(g.tasks) * g.gpus }
 
 // ErrTooLarge tells that a day has too many kinds of jobs for its bound to be reckoned.
 var ErrTooLarge = errors.New("too many kinds of jobs")
@@ -198,7 +192,7 @@
 	}
 	for i, c := range cols {
 		for t := c.begin; t < min(len(free), c.begin+c.run); t++ {
-			g.Set(t, i, c.needs(true))
+			g.Set(t, i, c.needs())
 		}
 		g.Set(at[c.group], i, 1)
 		g.Set(rows-2, i, -1)
@@ -228,7 +222,7 @@
 	used := make([]float64, len(free))
 	for i, c := range cols {
 		for t := c.begin; t < min(len(free), c.begin+c.run); t++ {
-			used[t] += x[i] * c.needs(true)
+			used[t] += x[i] * c.needs()
 		}
 	}
 	return min(x[z], 1), used, nil
