--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -87,6 +87,13 @@
 	CancelS   float64 `toml:"cancel_s"`
 }
 
+// drift is by how much a worker's clock may be slow against ours, both drifting.
+const drift = 0.001
+
+// LeaseEndsInTime tells whether a worker's lease that is renewed no more is sure to end within
+// the time that a cancellation has. If not, silence is no way for a task to end in time.
+func (w *Workers) LeaseEndsInTime() bool { return w.LeaseS*(1+drift) < w.CancelS }
+
 // State holds the limits of the state service, and those that it will have from
 // some moment on that nobody announces; a limit of 0 stays as it is.
 type State struct {
--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -485,13 +485,14 @@
 // assure decides whether the user may be told that a job is cancelled: every
 // open placement must be on a worker that follows us, so that we will stop the
 // task or the worker's lease ends, and no start may still be on its way that
-// could take effect after that.
+// could take effect after that. Where a lease may outlast a cancellation's time, only
+// proof that all of it is over will do: a worker that hears nothing keeps its tasks until then.
 func (l *Leader) assure(j *Job) {
 	if !j.Rec.Cancel || j.Rec.Final() {
 		j.cancelling = false
 		return
 	}
-	sure := j.Open == 0 || l.known(j.Version) // else one could keep a task of it alive
+	sure := j.Open == 0 || l.cfg.Cluster.Workers.LeaseEndsInTime() && l.known(j.Version) // else one could keep a task of it alive
 	j.EachOpen(func(p job.Placement) {
 		m := l.owner.Roster().Get(p.Machine)
 		if m == nil || m.Token < l.claim.Base() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,7 +43,6 @@
 	Do(msg.Effect) bool
 }
 
-// queued is an input that waits for the loop.
 // Node is a running controller.
 type Node struct {
 	cfg      *config.Config
@@ -128,6 +127,10 @@
 	go n.store.KeepAlive(ctx)
 	go n.watchPeers(ctx)
 	slog.Info("serving", "node", n.cfg.Node, "location", n.cfg.Location, "users", n.cfg.Listen, "peers", n.cfg.PeerListen)
+	if w := &n.cfg.Cluster.Workers; !w.LeaseEndsInTime() {
+		slog.Warn("a worker's lease may outlast a cancellation: users are told only once every task is proven gone",
+			"lease_s", w.LeaseS, "cancel_s", w.CancelS)
+	}
 	n.loop(ctx, failed)
 	select {
 	case err := <-failed:
--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -178,7 +178,7 @@
 	if s.copies != nil {
 		s.again(s.node(s.Leader()), rnd, 30)
 	}
-	s.answered(t, accepted)
+	s.allAnswered(t, accepted)
 	s.Run(60 * standin.Second)
 	for _, id := range slices.Sorted(maps.Keys(accepted)) {
 		for try := 0; services[id] && s.told[id] != wire.Cancelled && try < 20; try++ {
@@ -220,9 +220,9 @@
 	}
 }
 
-// answered asks about every job, each time at the next node, until it has had an answer. No
+// allAnswered asks about every job, each time at the next node, until it has had an answer. No
 // job may be without one for longer than this once all troubles are over.
-func (s *Sim) answered(t *testing.T, jobs map[string]bool) {
+func (s *Sim) allAnswered(t *testing.T, jobs map[string]bool) {
 	const forgottenAfter = 75 * standin.Second
 	over := s.now
 	var left []string
--- /dev/null
+++ b/internal/scenario/meetings_test.go
@@ -0,0 +1,417 @@
+package scenario
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"coralhub/internal/standin"
+	"coralhub/wire"
+)
+
+// meetingSeeds is how many days TestMeetings plays of each kind; the usual ones take a few seconds.
+var meetingSeeds = flag.Int("meetings", 6, "days of TestMeetings, of each kind")
+
+// meetingFrom is the first seed.
+var meetingFrom = flag.Int("from", 0, "first seed of TestMeetings")
+
+// moment is a line of a script and when it is played.
+type moment struct {
+	at   standin.Micros
+	line string
+}
+
+// drawing is a day that is being drawn.
+type drawing struct {
+	rnd   *rand.Rand
+	nodes int
+	lease float64
+	in    float64 // a cancellation's time
+	jobs  int
+	day   []moment
+}
+
+func (d *drawing) say(at float64, format string, args ...any) {
+	d.day = append(d.day, moment{standin.Micros(at*10) * tick, fmt.Sprintf(format, args...)})
+}
+
+// within draws a time.
+func (d *drawing) within(least, most float64) float64 { return least + d.rnd.Float64()*(most-least) }
+
+func (d *drawing) node() string { return fmt.Sprintf("n%d", 1+d.rnd.IntN(d.nodes)) }
+
+func (d *drawing) mode() string { return []string{"drop", "hold"}[d.rnd.IntN(2)] }
+
+func (d *drawing) job() string { return fmt.Sprintf("j-%d", d.rnd.IntN(d.jobs)) }
+
+// withdraw has jobs cancelled over a while.
+func (d *drawing) withdraw(from, to float64, count int) {
+	for range 2 * count {
+		d.say(d.within(from, to), "withdraw id=%s", d.job())
+	}
+}
+
+// outage has the state service down for everybody, for a little less or much longer than a
+// cancellation has.
+func (d *drawing) outage(at float64) float64 {
+	end := at + d.in*d.within(0.6, 1.6)
+	d.say(at, "state down")
+	d.say(end, "state up")
+	return end
+}
+
+// The meetings of two troubles that are drawn. Each returns when its troubles are over.
+var meetings = map[string]func(d *drawing, at float64) float64{
+	// The state service refuses the leader alone; others confirm cancellations; then it is down for all.
+	"gap": func(d *drawing, at float64) float64 {
+		d.say(at, "cut node=leader link=state")
+		if d.rnd.IntN(3) == 0 {
+			d.say(at, "cut node=old link=peers mode=%s", d.mode())
+		}
+		down := at + d.within(0, 12)
+		d.withdraw(at, down+2, 1+d.rnd.IntN(6))
+		if d.rnd.IntN(3) == 0 {
+			d.say(d.within(at, down+5), "node node=leader kill")
+			d.say(d.within(down, down+10), "revive")
+		}
+		if d.rnd.IntN(3) == 0 { // what was confirmed is confirmed by one that is back within a second
+			again := d.within(at+4, down+8)
+			d.say(again, "node node=heir kill")
+			d.say(again+d.within(0.1, 0.9), "revive")
+		}
+		end := d.outage(down)
+		d.withdraw(down, end, d.rnd.IntN(4))
+		d.say(max(end, at+14), "heal node=old")
+		return max(end, at+14)
+	},
+	// The leader ends while machines with long tasks are not reached, or don't hear the heir.
+	"unreached": func(d *drawing, at float64) float64 {
+		for range 1 + d.rnd.IntN(4) {
+			how, back := "hang", "resume"
+			switch d.rnd.IntN(3) {
+			case 0:
+				how, back = "deaf mode="+d.mode(), "hears"
+			case 1:
+				how = "deaf mode=hold"
+				back = "hears"
+			}
+			i, from := d.rnd.IntN(12), d.within(at-2, at+2)
+			d.say(from, "machine nth=%d %s", i, how)
+			d.say(from+d.within(0.5, 2*d.lease), "machine nth=%d %s", i, back)
+		}
+		d.withdraw(at-2, at+8, 1+d.rnd.IntN(4))
+		d.say(at, "node node=leader kill")
+		end := at + d.within(0.2, 12)
+		d.say(end, "revive")
+		return max(end, at+2*d.lease+2)
+	},
+	// Controllers hand over and back, all end, one returns, also within a second.
+	"handover": func(d *drawing, at float64) float64 {
+		for range 2 + d.rnd.IntN(4) {
+			d.say(at, "node node=leader kill")
+			at += d.within(0.1, 5)
+			d.withdraw(at-1, at+1, 1)
+			d.say(at, "revive")
+			at += d.within(0.1, 6)
+		}
+		if d.rnd.IntN(2) == 0 {
+			for i := range d.nodes {
+				d.say(at, "node node=n%d kill", i+1)
+			}
+			at += d.within(0.1, 1)
+			d.say(at, "node node=%s start", d.node())
+			at += d.within(0.1, 10)
+			d.say(at, "revive")
+		}
+		return at
+	},
+	// A leader has nothing but its workers and users, and jobs are cancelled through the heir.
+	"alone": func(d *drawing, at float64) float64 {
+		mode := d.mode()
+		d.say(at, "cut node=leader link=state mode=%s", mode)
+		d.say(at, "cut node=old link=peers mode=%s", mode)
+		end := at + d.within(4, d.in*1.5)
+		d.withdraw(at, end, 2+d.rnd.IntN(5))
+		d.say(end, "heal node=old")
+		return end
+	},
+	// A zone's home loses the leader, or everybody, and jobs are cancelled.
+	"homes": func(d *drawing, at float64) float64 {
+		n := d.node()
+		for _, link := range []string{"peers", "state"} {
+			if d.rnd.IntN(3) > 0 {
+				d.say(d.within(at, at+3), "cut node=%s link=%s mode=%s", n, link, d.mode())
+			}
+		}
+		if d.rnd.IntN(2) == 0 {
+			d.say(at, "cut node=leader link=workers mode=%s", d.mode())
+		}
+		end := at + d.within(4, d.in*1.5)
+		d.withdraw(at, end, 2+d.rnd.IntN(5))
+		d.say(end, "heal node=%s", n)
+		d.say(end, "heal node=old")
+		return end
+	},
+	// Copies of reports come late, to whichever node, also after a takeover.
+	"copies": func(d *drawing, at float64) float64 {
+		if d.rnd.IntN(2) == 0 {
+			d.say(at, "node node=leader kill")
+			d.say(at+d.within(0.1, 4), "revive")
+		}
+		for range 6 + d.rnd.IntN(10) {
+			d.say(at+d.within(0, 10), "again node=%s count=%d", []string{"leader", d.node()}[d.rnd.IntN(2)], 1+d.rnd.IntN(20))
+		}
+		for range d.rnd.IntN(3) {
+			d.say(at+d.within(0, 10), "machine nth=%d restart", d.rnd.IntN(12))
+		}
+		d.withdraw(at, at+10, d.rnd.IntN(4))
+		return at + 10
+	},
+	// The state service refuses the leader, and then all, while users cancel and ask: the second
+	// trouble comes before the first is over, or after.
+	"refused": func(d *drawing, at float64) float64 {
+		d.say(at, "cut node=leader link=state")
+		healed := at + d.within(1, 14)
+		d.say(healed, "heal node=old")
+		end := d.outage(at + d.within(0, 16))
+		d.withdraw(at, end, 4+d.rnd.IntN(4))
+		return max(end, healed)
+	},
+	// A node ends with a transaction: a claim, a placement, a mark, an end, a line of the log.
+	"struck": func(d *drawing, at float64) float64 {
+		for range 1 + d.rnd.IntN(3) {
+			key := []string{"ch/leader", "ch/job", "ch/part", "ch/ended", "ch/mail"}[d.rnd.IntN(5)]
+			d.say(at, "node kill on=%s%s", key, []string{"", " after"}[d.rnd.IntN(2)])
+			d.withdraw(at, at+3, 1)
+			at += d.within(0.5, 6)
+			d.say(at, "revive")
+		}
+		return at
+	},
+	// A machine's worker begins anew or with the next session while its node ends.
+	"machines": func(d *drawing, at float64) float64 {
+		for range 1 + d.rnd.IntN(4) {
+			d.say(d.within(at, at+4), "machine nth=%d restart%s", d.rnd.IntN(12), []string{"", "", " anew"}[d.rnd.IntN(3)])
+		}
+		if d.rnd.IntN(2) == 0 {
+			d.say(at, "node node=leader kill")
+			d.say(at+d.within(0.1, 5), "revive")
+		}
+		d.withdraw(at, at+5, d.rnd.IntN(3))
+		return at + 5
+	},
+}
+
+// timings of workers: lease and a cancellation's time, as they are at the operators', at a
+// fifth of it, and where the two are hardly apart or the wrong way round.
+var timings = [][2]float64{{4, 20}, {10, 40}, {16, 36}, {26.5, 46.5}, {26.5, 56.5}, {4, 9}, {4, 8}, {5, 5.5}, {6, 4}}
+
+// draw makes a day of so many troubles of a kind, others and weather thrown in.
+func draw(seed uint64, kind string) string {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(kind))
+	rnd := rand.New(rand.NewPCG(seed, sum.Sum64()))
+	pair := timings[rnd.IntN(len(timings))]
+	d := &drawing{rnd: rnd, nodes: []int{3, 3, 5}[rnd.IntN(3)], lease: pair[0], in: pair[1], jobs: 6 + rnd.IntN(10)}
+	report := []string{"1s", "2s"}[rnd.IntN(2)]
+	quota := []int{0, 0, 25}[rnd.IntN(3)]
+	head := fmt.Sprintf("world nodes=%d scale=%d quota=%d lease=%gs cancel=%gs report=%s", d.nodes, 1+rnd.IntN(3), quota, d.lease, d.in, report)
+	weather := "weather seed=" + fmt.Sprint(seed)
+	for _, w := range []string{"late_writes", "lost_writes", "slow_writes", "slow_watch", "slow_reports", "slow_beats", "held_calls", "lost_calls"} {
+		if rnd.IntN(3) == 0 {
+			weather += fmt.Sprintf(" %s=%.2f", w, rnd.Float64()*0.4)
+		}
+	}
+	for i := range d.jobs {
+		at := d.within(0, 4)
+		if i > 4 {
+			at = d.within(0, 60)
+		}
+		shape := []string{"array", "array", "gang", "service"}[rnd.IntN(4)]
+		tasks := []int{1, 2, 3, 2 + rnd.IntN(8), 33 + rnd.IntN(30)}[rnd.IntN(5)]
+		line := fmt.Sprintf("submit id=j-%d node=%s shape=%s tasks=%d gpus=%d team=%s rank=%s run=%ds", i, d.node(), shape, tasks, 1+rnd.IntN(2),
+			[]string{"red", "blue"}[rnd.IntN(2)], []string{"production", "high", "normal", "low"}[rnd.IntN(4)], []int{2, 10, 60, 200, 200}[rnd.IntN(5)])
+		for _, word := range []string{"one_zone", "spread", "spot", "save=2", "steps=20s"} {
+			if rnd.IntN(5) == 0 && (word != "spread" || !strings.Contains(line, "one_zone")) {
+				line += " " + word
+			}
+		}
+		d.say(at, "%s", line)
+	}
+	at := d.within(6, 20)
+	kinds := []string{kind}
+	names := sortedMeetings()
+	for rnd.IntN(2) == 0 && len(kinds) < 3 {
+		kinds = append(kinds, names[rnd.IntN(len(names))])
+	}
+	end := at
+	for _, k := range kinds {
+		end = max(end, meetings[k](d, at+d.within(0, 6)*float64(rnd.IntN(2))))
+	}
+	if rnd.IntN(3) == 0 {
+		end = max(end, meetings[kinds[rnd.IntN(len(kinds))]](d, end+d.within(0, 5)))
+	}
+	d.withdraw(0, end, rnd.IntN(5))
+	slices.SortStableFunc(d.day, func(a, b moment) int { return cmp.Compare(a.at, b.at) })
+	var b strings.Builder
+	fmt.Fprintln(&b, head)
+	now := standin.Micros(0)
+	fmt.Fprintln(&b, weather)
+	for _, m := range d.day {
+		if at := max(m.at, 0); at > now {
+			fmt.Fprintf(&b, "run for=%dms\n", (at-now)/1000)
+			now = at
+		}
+		fmt.Fprintln(&b, m.line)
+	}
+	return b.String()
+}
+
+func sortedMeetings() []string {
+	names := make([]string, 0, len(meetings))
+	for name := range meetings {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TestMeetings draws days on which two or three troubles meet. No rule may be broken, whatever
+// meets; once the troubles are over every question is answered within 75 s, every cancellation
+// told, and every job that isn't cancelled ends. A day that fails is made as small as it
+// goes and printed as a scenario.
+func TestMeetings(t *testing.T) {
+	for _, kind := range sortedMeetings() {
+		for i := range uint64(*meetingSeeds) {
+			seed := uint64(*meetingFrom) + i
+			t.Run(fmt.Sprintf("%s/%d", kind, seed), func(t *testing.T) {
+				t.Parallel()
+				script := draw(seed, kind)
+				wrong := playDay(t, script)
+				if len(wrong) == 0 {
+					return
+				}
+				script = shrink(t, script, wrong[0])
+				t.Errorf("%s\n\nthe smallest day found:\n\n%s", strings.Join(wrong, "\n"), asScenario(script))
+			})
+		}
+	}
+}
+
+// playDay plays a script, lets things calm down, and returns what was wrong.
+func playDay(t *testing.T, script string) (wrong []string) {
+	var s *Sim
+	for _, line := range strings.Split(strings.TrimSpace(script), "\n") {
+		cmd, args, err := datadriven.ParseLine(line)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := &datadriven.TestData{Cmd: cmd, CmdArgs: args, Pos: line}
+		if cmd == "world" {
+			s = newWorld(t, d)
+			s.copies = &copies{late: 3 * s.world.Lease}
+			continue
+		}
+		command(t, s, d)
+		if cmd == "submit" {
+			id := ""
+			d.ScanArgs(t, "id", &id)
+			s.Watch(id)
+		}
+	}
+	wrong = s.calm()
+	t.Logf("%d of %d jobs were called cancelled while tasks were on machines", s.toldWith, len(s.world.Jobs))
+	return wrong
+}
+
+// forgottenAfter is how long a question may go unanswered once all troubles are over.
+const forgottenAfter = 75 * standin.Second
+
+// calm ends all troubles and returns what is wrong then.
+func (s *Sim) calm() (wrong []string) {
+	s.weather, s.strike = nil, strike{}
+	s.state.SetDown(s.now, false)
+	s.world.CloudOff = false
+	for _, n := range s.nodes {
+		n.cut = map[string]string{}
+		if !n.alive {
+			s.start(n)
+		}
+	}
+	for _, name := range s.world.Names() {
+		s.world.Machines[name].Deaf, s.world.Machines[name].Hang = "", false
+	}
+	s.Release()
+	over := s.now
+	s.Run(standin.Second)
+	for ; s.now-over < 250*standin.Second; s.Run(standin.Second) {
+		for _, u := range s.users {
+			if s.told[u.id] == "" && !u.cancel {
+				continue // it may never have been accepted
+			}
+			if s.told[u.id] != "" && s.now-max(over, u.answered) > forgottenAfter {
+				wrong = append(wrong, fmt.Sprintf("forgotten %s: no answer for 75 s", u.id))
+			}
+		}
+		if len(wrong) > 0 {
+			break
+		}
+		if s.now-over > 100*standin.Second { // what never ends by itself, or not in time
+			for _, id := range slices.Sorted(maps.Keys(s.world.Jobs)) {
+				if j := s.world.Jobs[id]; s.told[id] != "" && (j.Shape == wire.Service || j.RunOf(j.Tasks) > 10*standin.Second) {
+					s.Withdraw(id)
+				}
+			}
+		}
+	}
+	for _, u := range s.users {
+		if st := s.told[u.id]; st != "" && st != wire.Done && st != wire.Cancelled {
+			wrong = append(wrong, fmt.Sprintf("%s has not ended: %s", u.id, st))
+		}
+	}
+	return append(slices.Clone(s.world.Broken), wrong...)
+}
+
+// shrink leaves out lines of a script as long as the same thing goes wrong, a bounded number
+// of times.
+func shrink(t *testing.T, script, wrong string) string {
+	kind := symptom(wrong)
+	lines := strings.Split(strings.TrimSpace(script), "\n")
+	tries := 300
+	for size := len(lines) / 2; size >= 1; size /= 2 {
+		for i := 1; i < len(lines) && tries > 0; {
+			to := min(i+size, len(lines))
+			without := slices.Concat(lines[:i], lines[to:])
+			tries--
+			if again := playDay(t, strings.Join(without, "\n")); len(again) > 0 && symptom(again[0]) == kind {
+				lines = without
+				continue
+			}
+			i += size
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+// symptom is what kind of thing is wrong.
+func symptom(wrong string) string {
+	for _, rule := range []string{"ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "not_done", "went_back", "orphaned", "not ended", "survey", "placed twice", "without a claim"} {
+		if strings.Contains(wrong, rule) {
+			return rule
+		}
+	}
+	return wrong
+}
+
+// asScenario writes a script as a file of testdata.
+func asScenario(script string) string {
+	return strings.ReplaceAll(strings.TrimSpace(script), "\n", "\n----\n\n") + "\n----\n"
+}
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner_test.go
@@ -44,6 +44,11 @@
 	effects   hash.Hash64 // of all that nodes have done, if anybody wants to know
 	copies    *copies     // of reports, to come again; nil: none are kept
 	strike    strike
+	weather   *weather // nil: everything takes no time, and nothing is late
+	later     []due    // what comes late, in the order of its time
+	users     []*user  // who ask again and again
+	old       *node    // the last that was cut off as the leader
+	toldWith  int      // cancellations that were told while tasks were still on machines
 }
 
 // strike ends a node with its next transaction that writes a key with a prefix, before the
@@ -71,6 +76,7 @@
 	busy    standin.Micros // its loop is at one long step until then
 	backlog []msg.Input    // what has come meanwhile
 	keeper  *keep.Keeper
+	news    *news // the answer to its watch, on its way
 }
 
 type delivery struct {
@@ -135,7 +141,7 @@
 		Zones: []string{"a", "b"},
 		Teams: []config.Team{{Name: "red", GPUs: s.limits["blue"], GPUsMax: s.limits["red"]},
 			{Name: "blue", GPUs: s.limits["blue"], GPUsMax: s.limits["blue"]}},
-		Workers: config.Workers{ReportS: 1, LeaseS: float64(s.world.Lease) / 1e6, GangWaitS: float64(s.world.GangWait) / 1e6,
+		Workers: config.Workers{ReportS: float64(max(s.world.ReportEvery, standin.Second)) / 1e6, LeaseS: float64(s.world.Lease) / 1e6, GangWaitS: float64(s.world.GangWait) / 1e6,
 			GangPeerS: 2, CancelS: float64(s.world.CancelIn) / 1e6},
 		State: config.State{RPS: 100, WriteRPS: 50, ValueKB: 4, TxnOps: 8},
 		Cloud: config.Cloud{RPS: 10, ListLagS: 2},
@@ -158,7 +164,7 @@
 	s.seeds++
 	n.core = core.New(s.config(n.name), s.seeds*7919)
 	n.alive, n.born, n.relist, n.answers = true, s.now, true, map[uint64]msg.Answer{}
-	n.busy, n.backlog, n.keeper = 0, nil, &keep.Keeper{}
+	n.busy, n.backlog, n.keeper, n.news = 0, nil, &keep.Keeper{}, nil
 }
 
 func (s *Sim) node(name string) *node {
@@ -215,6 +221,7 @@
 		s.tokens = min(s.quota, s.tokens+s.quota*float64(tick)/float64(standin.Second))
 		s.state.Expire(s.now)
 		s.world.Tick(s.now)
+		s.comeLate()
 		s.reports()
 		for _, n := range s.nodes {
 			if n.alive {
@@ -232,6 +239,7 @@
 				s.settle()
 			}
 		}
+		s.ask()
 		if s.now%standin.Second < tick { // a second's work has been added up piece by piece
 			for _, n := range s.nodes {
 				if err := n.core.Audit(); n.alive && err != nil {
@@ -277,18 +285,32 @@
 
 // follow feeds a node's listing and watch.
 func (s *Sim) follow(n *node) {
+	if n.news != nil {
+		if s.now >= n.news.at {
+			s.post(n, n.news.in)
+			n.news = nil
+			s.settle()
+		}
+		return
+	}
 	if s.state.Down || n.cut["state"] != "" || n.cut["watch"] != "" {
 		return
 	}
+	var in msg.Input
 	if n.relist {
 		n.relist = false
 		n.rev = s.state.Revision()
-		s.post(n, msg.Snapshot{Items: s.state.List(job.Root), Revision: n.rev})
+		in = msg.Snapshot{Items: s.state.List(job.Root), Revision: n.rev}
 	} else {
 		evs := s.state.Since(job.Root, n.rev)
 		n.rev = s.state.Revision()
-		s.post(n, msg.Changed{Events: evs, AsOf: s.now - n.born + 1})
+		in = msg.Changed{Events: evs, AsOf: s.now - n.born + 1}
 	}
+	if d := s.weather.slowNews(); d > 0 {
+		n.news = &news{s.now + d, in}
+		return
+	}
+	s.post(n, in)
 	s.settle()
 }
 
@@ -359,7 +381,14 @@
 			}
 			said, _ := to.answers[s.req].Body.(msg.BeatAnswer)
 			delete(to.answers, s.req)
-			s.post(n, msg.BeatDone{Beat: x, BeatAnswer: said})
+			s.reply(n, s.weather.slowBeat(), msg.BeatDone{Beat: x, BeatAnswer: said})
+		} else if to.cut["peers"] == "hold" || n.cut["peers"] == "hold" { // it comes late, and nobody hears the answer
+			s.held = append(s.held, func() {
+				if to.alive {
+					s.req++
+					s.post(to, msg.BeatIn{Req: s.req, Node: n.name, Revision: x.Revision, Heard: x.Heard})
+				}
+			})
 		}
 	case msg.Tell:
 		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
@@ -427,12 +456,26 @@
 	}
 	switch n.cut["state"] {
 	case "":
+		fate, after := s.weather.commit(&x.Txn)
+		if fate == lateAct && !s.state.Down {
+			s.in(after, func() { s.commitLate(x.Txn) })
+			s.reply(n, patience, msg.CommitDone{ID: x.ID, Outcome: msg.Unknown})
+			return
+		}
 		status, a := s.state.Commit(x.Txn)
 		d.Outcome, d.Revision, d.Failed = outcome(status, a.Error), a.Revision, a.Failed
 		if n.cut["answer"] != "" && places { // one answer is lost
 			d = msg.CommitDone{ID: x.ID, Outcome: msg.Unknown}
 			delete(n.cut, "answer")
 		}
+		if fate == lostAnswer {
+			s.reply(n, patience, msg.CommitDone{ID: x.ID, Outcome: msg.Unknown})
+			return
+		}
+		if fate == slowAnswer {
+			s.reply(n, after, d)
+			return
+		}
 	case "hold":
 		d.Outcome = msg.Unknown
 		s.held = append(s.held, func() { s.state.Commit(x.Txn) })
@@ -454,6 +497,24 @@
 		d.Outcome = msg.Unknown
 		s.held = append(s.held, func() { run() })
 	case n.cut["workers"] == "" && m != nil && s.now >= m.Up && m.Deaf == "":
+		switch fate, after := s.weather.command(); fate {
+		case lateAct:
+			s.in(after, func() { s.runLate(m.Name, run) })
+			s.reply(n, callPatience, msg.CommandDone{ID: x.ID, Machine: x.Machine, Outcome: msg.Unknown})
+			return
+		case lostAnswer:
+			run()
+			s.reply(n, callPatience, msg.CommandDone{ID: x.ID, Machine: x.Machine, Outcome: msg.Unknown})
+			return
+		case slowAnswer:
+			status, r := run()
+			d.Report = &r
+			if status == 200 {
+				d.Outcome = msg.OK
+			}
+			s.reply(n, after, d)
+			return
+		}
 		status, r := run()
 		d.Report = &r
 		if status == 200 {
@@ -512,8 +573,12 @@
 		}
 		n := s.nodes[m.Node%len(s.nodes)]
 		r := m.Status()
-		m.Reported(s.now, 0)
+		m.Reported(s.now, s.world.ReportEvery)
 		s.copies.keep(s.now, &r)
+		if there, back := s.weather.report(); there+back > 0 {
+			s.slowReport(n, m, r, there, back)
+			continue
+		}
 		var a msg.Answer
 		if n.alive && n.cut["workers"] == "" {
 			s.req++
@@ -526,26 +591,31 @@
 		if s.world.Machines[name] == nil {
 			continue
 		}
-		if m.Deaf != "" {
-			a = msg.Answer{}
-		}
-		switch body := a.Body.(type) {
-		case wire.ReportAnswer:
-			s.world.Answered(s.now, s.now, r.Session, m, body)
-		case wire.Redirect:
-			to := s.node(body.Node)
-			for i := range s.nodes {
-				if s.nodes[i] == to && to != n && body.Node != "" {
-					m.Node, m.NextAt = i, s.now
-				}
-			}
-			if s.nodes[m.Node%len(s.nodes)] == n {
-				m.Node++
+		s.answered(n, m, &r, s.now, a)
+	}
+}
+
+// answered has a worker take the answer to a report, or none.
+func (s *Sim) answered(n *node, m *standin.Machine, r *wire.Report, sent standin.Micros, a msg.Answer) {
+	if m.Deaf != "" {
+		a = msg.Answer{}
+	}
+	switch body := a.Body.(type) {
+	case wire.ReportAnswer:
+		s.world.Answered(s.now, sent, r.Session, m, body)
+	case wire.Redirect:
+		to := s.node(body.Node)
+		for i := range s.nodes {
+			if s.nodes[i] == to && to != n && body.Node != "" {
+				m.Node, m.NextAt = i, s.now
 			}
-		default:
+		}
+		if s.nodes[m.Node%len(s.nodes)] == n {
 			m.Node++
-			m.NextAt = s.now + standin.Second
 		}
+	default:
+		m.Node++
+		m.NextAt = s.now + standin.Second
 	}
 }
 
@@ -616,6 +686,7 @@
 	}
 	if j := s.world.Jobs[id]; st.Status == wire.Cancelled && j != nil && j.Cancelled == 0 {
 		j.Cancelled = s.now
+		s.toldWith += min(1, len(s.world.On(id, true)))
 	}
 	s.told[id] = st.Status
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -25,7 +26,13 @@
 //	world nodes=3                   a new world, run until there is a leader;
 //	                                held=n1+n2: lower limits are announced, and
 //	                                these nodes are held to the first format;
-//	                                lease=10s: of workers, else 4 s
+//	                                lease=10s, report=2s: of workers, else 4 s and 1 s; cancel=40s: a
+//	                                cancellation's time, else 20 s; scale=3, quota=25: as many times the
+//	                                machines, and so many changes a second
+//	weather late_writes=0.2 seed=3  such parts of messages are late or lost from now on; see weather
+//	withdraw id=j-1                 its user cancels, again and again until it is told
+//	revive                          all nodes that have ended start
+//	again node=n1 count=5           copies of reports come again, to one node
 //	announce                        nodes that start from now on are told of limits to come
 //	limits next                     the state service has its new limits
 //	keys under=ch/part/             how many keys there are
@@ -47,6 +54,7 @@
 //	  links: state, watch, answer (to one transaction), workers, peers, cloud
 //	state down|up, cloud down|up    outages
 //	machine name=m-000000 hang|resume|fail|die
+//	machine nth=3 ...               the machine of that number, modulo how many there are
 //	machine name=m-000000 deaf|hears its reports arrive, nothing reaches it
 //	machine name=m-000000 restart   it is back within half a second with the next session;
 //	                                anew: its worker remembers nothing
@@ -54,26 +62,15 @@
 //	starts id=j-1                   how often tasks were started
 //	show                            leader, machines, tasks
 //
-// "leader" stands for the node that leads. Rules that were broken are printed
+// "leader" stands for the node that leads, "old" for the last that was cut off as the leader,
+// "heir" for the leader if it is another. Rules that were broken are printed
 // by whichever command comes next, so that no script can overlook them.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var s *Sim
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "world" {
-				nodes, held := 3, ""
-				d.MaybeScanArgs(t, "nodes", &nodes)
-				if s = NewSim(nodes); d.HasArg("held") {
-					d.MaybeScanArgs(t, "held", &held)
-					s = newSimFor(nodes, 1, 0, strings.Split(held, "+"))
-				}
-				if d.HasArg("lease") {
-					s.world.Lease = length(t, d, "lease", "4s")
-					for _, n := range s.nodes {
-						s.start(n) // it is told of it
-					}
-				}
-				s.Run(3 * standin.Second)
+				s = newWorld(t, d)
 				return "leader " + s.Leader() + "\n"
 			}
 			out := command(t, s, d)
@@ -88,12 +85,43 @@
 	})
 }
 
+// newWorld makes the world of a script and runs it until there is a leader.
+func newWorld(t *testing.T, d *datadriven.TestData) *Sim {
+	nodes, scale, quota, held := 3, 1, 0, ""
+	d.MaybeScanArgs(t, "nodes", &nodes)
+	d.MaybeScanArgs(t, "scale", &scale)
+	d.MaybeScanArgs(t, "quota", &quota)
+	s := newSim(nodes, scale, float64(quota))
+	if d.HasArg("held") {
+		d.MaybeScanArgs(t, "held", &held)
+		s = newSimFor(nodes, scale, float64(quota), strings.Split(held, "+"))
+	}
+	s.world.Lease = length(t, d, "lease", "4s")
+	s.world.CancelIn = length(t, d, "cancel", "20s")
+	s.world.ReportEvery = length(t, d, "report", "1s")
+	if d.HasArg("lease") || d.HasArg("cancel") || d.HasArg("report") {
+		for _, n := range s.nodes {
+			s.start(n) // it is told of it
+		}
+	}
+	s.Run(3 * standin.Second)
+	return s
+}
+
 func pick(t *testing.T, s *Sim, d *datadriven.TestData) *node {
 	name := "n1"
 	d.MaybeScanArgs(t, "node", &name)
 	switch name {
 	case "leader":
 		name = s.Leader()
+	case "old": // the last that was cut off as the leader
+		if s.old != nil {
+			name = s.old.name
+		}
+	case "heir": // who leads by the records, if it isn't that one
+		if name = s.Leader(); s.old != nil && name == s.old.name {
+			name = "none"
+		}
 	case "other":
 		for _, n := range s.nodes {
 			if n.name != s.Leader() && n.alive {
@@ -185,6 +213,24 @@
 		under := ""
 		d.MaybeScanArgs(t, "under", &under)
 		return fmt.Sprintf("%d keys, %d refused for their size\n", len(s.state.List(under)), s.state.Refused)
+	case "withdraw":
+		s.Withdraw(id)
+		return ""
+	case "weather":
+		s.weather = readWeather(t, d)
+		return ""
+	case "revive":
+		for _, n := range s.nodes {
+			if !n.alive {
+				s.start(n)
+			}
+		}
+		return ""
+	case "again":
+		count := 1
+		d.MaybeScanArgs(t, "count", &count)
+		s.again(pick(t, s, d), rand.New(rand.NewPCG(uint64(s.now), 1)), count)
+		return ""
 	case "run":
 		s.Run(length(t, d, "for", "1s"))
 		return ""
@@ -215,6 +261,9 @@
 		n, link, mode := pick(t, s, d), "state", "drop"
 		d.MaybeScanArgs(t, "link", &link)
 		d.MaybeScanArgs(t, "mode", &mode)
+		if named := ""; d.MaybeScanArgs(t, "node", &named) && named == "leader" {
+			s.old = n
+		}
 		n.cut[link] = mode
 		return n.name + "\n"
 	case "heal":
@@ -335,6 +384,11 @@
 			break
 		}
 	}
+	if nth := 0; d.MaybeScanArgs(t, "nth", &nth) {
+		if names := s.world.Names(); len(names) > 0 {
+			name = names[nth%len(names)]
+		}
+	}
 	m := s.world.Machines[name]
 	if m == nil {
 		return "no such machine\n"
@@ -347,6 +401,7 @@
 		s.Release()
 	case d.HasArg("deaf"):
 		m.Deaf = "drop"
+		d.MaybeScanArgs(t, "mode", &m.Deaf)
 	case d.HasArg("hears"):
 		m.Deaf = ""
 	case d.HasArg("restart"):
@@ -378,7 +433,7 @@
 	d.MaybeScanArgs(t, "zone", &zone)
 	d.MaybeScanArgs(t, "needs", &needs)
 	d.MaybeScanArgs(t, "cpus", &cpus)
-	j := &standin.JobIn{Run: length(t, d, "run", "3s"), Mistaken: d.HasArg("mistaken")}
+	j := &standin.JobIn{Run: length(t, d, "run", "3s"), Steps: length(t, d, "steps", "0s"), Mistaken: d.HasArg("mistaken")}
 	j.Job = wire.Job{ID: id, Class: "c", Team: team, Shape: shape, Priority: rank, Tasks: tasks, CPUs: float64(cpus), GPUs: float64(gpus),
 		MemoryGB: 1, Image: "i", ImageGB: 1, Zone: zone, OneZone: d.HasArg("one_zone"), Spread: d.HasArg("spread"),
 		Spot: d.HasArg("spot"), EstimateS: float64(j.Run) / 1e6, SaveS: float64(save), CheckpointS: float64(save)}
--- /dev/null
+++ b/internal/scenario/weather_test.go
@@ -0,0 +1,326 @@
+package scenario
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"coralhub/internal/core/msg"
+	"coralhub/internal/standin"
+	"coralhub/wire"
+)
+
+// weather has messages take their time: parts of them, by kind, are late or lost. What the
+// runner does at once without it happens between half a second and well over a lease later.
+type weather struct {
+	rnd *rand.Rand
+
+	lateWrites  float64 // transactions carried out 2 to 12 s later, without an answer
+	lostWrites  float64 // carried out at once, without an answer
+	slowWrites  float64 // carried out at once, answered up to 2 s later
+	slowWatch   float64 // answers of listings and watches that come up to 2 s later
+	slowReports float64 // reports and their answers that take up to 6 s, both ways together
+	slowBeats   float64 // answers to beats
+	heldCalls   float64 // direct commands carried out 1 to 9 s later, without an answer
+	lostCalls   float64 // carried out at once, without one
+}
+
+// readWeather takes the parts that a script names.
+func readWeather(t *testing.T, d *datadriven.TestData) *weather {
+	seed := uint64(1)
+	w := &weather{}
+	d.MaybeScanArgs(t, "seed", &seed)
+	w.rnd = rand.New(rand.NewPCG(seed, 4711))
+	for name, to := range map[string]*float64{"late_writes": &w.lateWrites, "lost_writes": &w.lostWrites, "slow_writes": &w.slowWrites,
+		"slow_watch": &w.slowWatch, "slow_reports": &w.slowReports, "slow_beats": &w.slowBeats, "held_calls": &w.heldCalls, "lost_calls": &w.lostCalls} {
+		text := "0"
+		d.MaybeScanArgs(t, name, &text)
+		part, err := strconv.ParseFloat(text, 64)
+		if err != nil || part < 0 || part > 1 {
+			t.Fatalf("%s: %s=%s is not a part from 0 to 1", d.Pos, name, text)
+		}
+		*to = part
+	}
+	return w
+}
+
+const (
+	patience       = 2 * standin.Second // how long a node waits for the state service
+	callPatience   = 3 * standin.Second // and for a worker
+	reportPatience = 4 * standin.Second // how long a worker waits for a node
+)
+
+// fate is what becomes of a message.
+type fate int
+
+const (
+	prompt fate = iota
+	lateAct
+	lostAnswer
+	slowAnswer
+)
+
+// draw picks a fate by the shares of each, and how long it takes.
+func (w *weather) draw(late, lost, slow float64, least, most standin.Micros) (fate, standin.Micros) {
+	switch x := w.rnd.Float64(); {
+	case x < late:
+		return lateAct, w.between(least, most)
+	case x < late+lost:
+		return lostAnswer, 0
+	case x < late+lost+slow:
+		return slowAnswer, w.between(tick, patience-tick)
+	}
+	return prompt, 0
+}
+
+// between draws a time in whole ticks.
+func (w *weather) between(least, most standin.Micros) standin.Micros {
+	return least + w.rnd.Int64N((most-least)/tick+1)*tick
+}
+
+func (w *weather) commit(t *wire.Commit) (fate, standin.Micros) {
+	if w == nil || len(t.Changes) == 0 {
+		return prompt, 0
+	}
+	return w.draw(w.lateWrites, w.lostWrites, w.slowWrites, 2*standin.Second, 12*standin.Second)
+}
+
+func (w *weather) command() (fate, standin.Micros) {
+	if w == nil {
+		return prompt, 0
+	}
+	return w.draw(w.heldCalls, w.lostCalls, w.heldCalls, standin.Second, 9*standin.Second)
+}
+
+// report draws how long a report and its answer take.
+func (w *weather) report() (there, back standin.Micros) {
+	if w == nil || w.rnd.Float64() >= w.slowReports {
+		return 0, 0
+	}
+	return w.between(0, 3*standin.Second), w.between(tick, 3*standin.Second)
+}
+
+func (w *weather) slowNews() standin.Micros {
+	if w == nil || w.rnd.Float64() >= w.slowWatch {
+		return 0
+	}
+	return w.between(tick, patience)
+}
+
+func (w *weather) slowBeat() standin.Micros {
+	if w == nil || w.rnd.Float64() >= w.slowBeats {
+		return 0
+	}
+	return w.between(tick, patience)
+}
+
+// due is something that happens later.
+type due struct {
+	at standin.Micros
+	do func()
+}
+
+// news is what a node's watch hears, on its way to it.
+type news struct {
+	at standin.Micros
+	in msg.Input
+}
+
+// in has something happen after a while.
+func (s *Sim) in(after standin.Micros, do func()) {
+	at := s.now + after
+	i, _ := slices.BinarySearchFunc(s.later, at, func(d due, at standin.Micros) int {
+		if d.at <= at { // what was asked for earlier comes first
+			return -1
+		}
+		return 1
+	})
+	s.later = slices.Insert(s.later, i, due{at, do})
+}
+
+// reply hands an answer to a node after a while, unless its process has ended by then.
+func (s *Sim) reply(n *node, after standin.Micros, in msg.Input) {
+	if after <= 0 {
+		s.post(n, in)
+		return
+	}
+	core := n.core
+	s.in(after, func() {
+		if n.alive && n.core == core {
+			s.post(n, in)
+			s.settle()
+		}
+	})
+}
+
+// comeLate does what is due.
+func (s *Sim) comeLate() {
+	for len(s.later) > 0 && s.later[0].at <= s.now {
+		d := s.later[0]
+		s.later = s.later[1:]
+		d.do()
+	}
+}
+
+// commitLate carries out a transaction whose sender has given up.
+func (s *Sim) commitLate(t wire.Commit) {
+	if s.state.Down {
+		s.in(standin.Second, func() { s.commitLate(t) })
+		return
+	}
+	s.guarded(&t)
+	s.state.Commit(t)
+}
+
+// runLate carries out a direct command whose sender has given up, once its machine is awake
+// and is reached.
+func (s *Sim) runLate(machine string, run func() (int, wire.Report)) {
+	m := s.world.Machines[machine]
+	if m == nil {
+		return
+	}
+	if m.Hang || m.Deaf == "hold" {
+		s.in(tick, func() { s.runLate(machine, run) })
+		return
+	}
+	if m.Deaf == "" {
+		run()
+	}
+}
+
+// slowReport has a report come after a while, and its answer after another. The worker gives
+// up after its patience, and the report comes all the same.
+func (s *Sim) slowReport(n *node, m *standin.Machine, r wire.Report, there, back standin.Micros) {
+	sent, core, open := s.now, n.core, true
+	m.Wait(true)
+	// over tells whether the worker still waits for the answer to this report.
+	over := func() bool {
+		if !open || s.world.Machines[m.Name] != m {
+			return false
+		}
+		if m.Hang { // it looks when it is awake again
+			return false
+		}
+		open = false
+		m.Wait(false)
+		return true
+	}
+	var giveUp func()
+	giveUp = func() {
+		if m.Hang && open {
+			s.in(tick, giveUp)
+			return
+		}
+		if over() {
+			s.answered(n, m, &r, sent, msg.Answer{})
+		}
+	}
+	s.in(reportPatience, giveUp)
+	s.in(there, func() {
+		if !n.alive || n.core != core || n.cut["workers"] != "" {
+			return
+		}
+		s.req++
+		req := s.req
+		s.post(n, msg.ReportIn{Req: req, Report: r})
+		s.settle()
+		a, ok := n.answers[req]
+		delete(n.answers, req)
+		if ok {
+			s.in(back, func() {
+				if s.now-sent < reportPatience && over() {
+					s.answered(n, m, &r, sent, a)
+				}
+			})
+		}
+	})
+}
+
+// user asks about a job, or asks to cancel it, until there is nothing more to ask.
+type user struct {
+	id       string
+	cancel   bool
+	req      uint64
+	at       *node // whom it has asked
+	core     any
+	sent     standin.Micros
+	next     standin.Micros
+	tries    int
+	answered standin.Micros // when it last had an answer that tells something
+}
+
+const (
+	pollWait   = 2 * standin.Second
+	pollEvery  = 5 * standin.Second
+	cancelWait = 5 * standin.Second
+)
+
+// Withdraw has a job's user cancel it, at whichever node, again and again until it is told.
+func (s *Sim) Withdraw(id string) {
+	if j := s.world.Jobs[id]; j != nil && !j.Asked {
+		j.Asked = true
+		s.users = append(s.users, &user{id: id, cancel: true, next: s.now, answered: s.now, tries: len(s.users)})
+	}
+}
+
+// Watch has a job's user poll it until it is over.
+func (s *Sim) Watch(id string) {
+	s.users = append(s.users, &user{id: id, next: s.now + standin.Second, answered: s.now, tries: len(s.users)})
+}
+
+// ask lets the users hear answers and ask again.
+func (s *Sim) ask() {
+	left := s.users[:0]
+	for _, u := range s.users {
+		if u.req != 0 && s.heard(u) {
+			continue
+		}
+		left = append(left, u)
+		if u.req != 0 || s.now < u.next {
+			continue
+		}
+		u.tries++
+		n := s.nodes[u.tries%len(s.nodes)]
+		if !n.alive {
+			u.next = s.now + tick // the balancer picks another
+			continue
+		}
+		s.req++
+		u.req, u.at, u.core, u.sent = s.req, n, n.core, s.now
+		if u.cancel {
+			s.post(n, msg.CancelIn{Req: u.req, ID: u.id})
+		} else {
+			s.post(n, msg.PollIn{Req: u.req, ID: u.id})
+		}
+		s.settle()
+	}
+	s.users = left
+}
+
+// heard takes what a user is told; it returns whether that is the last word.
+func (s *Sim) heard(u *user) bool {
+	a, ok := u.at.answers[u.req]
+	wait, every := pollWait, pollEvery
+	if u.cancel {
+		wait, every = cancelWait, standin.Second
+	}
+	switch {
+	case ok:
+		delete(u.at.answers, u.req)
+		s.judge(u.id, a)
+		if a.Status == 200 {
+			u.answered = s.now
+		}
+		u.next = s.now + every
+	case s.now-u.sent >= wait || !u.at.alive || any(u.at.core) != u.core:
+		u.next = s.now + standin.Second
+	default:
+		return false
+	}
+	u.req = 0
+	st, _ := a.Body.(wire.JobStatus)
+	return st.Status == wire.Done || st.Status == wire.Cancelled
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -331,6 +331,12 @@
 	return !m.Hang && !m.busy && now >= m.Up && (now >= m.NextAt || m.changed && now >= m.sentAt+Second/2)
 }
 
+// Wait notes whether a report is on its way: until it is answered or given up, none follows.
+func (m *Machine) Wait(busy bool) { m.busy = busy }
+
+// Waits tells whether one is.
+func (m *Machine) Waits() bool { return m.busy }
+
 // Reported notes that a report goes out.
 func (m *Machine) Reported(now, every Micros) {
 	if every == 0 {
