A cut of no zone is refused when a scenario is read; bad times and nodes are tested

zone_cut without a zone as its target cut nothing and the scenario passed. The other bad inputs (an unknown trouble, a negative time, a missing node) were refused with one line already.

--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -89,6 +89,10 @@
 		{sound + "tasks = [3, 1]\n", "tasks"},
 		{sound + "[[fault]]\nat_s = 1\nkind = \"flood\"\n", "kind"},
 		{sound + "[[fault]]\nat_s = 1\nkind = \"zone_cut\"\ntarget = \"z\"\n", "no zone"},
+		{sound + "[[fault]]\nat_s = -1\nkind = \"state_out\"\n", "at_s"},
+		{sound + "[[fault]]\nat_s = 1\nfor_s = -2\nkind = \"state_out\"\n", "for_s"},
+		{sound + "[[fault]]\nat_s = 1\nkind = \"node_kill\"\ntarget = \"n9\"\n", "n9"},
+		{sound + "[[fault]]\nat_s = 1\nkind = \"zone_cut\"\n", "no zone"},
 		{sound + "[[fault]]\nat_s = 1\nfor_s = 900\nkind = \"state_out\"\n", "beyond the end"},
 		{sound + "[[expect]]\nkind = \"done\"\nshare = 1\nclass = \"d\"\n", "no class"},
 	} {
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -199,6 +199,9 @@
 		if f.Target != "" && !slices.Contains([]string{"leader", "other", "all"}, f.Target) && !slices.Contains(s.Deploy.Zones, f.Target) {
 			return fmt.Errorf("fault %d (%s): target %q is no zone", i, f.Kind, f.Target)
 		}
+		if f.Kind == "zone_cut" && !slices.Contains(s.Deploy.Zones, f.Target) {
+			return fmt.Errorf("fault %d (zone_cut): target %q is no zone", i, f.Target)
+		}
 	}
 	for i, e := range s.Expect {
 		if e.Class != "" && !known[e.Class] {
