--- a/internal/scenario/weather_test.go
+++ b/internal/scenario/weather_test.go
@@ -82,9 +82,12 @@
 }
 
 func (w *weather) commit(t *wire.Commit) (fate, standin.Micros) {
-	if w == nil || len(t.Changes) == 0 {
+	if w == nil {
 		return prompt, 0
 	}
+	if len(t.Changes) == 0 { // when a check takes effect makes no difference
+		return w.draw(0, w.lostWrites, w.slowWrites, 0, 0)
+	}
 	return w.draw(w.lateWrites, w.lostWrites, w.slowWrites, 2*standin.Second, 12*standin.Second)
 }
 
@@ -266,9 +269,11 @@
 	}
 }
 
-// Watch has a job's user poll it until it is over.
+// Watch has a job's user poll it until it is over, and somebody else too: at once, at other nodes.
 func (s *Sim) Watch(id string) {
-	s.users = append(s.users, &user{id: id, next: s.now + standin.Second, answered: s.now, tries: len(s.users)})
+	for range 2 {
+		s.users = append(s.users, &user{id: id, next: s.now + tick, answered: s.now, tries: len(s.users)})
+	}
 }
 
 // ask lets the users hear answers and ask again.
