What an unanswered transaction places counts until the records have been read, not only refused

After such a refusal everything that the transaction goes by is read first; what was sent once is over at once as before. No round trip more on the ordinary path.

The runner's users no longer count an answer as older than what they were told if they had asked before.

--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -404,20 +404,23 @@
 			// or the late one fails by its guards, and until then what it
 			// places is counted.
 			t.unsure, t.resendAt = true, l.box.Now()+commitPause
-		case msg.Conflict:
-			settled()
-			l.conflict(j, t, d.Failed)
-		case msg.Invalid:
-			// Whether an earlier sending was applied is to be read: the same bytes
-			// will not be from now on.
+		case msg.Conflict, msg.Invalid:
+			if d.Outcome == msg.Conflict && l.claim.Failed(t.token, d.Failed) {
+				return
+			}
+			if t.unsure {
+				// It is an earlier sending, perhaps, that this one has met. Until the records have been
+				// read what it places stays counted, or the team's limit is given away twice. No
+				// sending of it takes effect from now on.
+				l.reread(j, t, settled)
+				return
+			}
 			settled()
-			var keys []string
-			for _, g := range t.commit.Guards {
-				if g.Key != l.claim.Key() {
-					keys = append(keys, g.Key)
-				}
+			failed := d.Failed
+			if d.Outcome == msg.Invalid {
+				failed = t.keys()
 			}
-			l.conflict(j, t, keys)
+			l.conflict(j, failed)
 		default:
 			if t.unsure { // this sending was refused; an earlier one may still be applied
 				t.resendAt = l.box.Now() + commitPause
@@ -457,29 +460,68 @@
 	l.noteMine(j, t.placed)
 }
 
-// conflict reads what has changed under us.
-func (l *Leader) conflict(j *Job, t *txn, failed []string) {
-	if l.claim.Failed(t.token, failed) {
-		return
+// keys are the keys of the job that a transaction goes by.
+func (t *txn) keys() []string {
+	var out []string
+	for _, g := range t.commit.Guards {
+		if _, _, ok := job.ParseKey(g.Key); ok {
+			out = append(out, g.Key)
+		}
 	}
+	return out
+}
+
+// conflict reads what has changed under us.
+func (l *Leader) conflict(j *Job, failed []string) {
 	for _, key := range failed {
-		if key == l.claim.Key() {
-			continue
+		if _, _, ok := job.ParseKey(key); !ok {
+			continue // the claim
 		}
 		j.retryAt = l.box.Now() + config.Second // unless the answer comes sooner
-		l.box.Read(key, func(d msg.ReadDone) {
-			if d.Outcome != msg.OK || !l.claim.Held() {
-				return
+		l.read(j, key, func(ok bool) {
+			if ok {
+				j.retryAt = l.box.Now()
+			}
+		})
+	}
+}
+
+// reread reads everything that a transaction goes by, and calls then once all of it has been
+// read. If any of it can't be, the transaction is sent again.
+func (l *Leader) reread(j *Job, t *txn, then func()) {
+	keys := t.keys()
+	left, failed := len(keys), false
+	for _, key := range keys {
+		l.read(j, key, func(ok bool) {
+			left--
+			failed = failed || !ok
+			switch {
+			case left > 0 || j.txn != t:
+			case failed:
+				t.resendAt = l.box.Now() + commitPause
+			default:
+				then()
 			}
-			j.retryAt = l.box.Now()
+		})
+	}
+}
+
+// read brings a job up to what a key of it holds now, and tells whether it could be read.
+func (l *Leader) read(j *Job, key string, then func(ok bool)) {
+	l.box.Read(key, func(d msg.ReadDone) {
+		if !l.claim.Held() {
+			return
+		}
+		if d.Outcome == msg.OK {
 			if d.Item.Version != 0 {
 				l.take(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
 			} else if _, n, ok := job.ParseKey(key); ok && n > 0 {
 				l.book.SetPart(j.Job, n, job.Part{}, 0)
 			}
-			l.dirty[j.ID] = true
-		})
-	}
+		}
+		l.dirty[j.ID] = true
+		then(d.Outcome == msg.OK)
+	})
 }
 
 // assure decides whether the user may be told that a job is cancelled: every
--- a/internal/scenario/weather_test.go
+++ b/internal/scenario/weather_test.go
@@ -315,7 +315,10 @@
 	switch {
 	case ok:
 		delete(u.at.answers, u.req)
-		s.judge(u.id, a)
+		// What was asked before its user was told the last word may be answered as it was then.
+		if st, ok := a.Body.(wire.JobStatus); !ok || u.sent >= s.toldAt[u.id] || st.Status == wire.Done || st.Status == wire.Cancelled {
+			s.judge(u.id, a)
+		}
 		if a.Status == 200 {
 			u.answered = s.now
 		}
