Nobody shows an heir's token before it can have read the records: old leader and homes keep workers

Homes show a leader's token once it has answered, or the state service has 2 s after the claim. Before, they and the heir keep workers alive by the token that those have seen, if it is of an earlier reign. Claims tell the first of a reign from one that rewrites it.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -37,7 +37,10 @@
 type Holder struct {
 	Node    string // "": nobody
 	Version uint64 // of the claim; 0: nobody holds it
-	nonce   uint64
+	// Base is the version of its first claim: all before are others'. 0: not known, for a claim that was
+	// listed may be one that was rewritten.
+	Base  uint64
+	nonce uint64
 }
 
 // Listener hears how the claim fares.
@@ -56,6 +59,7 @@
 	to   Listener
 
 	holder    Holder
+	gone      bool // it was seen that nobody holds it, and nothing is missing since
 	jitter    Micros
 	absent    Micros // since when the claim has been free
 	lease     uint64
@@ -214,7 +218,8 @@
 	}
 	c.held, c.token, c.base, c.won = true, token, token, c.box.Now()
 	c.raising, c.wantRaise = false, false
-	c.holder = Holder{c.node, token, c.nonce}
+	c.holder = Holder{Node: c.node, Version: token, Base: token, nonce: c.nonce}
+	c.gone = false
 	c.to.Won()
 }
 
@@ -275,18 +280,22 @@
 
 // Listed takes a listing of this revision that holds no claim.
 func (c *Claim) Listed(revision uint64) {
+	if c.holder.Version <= revision {
+		c.gone = true
+	}
 	if c.holder.Version != 0 && c.holder.Version <= revision {
-		c.Apply(&wire.Change{Delete: c.key, Version: revision})
+		c.Apply(&wire.Change{Delete: c.key, Version: revision}, true)
 	}
 }
 
-// Apply follows a put or a delete of the key.
-func (c *Claim) Apply(ev *wire.Change) {
+// Apply follows a put or a delete of the key. A change that comes from the watch is the first after
+// those that came before it; from a listing, others may lie between.
+func (c *Claim) Apply(ev *wire.Change, watched bool) {
 	if ev.Version < c.holder.Version || ev.Version == c.holder.Version && ev.Put != "" {
 		return
 	}
 	if ev.Put == "" {
-		c.holder.Version, c.holder.Node = 0, ""
+		c.holder, c.gone = Holder{nonce: c.holder.nonce}, true
 		c.absent = c.box.Now()
 		if c.held && ev.Version > c.token {
 			c.lapsed()
@@ -298,8 +307,14 @@
 	if err := job.Decode(ev.Value, &v); err != nil {
 		return
 	}
-	from := c.holder.Node
-	c.holder = Holder{v.Node, ev.Version, v.Nonce}
+	from, base := c.holder.Node, uint64(0)
+	switch {
+	case c.gone && watched: // a claim is rewritten in its own place only
+		base = ev.Version
+	case from == v.Node: // by the same process, or by a later one of that node
+		base = c.holder.Base
+	}
+	c.holder, c.gone = Holder{v.Node, ev.Version, base, v.Nonce}, false
 	c.to.Passed(from, v.Node)
 	if v.Node != c.node {
 		if c.held && ev.Version > c.token {
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.step(func() { c.Apply(&wire.Change{Put: c.Key(), Value: raw, Version: revision}) })
+	w.step(func() { c.Apply(&wire.Change{Put: c.Key(), Value: raw, Version: revision}, true) })
 }
 
 func TestClaimsStandApart(t *testing.T) {
@@ -166,7 +166,7 @@
 			}
 		}
 	}
-	w.step(func() { w.a.Apply(&wire.Change{Delete: "zone/a", Version: 31}) })
+	w.step(func() { w.a.Apply(&wire.Change{Delete: "zone/a", Version: 31}, true) })
 	w.step(w.a.Tick)
 	w.win(w.a, 9, 33)
 	w.heard("a passed to n1", "a won")
@@ -198,7 +198,7 @@
 			w.now += shortReign // a long reign makes up for those before it
 		}
 		revision += 2
-		w.step(func() { w.a.Apply(&wire.Change{Delete: "zone/a", Version: revision - 1}) })
+		w.step(func() { w.a.Apply(&wire.Change{Delete: "zone/a", Version: revision - 1}, true) })
 		if w.a.Held() {
 			t.Fatal("held though it is removed")
 		}
@@ -208,3 +208,49 @@
 func asks(effects []msg.Effect) bool {
 	return slices.ContainsFunc(effects, func(e msg.Effect) bool { _, ok := e.(msg.GrantLease); return ok })
 }
+
+// The first claim of a reign is told from one that rewrites it only where nothing can lie
+// between what was seen: a token that is taken for an earlier leader's must be one.
+func TestBaseOfOthersClaims(t *testing.T) {
+	w := newTwo(t)
+	raw := func(node string) []byte {
+		v, err := job.Encode(Value{node, 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	put := func(node string, revision uint64, watched bool) {
+		w.step(func() { w.a.Apply(&wire.Change{Put: w.a.Key(), Value: raw(node), Version: revision}, watched) })
+	}
+	gone := func(revision uint64) {
+		w.step(func() { w.a.Apply(&wire.Change{Delete: w.a.Key(), Version: revision}, true) })
+	}
+	is := func(what string, version, base uint64) {
+		t.Helper()
+		if h := w.a.Holder(); h.Version != version || h.Base != base {
+			t.Errorf("%s: %+v, want version %d and base %d", what, h, version, base)
+		}
+	}
+	put("n8", 10, true)
+	is("the first that was ever heard of", 10, 0)
+	put("n8", 12, true)
+	is("rewritten", 12, 0)
+	gone(13)
+	put("n9", 14, true)
+	is("made after the end of another", 14, 14)
+	put("n9", 16, true)
+	is("rewritten", 16, 14)
+	put("n8", 20, false)
+	is("listed: it may have been rewritten", 20, 0)
+	gone(21)
+	put("n9", 30, false)
+	is("listed, after an end that was seen", 30, 0)
+	w.step(func() { w.a.Listed(40) })
+	put("n9", 44, true)
+	is("made after a listing without any", 44, 44)
+	put("n9", 50, false)
+	is("listed, of the same node", 50, 44)
+	put("n9", 52, true)
+	is("rewritten", 52, 44)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -163,7 +163,12 @@
 	for i := range s.Items {
 		it := &s.Items[i]
 		listed[it.Key] = true
-		c.apply(&wire.Change{Put: it.Key, Value: it.Value, Version: it.Version})
+		ev := &wire.Change{Put: it.Key, Value: it.Value, Version: it.Version}
+		if it.Key == leaderKey {
+			c.claim.Apply(ev, false)
+			continue
+		}
+		c.apply(ev)
 	}
 	if !listed[leaderKey] {
 		c.claim.Listed(s.Revision)
@@ -182,7 +187,7 @@
 	}
 	switch {
 	case key == leaderKey:
-		c.claim.Apply(ev)
+		c.claim.Apply(ev, true)
 		return
 	case key == catalogKey:
 		var cat wire.Catalog
--- a/internal/core/home/home.go
+++ b/internal/core/home/home.go
@@ -51,6 +51,9 @@
 	beatAt Micros
 	grant  grant
 
+	passed Micros // when the leader's claim was heard of first
+	led    bool   // the leader has answered as such since
+
 	mailbox map[string]Line // for the leader, by way of the state service
 	mailed  map[string]Line // what was sent last
 	mailOut bool
@@ -78,6 +81,7 @@
 func (h *Home) Passed(from, to string) {
 	if from != to {
 		h.heard[to] = h.box.Now()
+		h.passed, h.led = h.box.Now(), false
 	}
 	clear(h.mailed) // a new leader has not read it
 }
@@ -292,6 +296,7 @@
 		delete(h.taken, name)
 	}
 	if x.StandIn > 0 && x.Beat.Claim == h.leader.Holder().Version {
+		h.led = true
 		if h.grant.claim != x.Beat.Claim {
 			h.grant = grant{claim: x.Beat.Claim}
 		}
@@ -303,6 +308,7 @@
 func (h *Home) ForwardDone(x msg.ForwardDone) {
 	r := &x.Report
 	if x.Answer != nil {
+		h.led = h.led || x.Answer.Token == h.leader.Holder().Version
 		if len(x.Answer.Orders) == 0 && x.Answer.Token == h.leader.Holder().Version {
 			h.taken[r.Machine] = taken{h.leader.Holder().Version, r.Session, h.box.Now(), r.Tasks}
 		}
@@ -320,13 +326,47 @@
 // this node's copy of the records is fresh. One that is only busy gets no mail: that would
 // cost it more than the report does, which comes again.
 func (h *Home) standIn(x msg.ReportIn, mail bool) {
-	r := &x.Report
+	if !h.begun() && h.KeepsAlive(x) {
+		return
+	}
 	if !h.fresh() {
 		h.box.Later(x.Req, "not the leader")
 		return
 	}
+	if h.answer(x, h.leader.Holder().Version) && mail {
+		h.mail(&x.Report)
+	}
+}
+
+// settled is how long after a claim its holder is taken to have read the records, if the state
+// service has answered this node since.
+const settled = 2 * config.Second
+
+// begun tells whether the leader is believed to have read the records since its claim. Before
+// that it answers nobody, and a worker that has seen its token can be kept alive by no one else: not by the
+// leader before it, and by homes only as long as their copies are recent. If the state service goes down between
+// a claim and the listing, that would be every worker.
+func (h *Home) begun() bool { return h.led || h.book.CurrentAt() >= h.passed+settled }
+
+// KeepsAlive answers a worker that has seen no token of the leader's reign by the token that it has
+// seen, if it may: it returns false if not. However old the copy gets, a task of a cancelled job isn't
+// kept by that. What leaders before this reign have told is in the copy, if that goes up to the reign's
+// first claim: their transactions fail from then on. What this leader tells, or one after it,
+// rests on workers that have seen its token, and those drop this answer.
+func (h *Home) KeepsAlive(x msg.ReportIn) bool {
+	base := h.leader.Holder().Base
+	if x.Report.Token == 0 || x.Report.Token >= base || h.book.Revision() < base {
+		return false
+	}
+	h.answer(x, x.Report.Token)
+	return true
+}
+
+// answer answers a worker by a token, and has it stop what is cancelled. It returns false if it
+// could not, because the worker has a task that this node's copy doesn't know of.
+func (h *Home) answer(x msg.ReportIn, token uint64) bool {
 	orders := []wire.Order{}
-	for _, t := range r.Tasks {
+	for _, t := range x.Report.Tasks {
 		id, _, ok := wire.ParseTaskName(t.Task)
 		if !ok || t.State == wire.Exited {
 			continue
@@ -334,18 +374,16 @@
 		j := h.book.Job(id)
 		if j == nil {
 			h.box.Later(x.Req, "not the leader")
-			return
+			return false
 		}
 		if j.Rec.Cancel || j.Rec.Phase == job.Cancelled {
 			grace := 0.0
 			orders = append(orders, wire.Order{Verb: wire.Stop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
 		}
 	}
-	delete(h.taken, r.Machine)
-	if mail {
-		h.mail(r)
-	}
-	h.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: h.leader.Holder().Version, Orders: orders})
+	delete(h.taken, x.Report.Machine)
+	h.box.Answer(x.Req, http.StatusOK, wire.ReportAnswer{Token: token, Orders: orders})
+	return true
 }
 
 // mail puts a report into the leader's mail, unless it was sent a moment ago.
--- a/internal/core/home/home_test.go
+++ b/internal/core/home/home_test.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	leader.Apply(&wire.Change{Put: "leader", Value: raw, Version: 5})
+	leader.Apply(&wire.Change{Put: "leader", Value: raw, Version: 5}, true)
 	// relayed has a worker without tasks report after so many seconds, and tells how: answered
 	// here, or handed on.
 	relayed := func(s float64) string {
@@ -78,3 +78,51 @@
 		t.Errorf("with the leader's word: %s", got)
 	}
 }
+
+// A worker that has seen no token of the present reign is kept alive by the one that it has, at
+// whatever age of the copy, if that copy goes up to the reign's first claim.
+func TestKeepsAlive(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		token          uint64
+		revision       uint64
+		listed, raised bool
+		want           bool
+	}{
+		{"of the reign before", 5, 9, false, false, true},
+		{"and the present claim was rewritten", 5, 11, false, true, true},
+		{"of this reign", 9, 9, false, false, false},
+		{"of this reign, before the claim was rewritten", 9, 11, false, true, false},
+		{"the copy doesn't go up to the claim", 5, 8, false, false, false},
+		{"a claim that may have been rewritten", 5, 9, true, false, false},
+		{"a worker that has seen no token", 0, 9, false, false, false},
+	} {
+		cfg := &config.Config{Platform: config.Platform{Node: "n2", Location: "b"}}
+		box := outbox.New(func(*wire.Commit) {})
+		book := records.New(nobody{})
+		leader := claim.New(box, "leader", "n2", config.Second, 1, nobody{})
+		h := New(cfg, box, book, records.NewForm(&cfg.Cluster.State), leader)
+		raw, err := job.Encode(claim.Value{Node: "n1", Nonce: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		leader.Listed(1)
+		leader.Apply(&wire.Change{Put: "leader", Value: raw, Version: 9}, !c.listed)
+		if c.raised {
+			leader.Apply(&wire.Change{Put: "leader", Value: raw, Version: 11}, true)
+		}
+		book.Upto(c.revision)
+		box.Begin(1000 * config.Second)
+		got := h.KeepsAlive(msg.ReportIn{Req: 1, Report: wire.Report{Machine: "m-1", Session: 1, Token: c.token}})
+		if got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+		if !got {
+			continue
+		}
+		a, _ := box.End()[0].(msg.Answer)
+		if body, ok := a.Body.(wire.ReportAnswer); !ok || body.Token != c.token {
+			t.Errorf("%s: answered with %+v", c.name, a)
+		}
+	}
+}
--- a/internal/core/rooms.go
+++ b/internal/core/rooms.go
@@ -84,6 +84,9 @@
 			c.home.Relay(x)
 			return
 		}
+		if c.claim.Held() && r.Machine != "" && c.home.KeepsAlive(x) {
+			return // the records are still being read
+		}
 		c.box.Later(x.Req, "no leader")
 		return
 	}
--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -23,6 +24,9 @@
 // meetingFrom is the first seed.
 var meetingFrom = flag.Int("from", 0, "first seed of TestMeetings")
 
+// replayFile is a day as TestMeetings prints it, to be played instead of drawn ones.
+var replayFile = flag.String("replay", "", "file with a day for TestMeetings to play again")
+
 // moment is a line of a script and when it is played.
 type moment struct {
 	at   standin.Micros
@@ -115,6 +119,36 @@
 		d.say(max(end, at+14), "heal node=all")
 		return max(end, at+14)
 	},
+	// The state service goes down for all between an heir's claim and its listing, or soon after.
+	"claimed": func(d *drawing, at float64) float64 {
+		if d.rnd.IntN(3) == 0 {
+			d.say(at-1, "cut node=%s link=peers mode=%s", d.node(), d.mode())
+		}
+		d.apart(at)
+		if d.rnd.IntN(4) == 0 {
+			d.say(at, "node node=leader kill")
+		} else {
+			d.say(at, "cut node=leader link=state")
+		}
+		d.withdraw(at, at+0.2, d.rnd.IntN(4))
+		down := at + 0.2
+		d.say(down, "await heir")
+		if late := d.rnd.IntN(5); late > 2 {
+			down += float64(late-2) * 0.3
+		} else if late == 2 {
+			d.withdraw(down, down+3, 2)
+			down += d.within(0.5, 6)
+		}
+		end := d.outage(down)
+		d.withdraw(down, end, d.rnd.IntN(4))
+		if d.rnd.IntN(3) == 0 {
+			d.say(d.within(down, end), "node node=heir kill")
+			d.say(d.within(down, end)+1, "revive")
+		}
+		d.say(end+d.within(0, 5), "heal node=all")
+		d.say(end+6, "revive")
+		return end + 6
+	},
 	// The leader ends while machines with long tasks are not reached, or don't hear the heir.
 	"unreached": func(d *drawing, at float64) float64 {
 		for range 1 + d.rnd.IntN(4) {
@@ -313,6 +347,16 @@
 // told, and every job that isn't cancelled ends. A day that fails is made as small as it
 // goes and printed as a scenario.
 func TestMeetings(t *testing.T) {
+	if *replayFile != "" {
+		script, err := os.ReadFile(*replayFile)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, wrong := range playDay(t, strings.ReplaceAll(string(script), "----\n", "")) {
+			t.Error(wrong)
+		}
+		return
+	}
 	for _, kind := range sortedMeetings() {
 		for i := range uint64(*meetingSeeds) {
 			seed := uint64(*meetingFrom) + i
@@ -334,6 +378,9 @@
 func playDay(t *testing.T, script string) (wrong []string) {
 	var s *Sim
 	for _, line := range strings.Split(strings.TrimSpace(script), "\n") {
+		if line = strings.TrimSpace(line); line == "" {
+			continue
+		}
 		cmd, args, err := datadriven.ParseLine(line)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -30,6 +30,8 @@
 //	                                cancellation's time, else 20 s; scale=3, quota=25: as many times the
 //	                                machines, and so many changes a second
 //	weather late_writes=0.2 seed=3  such parts of messages are late or lost from now on; see weather
+//	until ...                       time passes until a job or the world is so; two minutes at most
+//	await heir                      until another than the old leader has the claim, for 8 s at most
 //	withdraw id=j-1                 its user cancels, again and again until it is told
 //	revive                          all nodes that have ended start
 //	again node=n1 count=5           copies of reports come again, to one node
@@ -245,6 +247,14 @@
 	case "run":
 		s.Run(length(t, d, "for", "1s"))
 		return ""
+	case "await": // the heir's claim, if it comes soon
+		for range 80 {
+			if condition(t, s, d, id) {
+				return ""
+			}
+			s.Run(tick)
+		}
+		return ""
 	case "until":
 		for range 1200 {
 			if condition(t, s, d, id) {
@@ -323,6 +333,9 @@
 }
 
 func condition(t *testing.T, s *Sim, d *datadriven.TestData, id string) bool {
+	if d.HasArg("heir") { // another than the one that was cut off has the claim
+		return s.Leader() != "none" && s.old != nil && s.Leader() != s.old.name
+	}
 	if d.HasArg("leads") { // somebody does
 		n := s.node(s.Leader())
 		return s.Leader() != "none" && n.alive
