--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -19,11 +19,14 @@
 )
 
 // meetingSeeds is how many days TestMeetings plays of each kind; the usual ones take a few seconds.
-var meetingSeeds = flag.Int("meetings", 6, "days of TestMeetings, of each kind")
+var meetingSeeds = flag.Int("meetings", 7, "days of TestMeetings, of each kind")
 
 // meetingFrom is the first seed.
 var meetingFrom = flag.Int("from", 0, "first seed of TestMeetings")
 
+// shrinkTries is how often a day that fails is played with lines left out.
+var shrinkTries = flag.Int("shrink", 300, "tries to make a failing day of TestMeetings smaller")
+
 // replayFile is a day as TestMeetings prints it, to be played instead of drawn ones.
 var replayFile = flag.String("replay", "", "file with a day for TestMeetings to play again")
 
@@ -458,7 +461,7 @@
 func shrink(t *testing.T, script, wrong string) string {
 	kind := symptom(wrong)
 	lines := strings.Split(strings.TrimSpace(script), "\n")
-	tries := 300
+	tries := *shrinkTries
 	for size := len(lines) / 2; size >= 1; size /= 2 {
 		for i := 1; i < len(lines) && tries > 0; {
 			to := min(i+size, len(lines))
