Homes don't show the token of a leader that may not have read the records to new workers either

But the old leader still resigned: a machine that had just booted, and had seen no token, was shown the heir's and took it there. Such a worker has nothing to lose and is refused now.

--- a/internal/core/home/home.go
+++ b/internal/core/home/home.go
@@ -326,10 +326,12 @@
 // this node's copy of the records is fresh. One that is only busy gets no mail: that would
 // cost it more than the report does, which comes again.
 func (h *Home) standIn(x msg.ReportIn, mail bool) {
-	if !h.begun() && h.KeepsAlive(x) {
+	begun := h.begun()
+	if !begun && h.KeepsAlive(x) {
 		return
 	}
-	if !h.fresh() {
+	// One that has seen no token has nothing to lose, and would bring this one to the old leader.
+	if !begun && x.Report.Token == 0 || !h.fresh() {
 		h.box.Later(x.Req, "not the leader")
 		return
 	}
--- a/internal/core/home/home_test.go
+++ b/internal/core/home/home_test.go
@@ -126,3 +126,33 @@
 		}
 	}
 }
+
+// Nobody shows a worker that has seen no token that of a leader which can't have read the records yet:
+// it would take it to the leader before, which resigns when it sees it.
+func TestNewWorkersWaitForTheLeader(t *testing.T) {
+	cfg := &config.Config{Platform: config.Platform{Node: "n2", Location: "b", Peers: []config.Peer{{Node: "n1", Location: "a"}},
+		Cluster: config.Cluster{Workers: config.Workers{ReportS: 1, LeaseS: 4, CancelS: 20}}}}
+	box := outbox.New(func(*wire.Commit) {})
+	book := records.New(nobody{})
+	leader := claim.New(box, "leader", "n2", config.Second, 1, nobody{})
+	h := New(cfg, box, book, records.NewForm(&cfg.Cluster.State), leader)
+	raw, err := job.Encode(claim.Value{Node: "n1", Nonce: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	box.Begin(config.FromSeconds(10))
+	leader.Apply(&wire.Change{Put: "leader", Value: raw, Version: 9}, true)
+	h.Passed("", "n1")
+	book.Upto(9)
+	for _, c := range []struct {
+		current float64
+		want    int
+	}{{10, 503}, {11.9, 503}, {12, 200}} {
+		book.Current(config.FromSeconds(c.current))
+		box.Begin(config.FromSeconds(15))
+		h.standIn(msg.ReportIn{Req: 1, Report: wire.Report{Machine: "m-1", Session: 1}}, false)
+		if a, _ := box.End()[0].(msg.Answer); a.Status != c.want {
+			t.Errorf("current at %v s: %d, want %d", c.current, a.Status, c.want)
+		}
+	}
+}
