--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -195,9 +195,8 @@
 			t.Errorf("%s (%s, %d tasks) has not ended: %s", id, s.world.Jobs[id].Shape, s.world.Jobs[id].Tasks, describe(a))
 		}
 	}
-	s.sameAccounts(t)
-	for _, b := range s.world.Broken {
-		t.Error(b)
+	for _, wrong := range append(s.sameAccounts(), s.world.Broken...) {
+		t.Error(wrong)
 	}
 	if s.state.Refused > 0 {
 		t.Errorf("%d transactions refused for their size", s.state.Refused)
@@ -209,15 +208,16 @@
 }
 
 // sameAccounts holds the accounts of all nodes against each other's, and against those of one
-// that has just read the records.
-func (s *Sim) sameAccounts(t *testing.T) {
+// that has just read the records. It returns what differs.
+func (s *Sim) sameAccounts() (wrong []string) {
 	s.start(s.nodes[0])
 	s.Run(5 * standin.Second)
 	for _, n := range s.nodes[1:] {
 		if !n.core.Accounts().Equal(s.nodes[0].core.Accounts()) {
-			t.Errorf("accounts of %s and of one that has just begun differ: %s and %s", n.name, accountsOf(n), accountsOf(s.nodes[0]))
+			wrong = append(wrong, fmt.Sprintf("accounts of %s and of one that has just begun differ: %s and %s", n.name, accountsOf(n), accountsOf(s.nodes[0])))
 		}
 	}
+	return wrong
 }
 
 // allAnswered asks about every job, each time at the next node, until it has had an answer. No
--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -454,6 +454,9 @@
 		}
 	}
 	wrong = append(slices.Clone(s.world.Broken), wrong...)
+	if len(wrong) == 0 {
+		wrong = s.sameAccounts()
+	}
 	return wrong[:min(len(wrong), mostTold)]
 }
 
@@ -480,7 +483,7 @@
 
 // symptom is what kind of thing is wrong.
 func symptom(wrong string) string {
-	for _, rule := range []string{"ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "not_done", "went_back", "orphaned", "not ended", "survey", "placed twice", "without a claim"} {
+	for _, rule := range []string{"ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "not_done", "went_back", "orphaned", "not ended", "survey", "accounts", "placed twice", "without a claim"} {
 		if strings.Contains(wrong, rule) {
 			return rule
 		}
