--- a/internal/scenario/runner_test.go
+++ b/internal/scenario/runner_test.go
@@ -50,7 +50,6 @@
 	users     []*user          // who ask again and again
 	old       *node            // the last that was cut off as the leader
 	only      map[string]*node // machines that one node alone reaches, and which
-	toldWith  int              // cancellations that were told while tasks were still on machines
 }
 
 // strike ends a node with its next transaction that writes a key with a prefix, before the
