--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -196,7 +196,7 @@
 	// A leader has nothing but its workers and users, and jobs are cancelled through the heir.
 	"alone": func(d *drawing, at float64) float64 {
 		mode := d.mode()
-		d.say(at, "cut node=leader link=state mode=%s", mode)
+		d.say(at, "cut node=leader link=state mode=%s", []string{mode, "stall"}[d.rnd.IntN(2)])
 		d.say(at, "cut node=old link=peers mode=%s", mode)
 		d.apart(at)
 		end := at + d.within(4, d.in*1.5)
--- a/internal/scenario/runner_test.go
+++ b/internal/scenario/runner_test.go
@@ -477,11 +477,13 @@
 			s.reply(n, after, d)
 			return
 		}
-	case "hold":
+	case "hold", "stall":
 		d.Outcome = msg.Unknown
 		s.held = append(s.held, func() { s.state.Commit(x.Txn) })
-		s.reply(n, patience, d)
-		return
+		if n.cut["state"] == "stall" { // and the node waits as long as it does on real links
+			s.reply(n, patience, d)
+			return
+		}
 	}
 	s.post(n, d)
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -53,6 +53,7 @@
 //	busy node=n1 for=3s             its loop takes so long for one input
 //	cut node=n1 link=state mode=hold / heal node=n1; with keep, what was held
 //	                                back stays so until the next heal
+//	                                mode=stall of state: as hold, and the node waits for an answer
 //	  links: state, watch, answer (to one transaction), workers, peers, cloud
 //	state down|up, cloud down|up    outages
 //	machine name=m-000000 hang|resume|fail|die
