--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"testing"
 
-	"coralhub/internal/core/msg"
 	"coralhub/internal/standin"
 	"coralhub/wire"
 )
@@ -129,7 +128,7 @@
 			}
 		case 5, 6:
 			id := fmt.Sprintf("j-%d", rnd.IntN(i+1))
-			s.judge(id, s.Ask(n, func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} }))
+			s.Poll(n, id)
 		case 7:
 			n.alive = false
 		case 8:
@@ -188,8 +187,7 @@
 	s.Run(120 * standin.Second)
 	for _, id := range slices.Sorted(maps.Keys(accepted)) {
 		told := accepted[id]
-		a := s.Ask(s.nodes[1], func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
-		s.judge(id, a)
+		a := s.Poll(s.nodes[1], id)
 		st, _ := a.Body.(wire.JobStatus)
 		if told && st.Status != wire.Done && st.Status != wire.Cancelled {
 			t.Errorf("%s (%s, %d tasks) has not ended: %s", id, s.world.Jobs[id].Shape, s.world.Jobs[id].Tasks, describe(a))
@@ -234,8 +232,7 @@
 	slices.Sort(left)
 	for round := 0; len(left) > 0; round++ {
 		left = slices.DeleteFunc(left, func(id string) bool {
-			a := s.Ask(s.nodes[round%len(s.nodes)], func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
-			s.judge(id, a)
+			a := s.Poll(s.nodes[round%len(s.nodes)], id)
 			return a.Status == 200
 		})
 		if s.now-over > forgottenAfter {
--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -42,10 +42,19 @@
 	nodes int
 	lease float64
 	in    float64 // a cancellation's time
-	jobs  int
+	jobs  int     // those of the day itself: j-0 and on
+	more  int     // those that a meeting brings: j-1000 and on
 	day   []moment
 }
 
+// submit has a job of a meeting's own submitted, and returns its id.
+func (d *drawing) submit(at float64, format string, args ...any) string {
+	id := fmt.Sprintf("j-%d", 1000+d.more)
+	d.more++
+	d.say(at, "submit id=%s node=%s %s", id, d.node(), fmt.Sprintf(format, args...))
+	return id
+}
+
 func (d *drawing) say(at float64, format string, args ...any) {
 	d.day = append(d.day, moment{standin.Micros(at*10) * tick, fmt.Sprintf(format, args...)})
 }
@@ -257,6 +266,223 @@
 		}
 		return at
 	},
+	// Users ask closely, at all nodes, right after a job was accepted, ended or confirmed as cancelled,
+	// and repeat its submission; some cancel then. In some worlds answers are lost or held.
+	"looks": func(d *drawing, at float64) float64 {
+		d.say(0, "looks cancel=%.2f at_end=%.2f seed=%d", d.within(0, 0.5), d.within(0, 0.8), d.rnd.IntN(1000))
+		if d.rnd.IntN(3) == 0 {
+			d.say(at, "node node=leader kill")
+			d.say(at+d.within(0.1, 3), "revive")
+		}
+		for range d.rnd.IntN(6) {
+			d.submit(d.within(at, at+8), "tasks=%d run=%ds", 1+d.rnd.IntN(2), 1+d.rnd.IntN(4))
+		}
+		return at + 10
+	},
+	// Jobs are cancelled, asked about and repeated as their last task ends, with no other trouble of the kind's own.
+	"at_end": func(d *drawing, at float64) float64 {
+		d.say(0, "looks at_end=1 seed=%d", d.rnd.IntN(1000))
+		for range 6 {
+			d.submit(d.within(at, at+4), "tasks=%d run=%dms steps=%dms", 1+d.rnd.IntN(3), 500+100*d.rnd.IntN(30), 100*d.rnd.IntN(20))
+		}
+		return at + 10
+	},
+	// Every team is at its limit; jobs are cancelled whose machines hang or are cut off, and the leader changes.
+	"limits": func(d *drawing, at float64) float64 {
+		var ids []string
+		for i := range 8 {
+			ids = append(ids, d.submit(d.within(0, 2), "shape=%s tasks=%d gpus=%d team=%s run=%ds", []string{"array", "service", "gang", "array"}[i%4],
+				[]int{40, 8, 4, 70}[i%4], 1+d.rnd.IntN(2), []string{"red", "blue"}[i/4], []int{20, 200}[d.rnd.IntN(2)]))
+		}
+		at = max(at, 10)
+		for range 2 + d.rnd.IntN(6) {
+			i, from := d.rnd.IntN(16), d.within(at-1, at+1)
+			how, back := "hang", "resume"
+			if d.rnd.IntN(2) == 0 {
+				how, back = "deaf mode="+d.mode(), "hears"
+			}
+			d.say(from, "machine nth=%d %s", i, how)
+			d.say(from+d.within(0.5, 2*d.lease), "machine nth=%d %s", i, back)
+		}
+		if d.rnd.IntN(2) == 0 {
+			d.say(at-1, "cloud down")
+			d.say(at+d.lease, "cloud up")
+		}
+		for _, id := range ids {
+			if d.rnd.IntN(2) == 0 {
+				d.say(d.within(at, at+4), "withdraw id=%s", id)
+			}
+		}
+		end := at + d.within(1, 8)
+		if d.rnd.IntN(2) == 0 {
+			d.say(at+d.within(0, 3), "node node=leader kill")
+			d.say(end, "revive")
+		} else {
+			d.say(at+d.within(0, 3), "cut node=leader link=state mode=%s", d.mode())
+			d.say(end+6, "heal node=all")
+		}
+		d.say(at+2*d.lease+2, "machine nth=0 resume")
+		return max(end+6, at+2*d.lease+2)
+	},
+	// Jobs are cancelled in the seconds in which one controller's work changes hands: the leader's or a home's.
+	"hands": func(d *drawing, at float64) float64 {
+		who := []string{"leader", "leader", "other"}[d.rnd.IntN(3)]
+		switch d.rnd.IntN(3) {
+		case 0:
+			d.say(at, "node node=%s kill", who)
+		case 1:
+			d.say(at, "cut node=%s link=state", who)
+			d.say(at, "cut node=old link=peers mode=%s", d.mode())
+		case 2:
+			d.say(at, "cut node=%s link=workers mode=%s", who, d.mode())
+			d.say(at+d.within(0, 2), "node node=%s kill", who)
+		}
+		for i := range d.jobs {
+			if d.rnd.IntN(2) == 0 {
+				d.say(d.within(at-0.5, at+6), "withdraw id=j-%d", i)
+			}
+		}
+		d.say(at+8, "revive")
+		d.say(at+8, "heal node=all")
+		return at + 8
+	},
+	// New machines are up within two seconds, before the cloud lists them, and get work at once while writes lag,
+	// and the leader ends.
+	"newborn": func(d *drawing, at float64) float64 {
+		for range 4 {
+			d.submit(at+d.within(0, 1), "shape=%s tasks=%d gpus=2 run=%ds", []string{"array", "gang", "service"}[d.rnd.IntN(3)], 2+d.rnd.IntN(6), []int{5, 60}[d.rnd.IntN(2)])
+		}
+		d.say(at+d.within(0.3, 4), "node node=leader kill")
+		if d.rnd.IntN(2) == 0 {
+			d.say(at+d.within(4, 8), "node node=leader kill")
+		}
+		d.withdraw(at, at+8, d.rnd.IntN(3))
+		d.say(at+10, "revive")
+		return at + 10
+	},
+	// An old report reaches every controller just as a new leader begins.
+	"old_word": func(d *drawing, at float64) float64 {
+		for range 1 + d.rnd.IntN(3) {
+			if d.rnd.IntN(2) == 0 {
+				d.say(at, "node node=leader kill")
+			} else {
+				d.say(at, "cut node=leader link=state")
+			}
+			d.say(at, "machine nth=%d restart", d.rnd.IntN(12))
+			d.withdraw(at-1, at+3, d.rnd.IntN(3))
+			d.say(at+0.3, "until leads")
+			for range 4 {
+				d.say(at+0.3+d.within(0, 2), "again node=all count=%d", 1+d.rnd.IntN(15))
+			}
+			d.say(at+4, "revive")
+			d.say(at+4, "heal node=all")
+			at += 6
+		}
+		return at
+	},
+	// One-task jobs come four a second, a quarter of them cancelled.
+	"flood": func(d *drawing, at float64) float64 {
+		for i := range 4 * (10 + d.rnd.IntN(30)) {
+			when := at + float64(i)/4
+			id := d.submit(when, "tasks=1 team=%s run=%ds", []string{"red", "blue"}[i%2], 1+d.rnd.IntN(4))
+			if i%4 == 0 {
+				d.say(when+d.within(0, 5), "withdraw id=%s", id)
+			}
+		}
+		if d.rnd.IntN(2) == 0 {
+			d.say(at+d.within(1, 10), "node node=leader kill")
+			d.say(at+d.within(11, 14), "revive")
+		}
+		return at + 40
+	},
+	// Workers reach no controller, while direct commands reach them.
+	"mute": func(d *drawing, at float64) float64 {
+		end := at
+		for range 1 + d.rnd.IntN(5) {
+			i, from := d.rnd.IntN(12), d.within(at, at+2)
+			back := from + d.within(1, 3*d.lease)
+			d.say(from, "machine nth=%d mute", i)
+			d.say(back, "machine nth=%d speaks", i)
+			end = max(end, back)
+		}
+		if d.rnd.IntN(2) == 0 {
+			d.say(at+d.within(0, 4), "node node=leader kill")
+			d.say(at+d.within(4, 9), "revive")
+		}
+		d.withdraw(at, at+10, d.rnd.IntN(4))
+		return end
+	},
+	// Jobs bound to one zone lose machines.
+	"bound": func(d *drawing, at float64) float64 {
+		for range 5 {
+			d.submit(d.within(0, 2), "shape=%s tasks=%d gpus=%d zone=%s run=%ds save=%d", []string{"array", "gang", "service"}[d.rnd.IntN(3)],
+				2+d.rnd.IntN(6), 1+d.rnd.IntN(2), []string{"a", "b"}[d.rnd.IntN(2)], []int{20, 60}[d.rnd.IntN(2)], 2*d.rnd.IntN(2))
+		}
+		at = max(at, 8)
+		for range 2 + d.rnd.IntN(5) {
+			d.say(d.within(at, at+6), "machine nth=%d %s", d.rnd.IntN(12), []string{"die", "hang", "restart", "fail"}[d.rnd.IntN(4)])
+		}
+		if d.rnd.IntN(3) == 0 {
+			d.say(at+d.within(0, 6), "node node=leader kill")
+			d.say(at+8, "revive")
+		}
+		for i := range 16 {
+			d.say(at+10+d.within(0, d.lease), "machine nth=%d resume", i)
+		}
+		return at + 10 + d.lease
+	},
+	// All controllers are away for longer than a lease; one may be back before the others.
+	"away": func(d *drawing, at float64) float64 {
+		for i := range d.nodes {
+			d.say(at, "node node=n%d kill", i+1)
+		}
+		if d.rnd.IntN(2) == 0 {
+			d.withdraw(at-1, at, 3)
+		}
+		end := at + d.lease*d.within(1.05, 1.6)
+		d.say(end, "node node=%s start", d.node())
+		d.say(end+d.within(0, 4), "revive")
+		return end + 4
+	},
+	// The leader changes ten times in two minutes, also inside an outage.
+	"ten": func(d *drawing, at float64) float64 {
+		out := d.rnd.IntN(12)
+		for i := range 10 {
+			d.say(at, "node node=leader kill")
+			if i == out {
+				d.say(at+0.5, "state down")
+				d.say(at+9, "state up")
+			}
+			d.say(at+d.within(0.1, 10), "revive")
+			d.withdraw(at, at+10, d.rnd.IntN(2))
+			at += 12
+		}
+		return at
+	},
+	// A zone with its workers and a controller is cut off from everything for longer than a lease.
+	"zone": func(d *drawing, at float64) float64 {
+		n, mode := 1+d.rnd.IntN(d.nodes), d.mode()
+		zone := location(fmt.Sprintf("n%d", n))
+		end := at + d.lease*d.within(1.05, 2)
+		d.say(at, "zone name=%s cut mode=%s", zone, mode)
+		d.withdraw(at-1, end, 1+d.rnd.IntN(5))
+		if d.rnd.IntN(3) == 0 {
+			d.say(d.within(at, end), "node node=leader kill")
+			d.say(end, "revive")
+		}
+		d.say(end, "heal node=all")
+		return end
+	},
+	// There is more work than room, urgent and not, over slow links.
+	"crowd": func(d *drawing, at float64) float64 {
+		d.say(0, "weather seed=%d slow_reports=%.2f slow_beats=%.2f slow_writes=%.2f slow_there=%.2f", d.rnd.IntN(1000), d.within(0.2, 0.6), d.within(0.2, 0.6), d.within(0, 0.4), d.within(0, 0.3))
+		for range 25 {
+			d.submit(d.within(0, 12), "shape=%s tasks=%d gpus=%d team=%s rank=%s run=%ds", []string{"array", "array", "gang", "service"}[d.rnd.IntN(4)],
+				1+d.rnd.IntN(8), 1+d.rnd.IntN(4), []string{"red", "blue"}[d.rnd.IntN(2)], []string{"production", "high", "normal", "low"}[d.rnd.IntN(4)], 2+d.rnd.IntN(10))
+		}
+		d.withdraw(at, at+10, 3)
+		return at + 15
+	},
 	// A machine's worker begins with the next session while its node ends. One that counts sessions
 	// from the start again is not in the protocol: a late report of its earlier life is the newer one then.
 	"machines": func(d *drawing, at float64) float64 {
@@ -285,9 +511,13 @@
 	d := &drawing{rnd: rnd, nodes: []int{3, 3, 5}[rnd.IntN(3)], lease: pair[0], in: pair[1], jobs: 6 + rnd.IntN(10)}
 	report := []string{"1s", "2s"}[rnd.IntN(2)]
 	quota := []int{0, 0, 25}[rnd.IntN(3)]
-	head := fmt.Sprintf("world nodes=%d scale=%d quota=%d lease=%gs cancel=%gs report=%s", d.nodes, 1+rnd.IntN(3), quota, d.lease, d.in, report)
+	young := ""
+	if kind == "newborn" || rnd.IntN(6) == 0 {
+		young = fmt.Sprintf(" boot=%dms unlisted=%ds", 100*(1+rnd.IntN(20)), rnd.IntN(9))
+	}
+	head := fmt.Sprintf("world nodes=%d scale=%d quota=%d lease=%gs cancel=%gs report=%s", d.nodes, 1+rnd.IntN(3), quota, d.lease, d.in, report) + young
 	weather := "weather seed=" + fmt.Sprint(seed)
-	for _, w := range []string{"late_writes", "lost_writes", "slow_writes", "slow_watch", "slow_reports", "slow_beats", "held_calls", "lost_calls"} {
+	for _, w := range []string{"late_writes", "lost_writes", "slow_writes", "slow_there", "slow_watch", "slow_reports", "slow_beats", "held_calls", "lost_calls"} {
 		if rnd.IntN(3) == 0 {
 			weather += fmt.Sprintf(" %s=%.2f", w, rnd.Float64()*0.4)
 		}
@@ -416,6 +646,7 @@
 	s.state.SetDown(s.now, false)
 	s.world.CloudOff = false
 	clear(s.only)
+	s.apart = ""
 	for _, n := range s.nodes {
 		n.cut = map[string]string{}
 		if !n.alive {
@@ -423,11 +654,13 @@
 		}
 	}
 	for _, name := range s.world.Names() {
-		s.world.Machines[name].Deaf, s.world.Machines[name].Hang = "", false
+		m := s.world.Machines[name]
+		m.Deaf, m.Hang, m.Mute = "", false, false
 	}
 	s.Release()
 	over := s.now
 	s.Run(standin.Second)
+	waits := idle{}
 	for ; s.now-over < 250*standin.Second; s.Run(standin.Second) {
 		for _, u := range s.users {
 			if s.told[u.id] == "" && !u.cancel {
@@ -437,13 +670,14 @@
 				wrong = append(wrong, fmt.Sprintf("forgotten %s: no answer for 75 s", u.id))
 			}
 		}
+		wrong = append(wrong, waits.look(s)...)
 		if len(wrong) > 0 {
 			break
 		}
 		if !slices.ContainsFunc(s.users, func(u *user) bool { return s.told[u.id] != "" }) {
 			break // every job that was accepted is over, and its user knows
 		}
-		if s.now-over > 40*standin.Second { // what never ends by itself, or not in time
+		if s.now-over > 40*standin.Second && len(waits) == 0 { // what never ends by itself, or not in time
 			for _, id := range slices.Sorted(maps.Keys(s.world.Jobs)) {
 				if j := s.world.Jobs[id]; s.told[id] != "" && (j.Shape == wire.Service || j.RunOf(j.Tasks) > 10*standin.Second) {
 					s.Withdraw(id)
@@ -486,7 +720,7 @@
 
 // symptom is what kind of thing is wrong.
 func symptom(wrong string) string {
-	for _, rule := range []string{"ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "not_done", "went_back", "orphaned", "not ended", "survey", "accounts", "placed twice", "without a claim"} {
+	for _, rule := range []string{"ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "idle_room", "invented", "not_done", "went_back", "orphaned", "not ended", "survey", "accounts", "placed twice", "without a claim"} {
 		if strings.Contains(wrong, rule) {
 			return rule
 		}
--- a/internal/scenario/runner_test.go
+++ b/internal/scenario/runner_test.go
@@ -32,8 +32,7 @@
 	req    uint64
 	inbox  []delivery
 	held   []func()
-	told   map[string]string         // what a user was told last
-	toldAt map[string]standin.Micros // when it was told its final phase
+	told   map[string]string // what users were told last
 	limits map[string]float64
 	scale  int     // how many times the machines and teams' limits of a script
 	quota  float64 // changes a second that the state service takes; 0: any number
@@ -48,6 +47,8 @@
 	weather   *weather         // nil: everything takes no time, and nothing is late
 	later     []due            // what comes late, in the order of its time
 	users     []*user          // who ask again and again
+	apart     string           // a zone that has nothing but its own nodes and machines
+	looks     *looks           // nil: nobody asks closely, and what is on its way comes in order
 	old       *node            // the last that was cut off as the leader
 	only      map[string]*node // machines that one node alone reaches, and which
 }
@@ -114,7 +115,7 @@
 // nodes held to the first format; nil: no such change.
 func newSimFor(nodes, scale int, quota float64, held []string) *Sim {
 	s := &Sim{announced: held != nil, now: standin.Second, state: standin.NewState(), world: standin.NewWorld(), scale: scale, quota: quota,
-		told: map[string]string{}, toldAt: map[string]standin.Micros{}, only: map[string]*node{}, limits: map[string]float64{"red": float64(24 * scale), "blue": float64(8 * scale)}}
+		told: map[string]string{}, only: map[string]*node{}, limits: map[string]float64{"red": float64(24 * scale), "blue": float64(8 * scale)}}
 	for z := range s.world.Capacity {
 		s.world.Capacity[z] *= scale
 	}
@@ -204,8 +205,9 @@
 // settle delivers what is on its way.
 func (s *Sim) settle() {
 	for len(s.inbox) > 0 {
-		d := s.inbox[0]
-		s.inbox = s.inbox[1:]
+		i := s.looks.pick(len(s.inbox))
+		d := s.inbox[i]
+		s.inbox = slices.Delete(s.inbox, i, i+1)
 		if !d.n.alive || d.n.core != d.core {
 			continue
 		}
@@ -224,7 +226,8 @@
 		s.world.Tick(s.now)
 		s.comeLate()
 		s.reports()
-		for _, n := range s.nodes {
+		s.atEnd()
+		for _, n := range s.looks.shuffled(s.nodes) {
 			if n.alive {
 				s.keep(n)
 			}
@@ -239,6 +242,9 @@
 				s.post(n, msg.Tick{Wall: s.now})
 				s.settle()
 			}
+			if s.looks != nil { // between what one node does and the next
+				s.ask()
+			}
 		}
 		s.ask()
 		if s.now%standin.Second < tick { // a second's work has been added up piece by piece
@@ -278,7 +284,7 @@
 // hear lets a node hear the peers that it has a link to.
 func (s *Sim) hear(n *node) {
 	for _, p := range s.nodes {
-		if p != n && p.alive && p.cut["peers"] == "" && n.cut["peers"] == "" {
+		if p != n && p.alive && s.peers(n, p) == "" {
 			s.post(n, msg.PeerHeard{Node: p.name})
 		}
 	}
@@ -361,7 +367,7 @@
 		s.command(n, x)
 	case msg.Forward:
 		d := msg.ForwardDone{Req: x.Req, Report: x.Report}
-		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
+		if to := s.node(x.Node); to.alive && s.peers(n, to) == "" {
 			s.req++
 			req := s.req
 			for _, e := range s.step(to, msg.ReportIn{Req: req, Report: x.Report, Forwarded: true}) {
@@ -375,7 +381,7 @@
 		}
 		s.post(n, d)
 	case msg.Beat:
-		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
+		if to := s.node(x.Node); to.alive && s.peers(n, to) == "" {
 			s.req++
 			for _, e := range s.step(to, msg.BeatIn{Req: s.req, Node: n.name, Revision: x.Revision, Heard: x.Heard}) {
 				s.carry(to, e)
@@ -383,7 +389,7 @@
 			said, _ := to.answers[s.req].Body.(msg.BeatAnswer)
 			delete(to.answers, s.req)
 			s.reply(n, s.weather.slowBeat(), msg.BeatDone{Beat: x, BeatAnswer: said})
-		} else if to.cut["peers"] == "hold" || n.cut["peers"] == "hold" { // it comes late, and nobody hears the answer
+		} else if s.peers(n, to) == "hold" { // it comes late, and nobody hears the answer
 			s.held = append(s.held, func() {
 				if to.alive {
 					s.req++
@@ -392,7 +398,7 @@
 			})
 		}
 	case msg.Tell:
-		if to := s.node(x.Node); to.alive && to.cut["peers"] == "" && n.cut["peers"] == "" {
+		if to := s.node(x.Node); to.alive && s.peers(n, to) == "" {
 			s.post(to, msg.Hint{Event: x.Event})
 		}
 	default:
@@ -463,6 +469,10 @@
 			s.reply(n, patience, msg.CommitDone{ID: x.ID, Outcome: msg.Unknown})
 			return
 		}
+		if fate == slowAct {
+			s.commitSlowly(n, x, after)
+			return
+		}
 		status, a := s.state.Commit(x.Txn)
 		d.Outcome, d.Revision, d.Failed = outcome(status, a.Error), a.Revision, a.Failed
 		if n.cut["answer"] != "" && places { // one answer is lost
@@ -488,8 +498,35 @@
 	s.post(n, d)
 }
 
+// cutZone parts a zone's nodes from the state service, the cloud and nodes elsewhere, and its
+// machines from those.
+func (s *Sim) cutZone(name, mode string) {
+	s.apart = name
+	for _, n := range s.nodes {
+		if location(n.name) == name {
+			n.cut["state"], n.cut["cloud"] = mode, mode
+		}
+	}
+}
+
+// peers tells whether two nodes have a link, and what becomes of what is sent over it if not.
+func (s *Sim) peers(n, to *node) (mode string) {
+	switch {
+	case n.cut["peers"] != "":
+		return n.cut["peers"]
+	case to.cut["peers"] != "":
+		return to.cut["peers"]
+	case s.apart != "" && (location(n.name) == s.apart) != (location(to.name) == s.apart):
+		return "drop"
+	}
+	return ""
+}
+
 // reaches tells whether a node and a machine have a link at all.
 func (s *Sim) reaches(n *node, m *standin.Machine) bool {
+	if s.apart != "" && (location(n.name) == s.apart) != (m.Zone == s.apart) {
+		return false
+	}
 	only := s.only[m.Name]
 	return only == nil || only == n
 }
@@ -592,7 +629,7 @@
 			continue
 		}
 		var a msg.Answer
-		if n.alive && n.cut["workers"] == "" && s.reaches(n, m) {
+		if n.alive && n.cut["workers"] == "" && s.reaches(n, m) && !m.Mute {
 			s.req++
 			req := s.req
 			s.post(n, msg.ReportIn{Req: req, Report: r})
@@ -653,56 +690,91 @@
 
 // Submit submits a job.
 func (s *Sim) Submit(n *node, j *standin.JobIn) msg.Answer {
-	raw, err := wire.Marshal(&j.Job)
-	if err != nil {
-		return msg.Answer{}
-	}
 	if s.world.Jobs[j.ID] == nil {
 		s.world.Jobs[j.ID] = j
 	}
-	a := s.Ask(n, func(req uint64) msg.Input { return msg.SubmitIn{Req: req, Wall: s.now, Body: raw} })
-	s.judge(j.ID, a)
+	floor := s.told[j.ID]
+	a := s.Ask(n, s.submission(j))
+	s.judge(j.ID, floor, a)
 	return a
 }
 
+// submission is the request that submits a job.
+func (s *Sim) submission(j *standin.JobIn) func(req uint64) msg.Input {
+	raw, err := wire.Marshal(&j.Job)
+	if err != nil {
+		panic(err) // a description that the runner has made
+	}
+	return func(req uint64) msg.Input { return msg.SubmitIn{Req: req, Wall: s.now, Body: raw} }
+}
+
 // Cancel has a user cancel a job.
 func (s *Sim) Cancel(n *node, id string) msg.Answer {
 	if j := s.world.Jobs[id]; j != nil {
 		j.Asked = true
 	}
+	floor := s.told[id]
 	a := s.Ask(n, func(req uint64) msg.Input { return msg.CancelIn{Req: req, ID: id} })
-	s.judge(id, a)
+	s.judge(id, floor, a)
 	return a
 }
 
-// judge watches what users are told.
-func (s *Sim) judge(id string, a msg.Answer) {
+// Poll has a user ask about a job.
+func (s *Sim) Poll(n *node, id string) msg.Answer {
+	floor := s.told[id]
+	a := s.Ask(n, func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
+	s.judge(id, floor, a)
+	return a
+}
+
+// final tells whether a state is a last word.
+func final(status string) bool { return status == wire.Done || status == wire.Cancelled }
+
+// judge watches what users are told. What anybody had heard of the job before this question was
+// asked is its floor: no node may answer something older, whichever told it. An answer to a
+// question from before that may.
+func (s *Sim) judge(id, floor string, a msg.Answer) {
+	broken := func(rule string) {
+		s.world.Broken = append(s.world.Broken, fmt.Sprintf("%s %s: %s after %q", rule, id, strings.TrimSpace(describe(a)), floor))
+	}
+	if floor != "" && (a.Status == 404 || a.Status == 400 || a.Status == 422) {
+		broken("forgotten")
+	}
+	if floor != "" && a.Status == 201 {
+		broken("went_back accepted twice")
+	}
 	st, ok := a.Body.(wire.JobStatus)
 	if !ok {
-		if a.Status == 404 && s.told[id] != "" {
-			s.world.Broken = append(s.world.Broken, "forgotten "+id)
-		}
 		return
 	}
-	if old := s.told[id]; (old == wire.Done || old == wire.Cancelled) && st.Status != old {
-		s.world.Broken = append(s.world.Broken, "went_back "+id)
+	j := s.world.Jobs[id]
+	if j == nil {
+		broken("invented")
+		return
+	}
+	if final(floor) && st.Status != floor || final(s.told[id]) && final(st.Status) && st.Status != s.told[id] {
+		broken("went_back")
 	}
 	if st.Status == wire.Cancelled && !s.world.MayBeCancelled(id) {
-		s.world.Broken = append(s.world.Broken, "went_back "+id+" is called cancelled and nobody has asked for it")
+		broken("went_back (nobody has asked for it)")
 	}
-	if at := s.world.CancelledAt(id); at != 0 && s.now-at > s.world.CancelIn && (st.Status == wire.Queued || st.Status == wire.Running) {
-		s.world.Broken = append(s.world.Broken, "orphaned "+id)
+	if at := s.world.CancelledAt(id); at != 0 && s.now-at > s.world.CancelIn && !final(st.Status) {
+		broken("orphaned")
 	}
 	if st.Status == wire.Done && !s.world.Done(id) {
-		s.world.Broken = append(s.world.Broken, "not_done "+id+" "+s.world.Jobs[id].Shape)
+		broken("not_done")
 	}
-	if j := s.world.Jobs[id]; st.Status == wire.Cancelled && j != nil && j.Cancelled == 0 {
+	if st.Status == wire.Cancelled && j.Cancelled == 0 {
 		j.Cancelled = s.now
 	}
-	if s.toldAt[id] == 0 && (st.Status == wire.Done || st.Status == wire.Cancelled) {
-		s.toldAt[id] = s.now
+	if final(s.told[id]) {
+		return
 	}
+	news := s.told[id] == "" || final(st.Status)
 	s.told[id] = st.Status
+	if news {
+		s.lookClosely(id)
+	}
 }
 
 // Leader names the node that holds the claim, or "none".
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -29,6 +29,10 @@
 //	                                lease=10s, report=2s: of workers, else 4 s and 1 s; cancel=40s: a
 //	                                cancellation's time, else 20 s; scale=3, quota=25: as many times the
 //	                                machines, and so many changes a second
+//	                                boot=2s: of machines; unlisted=5s: the cloud lists them so late
+//	looks cancel=0.2 at_end=0.3 seed=1
+//	                                users ask at all nodes again and again right after a job is accepted or over, and
+//	                                repeat its submission; such parts of jobs are cancelled then, or as the last task ends
 //	weather late_writes=0.2 seed=3  such parts of messages are late or lost from now on; see weather
 //	until ...                       time passes until a job or the world is so; two minutes at most
 //	await heir                      until another than the old leader has the claim, for 8 s at most
@@ -55,11 +59,13 @@
 //	                                back stays so until the next heal
 //	                                mode=stall of state: as hold, and the node waits for an answer
 //	  links: state, watch, answer (to one transaction), workers, peers, cloud
+//	zone name=a cut mode=hold       its nodes and machines reach only each other, until a heal of all
 //	state down|up, cloud down|up    outages
 //	machine name=m-000000 hang|resume|fail|die
 //	machine nth=3 ...               the machine of that number, modulo how many there are
 //	machine name=m-000000 deaf|hears its reports arrive, nothing reaches it
 //	machine name=m-000000 only=old  no other node reaches it, nor it them, until only=any
+//	machine name=m-000000 mute|speaks its reports reach nobody, commands reach it
 //	machine name=m-000000 restart   it is back within half a second with the next session;
 //	                                anew: its worker remembers nothing
 //	report hold / report late       a worker's report is held back, arrives
@@ -102,6 +108,8 @@
 	}
 	s.world.Lease = length(t, d, "lease", "4s")
 	s.world.CancelIn = length(t, d, "cancel", "20s")
+	s.world.Boot = length(t, d, "boot", "2s")
+	s.world.Unlisted = length(t, d, "unlisted", "0s")
 	s.copies = &copies{late: 3 * s.world.Lease}
 	s.world.ReportEvery = length(t, d, "report", "1s")
 	if d.HasArg("lease") || d.HasArg("cancel") || d.HasArg("report") {
@@ -148,6 +156,9 @@
 	if err != nil {
 		t.Fatalf("%s: %v", d.Pos, err)
 	}
+	if x < 0 {
+		t.Fatalf("%s: %s=%s is negative", d.Pos, key, def)
+	}
 	return x.Microseconds()
 }
 
@@ -209,8 +220,7 @@
 		return out
 	case "poll":
 		asked := s.now
-		a := s.Ask(pick(t, s, d), func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
-		s.judge(id, a)
+		a := s.Poll(pick(t, s, d), id)
 		if s.now-asked >= pollWait {
 			return "too late: " + describe(a)
 		}
@@ -233,6 +243,11 @@
 	case "weather":
 		s.weather = readWeather(t, d)
 		return ""
+	case "looks":
+		seed := uint64(1)
+		d.MaybeScanArgs(t, "seed", &seed)
+		s.looks = newLooks(seed, share(t, d, "cancel"), share(t, d, "at_end"))
+		return ""
 	case "revive":
 		for _, n := range s.nodes {
 			if !n.alive {
@@ -243,6 +258,10 @@
 	case "again":
 		count := 1
 		d.MaybeScanArgs(t, "count", &count)
+		if named := ""; d.MaybeScanArgs(t, "node", &named) && named == "all" { // each of some copies reaches every node
+			s.againEverywhere(rand.New(rand.NewPCG(uint64(s.now), 1)), count)
+			return ""
+		}
 		s.again(pick(t, s, d), rand.New(rand.NewPCG(uint64(s.now), 1)), count)
 		return ""
 	case "run":
@@ -302,6 +321,7 @@
 				n.cut = map[string]string{}
 			}
 			clear(s.only)
+			s.apart = ""
 			s.Release()
 			return ""
 		}
@@ -310,6 +330,12 @@
 			s.Release()
 		}
 		return ""
+	case "zone": // it has nothing but its own nodes and machines
+		name, mode := "", "drop"
+		d.ScanArgs(t, "name", &name)
+		d.MaybeScanArgs(t, "mode", &mode)
+		s.cutZone(name, mode)
+		return ""
 	case "state":
 		s.state.SetDown(s.now, d.HasArg("down"))
 		return ""
@@ -360,8 +386,7 @@
 	if rented >= 0 {
 		return len(s.world.Machines) == rented
 	}
-	a := s.Ask(pick(t, s, d), func(req uint64) msg.Input { return msg.PollIn{Req: req, ID: id} })
-	s.judge(id, a)
+	a := s.Poll(pick(t, s, d), id)
 	st, ok := a.Body.(wire.JobStatus)
 	return ok && st.Status == want
 }
@@ -451,6 +476,10 @@
 		d.MaybeScanArgs(t, "mode", &m.Deaf)
 	case d.HasArg("hears"):
 		m.Deaf = ""
+	case d.HasArg("mute"):
+		m.Mute = true
+	case d.HasArg("speaks"):
+		m.Mute = false
 	case d.HasArg("restart"):
 		s.world.Restart(s.now, standin.Second/2, m, d.HasArg("anew"))
 	case d.HasArg("fail"):
--- a/internal/scenario/troubles_test.go
+++ b/internal/scenario/troubles_test.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// againEverywhere delivers a few copies to every node.
+func (s *Sim) againEverywhere(rnd *rand.Rand, count int) {
+	for range count {
+		if len(s.copies.kept) == 0 {
+			return
+		}
+		r := s.copies.kept[rnd.IntN(len(s.copies.kept))].report
+		for _, n := range s.nodes {
+			if n.alive {
+				s.repeat(n, &r)
+			}
+		}
+	}
+}
+
 // repeat delivers one report once more.
 func (s *Sim) repeat(n *node, r *wire.Report) msg.Answer {
 	s.req++
--- a/internal/scenario/weather_test.go
+++ b/internal/scenario/weather_test.go
@@ -21,6 +21,7 @@
 	lateWrites  float64 // transactions carried out 2 to 12 s later, without an answer
 	lostWrites  float64 // carried out at once, without an answer
 	slowWrites  float64 // carried out at once, answered up to 2 s later
+	slowThere   float64 // carried out, and checked, up to 2 s later, and answered then
 	slowWatch   float64 // answers of listings and watches that come up to 2 s later
 	slowReports float64 // reports and their answers that take up to 6 s, both ways together
 	slowBeats   float64 // answers to beats
@@ -34,19 +35,24 @@
 	w := &weather{}
 	d.MaybeScanArgs(t, "seed", &seed)
 	w.rnd = rand.New(rand.NewPCG(seed, 4711))
-	for name, to := range map[string]*float64{"late_writes": &w.lateWrites, "lost_writes": &w.lostWrites, "slow_writes": &w.slowWrites,
+	for name, to := range map[string]*float64{"late_writes": &w.lateWrites, "lost_writes": &w.lostWrites, "slow_writes": &w.slowWrites, "slow_there": &w.slowThere,
 		"slow_watch": &w.slowWatch, "slow_reports": &w.slowReports, "slow_beats": &w.slowBeats, "held_calls": &w.heldCalls, "lost_calls": &w.lostCalls} {
-		text := "0"
-		d.MaybeScanArgs(t, name, &text)
-		part, err := strconv.ParseFloat(text, 64)
-		if err != nil || part < 0 || part > 1 {
-			t.Fatalf("%s: %s=%s is not a part from 0 to 1", d.Pos, name, text)
-		}
-		*to = part
+		*to = share(t, d, name)
 	}
 	return w
 }
 
+// share is a part from 0 to 1 that a script names; 0 if it doesn't.
+func share(t *testing.T, d *datadriven.TestData, name string) float64 {
+	text := "0"
+	d.MaybeScanArgs(t, name, &text)
+	part, err := strconv.ParseFloat(text, 64)
+	if err != nil || part < 0 || part > 1 {
+		t.Fatalf("%s: %s=%s is not a part from 0 to 1", d.Pos, name, text)
+	}
+	return part
+}
+
 const (
 	patience       = 2 * standin.Second // how long a node waits for the state service
 	callPatience   = 3 * standin.Second // and for a worker
@@ -61,6 +67,7 @@
 	lateAct
 	lostAnswer
 	slowAnswer
+	slowAct
 )
 
 // draw picks a fate by the shares of each, and how long it takes.
@@ -85,7 +92,10 @@
 	if w == nil {
 		return prompt, 0
 	}
-	if len(t.Changes) == 0 { // when a check takes effect makes no difference
+	if w.slowThere > 0 && w.rnd.Float64() < w.slowThere {
+		return slowAct, w.between(tick, patience-tick)
+	}
+	if len(t.Changes) == 0 { // one without an answer tells nothing, whenever it takes effect
 		return w.draw(0, w.lostWrites, w.slowWrites, 0, 0)
 	}
 	return w.draw(w.lateWrites, w.lostWrites, w.slowWrites, 2*standin.Second, 12*standin.Second)
@@ -178,6 +188,19 @@
 	s.state.Commit(t)
 }
 
+// commitSlowly carries out a transaction after a while, and answers then.
+func (s *Sim) commitSlowly(n *node, x msg.Commit, after standin.Micros) {
+	core := n.core
+	s.in(after, func() {
+		s.guarded(&x.Txn)
+		status, a := s.state.Commit(x.Txn)
+		if n.alive && n.core == core {
+			s.post(n, msg.CommitDone{ID: x.ID, Outcome: outcome(status, a.Error), Revision: a.Revision, Failed: a.Failed})
+			s.settle()
+		}
+	})
+}
+
 // runLate carries out a direct command whose sender has given up, once its machine is awake
 // and is reached.
 func (s *Sim) runLate(machine string, run func() (int, wire.Report)) {
@@ -223,7 +246,7 @@
 	}
 	s.in(reportPatience, giveUp)
 	s.in(there, func() {
-		if !n.alive || n.core != core || n.cut["workers"] != "" || !s.reaches(n, m) {
+		if !n.alive || n.core != core || n.cut["workers"] != "" || !s.reaches(n, m) || m.Mute {
 			return
 		}
 		s.req++
@@ -242,10 +265,13 @@
 	})
 }
 
-// user asks about a job, or asks to cancel it, until there is nothing more to ask.
+// user asks about a job, or asks to cancel it, or submits it once more, until there is nothing more to ask.
 type user struct {
 	id       string
 	cancel   bool
+	again    bool   // it repeats the submission
+	left     int    // how often it still asks; 0: until it has had the last word
+	floor    string // what anybody had been told when it asked
 	req      uint64
 	at       *node // whom it has asked
 	core     any
@@ -261,6 +287,17 @@
 	cancelWait = 5 * standin.Second
 )
 
+// patience is how long a user waits for an answer, and then before it asks again.
+func (u *user) patience() (wait, every standin.Micros) {
+	switch {
+	case u.left > 0:
+		return pollWait, 0
+	case u.cancel || u.again:
+		return cancelWait, standin.Second
+	}
+	return pollWait, pollEvery
+}
+
 // Withdraw has a job's user cancel it, at whichever node, again and again until it is told.
 func (s *Sim) Withdraw(id string) {
 	if j := s.world.Jobs[id]; j != nil && !j.Asked {
@@ -274,12 +311,17 @@
 	for range 2 {
 		s.users = append(s.users, &user{id: id, next: s.now + tick, answered: s.now, tries: len(s.users)})
 	}
+	if s.looks != nil && s.told[id] == "" { // and its submission is repeated until it has an answer
+		s.users = append(s.users, &user{id: id, again: true, next: s.now + tick, answered: s.now, tries: len(s.users)})
+	}
 }
 
-// ask lets the users hear answers and ask again.
+// ask lets the users hear answers and ask again. All of them ask before any is answered.
 func (s *Sim) ask() {
-	left := s.users[:0]
-	for _, u := range s.users {
+	users := s.users
+	s.users = nil
+	var left []*user
+	for _, u := range users {
 		if u.req != 0 && s.heard(u) {
 			continue
 		}
@@ -294,31 +336,31 @@
 			continue
 		}
 		s.req++
-		u.req, u.at, u.core, u.sent = s.req, n, n.core, s.now
-		if u.cancel {
+		u.req, u.at, u.core, u.sent, u.floor = s.req, n, n.core, s.now, s.told[u.id]
+		switch {
+		case u.cancel:
 			s.post(n, msg.CancelIn{Req: u.req, ID: u.id})
-		} else {
+		case u.again:
+			s.post(n, s.submission(s.world.Jobs[u.id])(u.req))
+		default:
 			s.post(n, msg.PollIn{Req: u.req, ID: u.id})
 		}
-		s.settle()
+		if s.looks == nil {
+			s.settle()
+		}
 	}
-	s.users = left
+	s.settle()
+	s.users = append(left, s.users...) // those that what was heard has brought come last
 }
 
-// heard takes what a user is told; it returns whether that is the last word.
+// heard takes what a user is told; it returns whether it asks no more.
 func (s *Sim) heard(u *user) bool {
 	a, ok := u.at.answers[u.req]
-	wait, every := pollWait, pollEvery
-	if u.cancel {
-		wait, every = cancelWait, standin.Second
-	}
+	wait, every := u.patience()
 	switch {
 	case ok:
 		delete(u.at.answers, u.req)
-		// What was asked before its user was told the last word may be answered as it was then.
-		if st, ok := a.Body.(wire.JobStatus); !ok || u.sent >= s.toldAt[u.id] || st.Status == wire.Done || st.Status == wire.Cancelled {
-			s.judge(u.id, a)
-		}
+		s.judge(u.id, u.floor, a)
 		if a.Status == 200 {
 			u.answered = s.now
 		}
@@ -329,6 +371,10 @@
 		return false
 	}
 	u.req = 0
+	if u.left > 0 {
+		u.left--
+		return u.left == 0
+	}
 	st, _ := a.Body.(wire.JobStatus)
-	return st.Status == wire.Done || st.Status == wire.Cancelled
+	return final(st.Status) || u.again && (ok && a.Status >= 200 && a.Status < 300 || s.told[u.id] != "")
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -23,9 +23,11 @@
 	Fails    map[string]Micros // machines that fail every task that starts after that
 	// ReportEvery is how often workers report; 0 is a second.
 	ReportEvery Micros
-	CloudOff    bool
-	Broken      []string
-	Rented      int
+	// Unlisted is how long a new machine is missing from lists; it may be up by then.
+	Unlisted Micros
+	CloudOff bool
+	Broken   []string
+	Rented   int
 	// Model has machines differ, boot late, fetch images and lose spot machines; nil:
 	// everything takes as long as it is said to.
 	Model *Model
@@ -75,6 +77,8 @@
 	// Deaf has its reports arrive while answers and commands don't reach it: "drop" loses
 	// them, "hold" has direct commands arrive once it is over.
 	Deaf string
+	// Mute has none of its reports reach anybody, while commands reach it.
+	Mute bool
 }
 
 type task struct {
@@ -150,6 +154,9 @@
 	var out []wire.Machine
 	for _, n := range w.Names() {
 		m := w.Machines[n]
+		if now-m.born < w.Unlisted {
+			continue
+		}
 		m.AgeS = float64(now-m.born) / 1e6
 		out = append(out, m.Machine)
 	}
