A worker that reaches no controller gets no work though it answers calls

Cause: answers to direct calls made a mute machine look alive; its lease ended, it had most room, and replicas went there again and again. Change: a later session that only calls tell of marks a machine as mute until a report comes by any way; it offers nothing, and is deleted a lease later (six if a third of its zone is so). Conclusion: one lease of work is lost on such a machine, no more.

--- a/internal/core/fleet/keeper.go
+++ b/internal/core/fleet/keeper.go
@@ -288,6 +288,8 @@
 			}
 		case m.Hearing.Deaf() && k.box.Now()-m.Hearing.Since > k.deafLimit(m, &crowds):
 			why = "deaf"
+		case m.Mute != 0 && k.box.Now()-m.Mute > k.deafLimit(m, &crowds):
+			why = "mute"
 		case m.Hearing.Times >= zone.MostDeaf && m.IdleSince != 0:
 			why = "deaf again and again"
 		case m.IdleSince != 0 && k.box.Now()-m.IdleSince > k.keepIdle(m):
@@ -310,7 +312,7 @@
 	}
 }
 
-// inCrowd tells whether so many machines of a zone are quiet or deaf that it is rather the network.
+// inCrowd tells whether so many machines of a zone are quiet, deaf or mute that it is rather the network.
 func (k *Keeper) inCrowd(m *zone.Machine, crowds *map[string]bool) bool {
 	if *crowds == nil {
 		*crowds = k.crowds()
@@ -318,7 +320,7 @@
 	return (*crowds)[m.Zone]
 }
 
-// deafLimit is how long a machine may seem deaf before it is deleted: by then its lease has
+// deafLimit is how long a machine may seem deaf or mute before it is deleted: by then its lease has
 // ended, and with it all that ran there.
 func (k *Keeper) deafLimit(m *zone.Machine, crowds *map[string]bool) Micros {
 	lease := config.FromSeconds(k.cfg.Cluster.Workers.LeaseS)
@@ -338,7 +340,7 @@
 			continue
 		}
 		all[m.Zone]++
-		if m.Hearing.Deaf() || k.box.Now()-max(m.Spoke, k.since) > k.cfg.Silence()/2 {
+		if m.Hearing.Deaf() || m.Mute != 0 || k.box.Now()-max(m.Spoke, k.since) > k.cfg.Silence()/2 {
 			quiet[m.Zone]++
 		}
 	}
@@ -413,7 +415,7 @@
 	case m.IdleSince == 0:
 		m.IdleSince = k.box.Now()
 	}
-	if !busy || m.Session == 0 || m.Releasing || m.Failed || m.Anew || m.Hearing.Deaf() {
+	if !busy || m.Session == 0 || m.Releasing || m.Failed || m.Anew || m.Mute != 0 || m.Hearing.Deaf() {
 		k.watched[m] = true
 	} else {
 		delete(k.watched, m)
--- a/internal/core/leader/counters.go
+++ b/internal/core/leader/counters.go
@@ -27,6 +27,7 @@
 	mailed  = "mailed"
 	sick    = "sick"
 	deaf    = "deaf"
+	mute    = "mute"
 	booting = "booting"
 	leaving = "leaving"
 )
@@ -41,6 +42,8 @@
 		return sick
 	case m.Hearing.Deaf():
 		return deaf
+	case m.Mute != 0:
+		return mute
 	case m.Mailed:
 		return mailed
 	case l.box.Now()-m.Spoke > l.suspectAfter():
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -141,7 +141,7 @@
 // offers tells whether a machine may be given work at all.
 func (l *Leader) offers(m *zone.Machine) bool {
 	return l.survey.byName[m.Zone] != nil && l.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= l.claim.Base() && !m.Releasing &&
-		!m.Failed && !m.Anew && m.NoticeAt == 0 && !m.Sick() && !m.Hearing.Deaf() && l.box.Now()-m.Spoke <= l.suspectAfter()
+		!m.Failed && !m.Anew && m.NoticeAt == 0 && !m.Sick() && !m.Hearing.Deaf() && m.Mute == 0 && l.box.Now()-m.Spoke <= l.suspectAfter()
 }
 
 // suspectAfter is how long a worker may say nothing before it gets no more work.
--- a/internal/core/leader/workers.go
+++ b/internal/core/leader/workers.go
@@ -153,7 +153,7 @@
 			r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.Task, Attempt: t.Attempt, State: t.State, Cause: t.Cause, Saved: t.Saved})
 		}
 		if l.owner.Hear(m, &r, false) {
-			m.Mailed = true
+			m.Mailed, m.Mute = true, 0 // a home has heard its report
 			l.owner.Roster().Introduce(m)
 			l.reconsider(m)
 		}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -161,10 +161,13 @@
 // Hear takes a worker's message, by whichever way it came, and draws the
 // conclusions.
 func (o *Owner) Hear(m *zone.Machine, r *wire.Report, isReport bool) bool {
-	first, session, token, had := m.Session == 0, m.Session, m.Token, m.Tasks
+	first, session, token, had, mute := m.Session == 0, m.Session, m.Token, m.Tasks, m.Mute
 	if !m.Ingest(o.box.Now(), r, isReport) {
 		return false
 	}
+	if (m.Mute != 0) != (mute != 0) {
+		o.to.Looks(m)
+	}
 	if !first && m.Session > session && m.Hearing.LeaseEnded(o.box.Now(), config.FromSeconds(o.cfg.Cluster.Workers.LeaseS)) {
 		o.seemsDeaf(m, "its lease has ended though its reports were answered")
 	}
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -67,6 +67,10 @@
 	Errors     map[string]Micros // jobs that failed here since the last success
 	Hearing    Hearing
 	Anew       bool // its worker has forgotten sessions: it can't be told what is over there
+	// Mute is since when its worker is known to reach nobody; 0: it does. Calls reach it and are answered,
+	// but its lease has ended and no report of the session after that has come by any way: what runs there
+	// ends with each lease, whatever is called.
+	Mute Micros
 
 	known bool          // in a roster
 	place *list.Element // in its order of silence; nil: none
@@ -98,6 +102,12 @@
 	if r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq {
 		return false
 	}
+	switch {
+	case isReport:
+		m.Mute = 0
+	case m.Session != 0 && r.Session > m.Session && m.Mute == 0:
+		m.Mute = now
+	}
 	if r.Session > m.Session {
 		m.ReplySeq = 0
 	}
@@ -133,7 +143,7 @@
 	if session != m.Session || seq <= m.Seq {
 		return false
 	}
-	m.Seq, m.Heard, m.Mailed = seq, now, false
+	m.Seq, m.Heard, m.Mailed, m.Mute = seq, now, false, 0
 	return true
 }
 
