--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -325,10 +325,14 @@
 			return http.StatusUnprocessableEntity, "unknown zone"
 		}
 	}
-	if f.catalog.Runs(s) {
-		return 0, ""
+	if !f.catalog.Runs(s) {
+		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
 	}
-	return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
+	// All of a gang run at once. Some of a service or an array can, and the others when there is a zone for them.
+	if s.Shape == wire.Gang && s.Spread && s.Tasks > 1 && (s.OneZone || f.catalog.Zones(s) < 2) {
+		return http.StatusUnprocessableEntity, "a gang can't be spread over one zone"
+	}
+	return 0, ""
 }
 
 // current reads a job's record and hands the job over, nil if there is none;
--- a/internal/core/zone/catalog.go
+++ b/internal/core/zone/catalog.go
@@ -49,6 +49,22 @@
 	return false
 }
 
+// Zones counts the zones in which a task of a job could run.
+func (c *Catalog) Zones(s *wire.Job) int {
+	zones := map[string]bool{}
+	for _, t := range c.Types {
+		if !Allows(s, t) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if s.Zone == "" || s.Zone == z {
+				zones[z] = true
+			}
+		}
+	}
+	return len(zones)
+}
+
 // Slim returns a description without what no longer decides anything: machine types
 // that there are none of. It returns nil if that is nothing.
 func (c *Catalog) Slim(s *wire.Job) *wire.Job {
--- /dev/null
+++ b/internal/scenario/submissions_test.go
@@ -0,0 +1,162 @@
+package scenario
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
+	"coralhub/internal/standin"
+	"coralhub/wire"
+)
+
+// sound is a submission that may run, by the wire's names.
+func sound(id string) map[string]any {
+	return map[string]any{"ref": id, "docket": "c", "desk": "red", "shape": wire.Array, "rank": wire.Normal, "lots": 2, "cores": 1.0, "gpus": 1.0,
+		"ram_gb": 1.0, "build": "i", "pull_gb": 1.0, "rigs": []string{"t4"}, "yard": "a", "one_zone": false, "spread": false, "loaners": true,
+		"expect_s": 3.0, "bookmark_s": 0.0, "stash_s": 0.0, "due_s": 60.0}
+}
+
+// with is a sound submission with some fields changed; absent ones are taken out.
+func with(id string, change map[string]any) map[string]any {
+	m := sound(id)
+	for name, v := range change {
+		if m[name] = v; v == absent {
+			delete(m, name)
+		}
+	}
+	return m
+}
+
+// absent stands for a field that isn't there.
+const absent = "\x00absent"
+
+// badSubmissions are submissions that lack a field, hold a bad one or can never run, by the
+// protocol's list of fields and statuses; the name is what the answer has to mention.
+func badSubmissions() map[string]struct {
+	change map[string]any
+	status int
+	says   string
+} {
+	type bad = struct {
+		change map[string]any
+		status int
+		says   string
+	}
+	one := func(status int, says, name string, v any) bad { return bad{map[string]any{name: v}, status, says} }
+	out := map[string]bad{
+		"no such shape":                 one(400, "shape", "shape", "heap"),
+		"no such rank":                  one(400, "rank", "rank", "urgent"),
+		"no tasks":                      one(400, "lots", "lots", 0),
+		"less than none":                one(400, "lots", "lots", -3),
+		"half a task":                   one(400, "lots", "lots", 1.5),
+		"too many tasks":                one(400, "lots", "lots", 100_001),
+		"negative amount":               one(400, "cores", "cores", -1.0),
+		"amount without end":            one(400, "gpus", "gpus", 1e300),
+		"no machine types":              one(400, "rigs", "rigs", []string{}),
+		"types that aren't a list":      one(400, "rigs", "rigs", "t4"),
+		"zone that isn't text":          one(400, "yard", "yard", 3),
+		"deadline before it begins":     one(400, "due_s", "due_s", -1.0),
+		"unknown team":                  one(422, "team", "desk", "green"),
+		"unknown machine type":          one(422, "type", "rigs", []string{"t5"}),
+		"unknown zone":                  one(422, "zone", "yard", "c"),
+		"more cores than a machine has": one(422, "type", "cores", 17.0),
+		"more GPUs than a machine has":  one(422, "type", "gpus", 5.0),
+		"more memory than one has":      one(422, "type", "ram_gb", 65.0),
+		"type isn't in its zone":        {map[string]any{"rigs": []string{"only-b"}, "yard": "a"}, 422, "type"},
+		"fits only a type it may not":   {map[string]any{"rigs": []string{"t4"}, "yard": nil, "cores": 20.0}, 422, "type"},
+		"gang beyond the team's limit":  {map[string]any{"shape": wire.Gang, "lots": 9, "gpus": 3.0}, 422, "limit"},
+		"replicas beyond it":            {map[string]any{"shape": wire.Service, "lots": 25}, 422, "limit"},
+		"task of an array beyond it":    {map[string]any{"desk": "blue", "rigs": []string{"only-b"}, "yard": nil, "gpus": 9.0}, 422, "limit"},
+		"spread gang with one zone":     {map[string]any{"shape": wire.Gang, "spread": true}, 422, "zone"},
+		"spread gang in one zone":       {map[string]any{"shape": wire.Gang, "spread": true, "yard": nil, "one_zone": true}, 422, "zone"},
+		"spread gang, types of a zone":  {map[string]any{"shape": wire.Gang, "spread": true, "yard": nil, "rigs": []string{"only-b"}}, 422, "zone"},
+	}
+	for name, of := range map[string]any{"ref": 7, "docket": 7, "desk": 7, "shape": 7, "rank": 7, "lots": "2", "cores": "1", "gpus": "1", "ram_gb": "1",
+		"build": 7, "pull_gb": "1", "one_zone": 1, "spread": "no", "loaners": "yes", "expect_s": "3", "bookmark_s": "0", "stash_s": true} {
+		says := name
+		if name == "ref" {
+			says = ""
+		}
+		out[name+" absent"] = one(400, says, name, absent)
+		out[name+" null"] = one(400, says, name, nil)
+		out[name+" of another kind"] = one(400, says, name, of)
+	}
+	return out
+}
+
+// newOddWorld is a world with a second machine type, which one zone alone has.
+func newOddWorld() *Sim {
+	s := NewSim(3)
+	s.world.Types = append(s.world.Types, wire.MachineType{Name: "only-b", CPUs: 32, GPUs: 16, MemoryGB: 64, CacheGB: 100, FetchGBs: 1,
+		Price: 9, SpotPrice: 5, BootS: 2, Zones: []string{"b"}})
+	s.Run(3 * standin.Second)
+	return s
+}
+
+func (s *Sim) submitRaw(t *testing.T, n *node, m map[string]any) msg.Answer {
+	t.Helper()
+	raw, err := wire.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Ask(n, func(req uint64) msg.Input { return msg.SubmitIn{Req: req, Wall: s.now, Body: raw} })
+}
+
+// A submission that can't run or lacks a field gets its status and one clear line, at every node, and leaves
+// nothing behind; the same as a repetition of one that was accepted gets 200, whatever it holds.
+func TestSubmissionsThatCantRun(t *testing.T) {
+	s := newOddWorld()
+	if a := s.submitRaw(t, s.nodes[0], sound("j-1")); a.Status != 201 {
+		t.Fatalf("the sound one: %s", describe(a))
+	}
+	s.world.Jobs["j-1"] = &standin.JobIn{Job: wire.Job{ID: "j-1", Team: "red", Shape: wire.Array, Tasks: 2, GPUs: 1, Zone: "a", Spot: true}, Run: 200 * standin.Second}
+	before := len(s.state.List(job.Root + "job/"))
+	number := 1
+	for name, bad := range badSubmissions() {
+		number++
+		for _, n := range s.nodes {
+			a := s.submitRaw(t, n, with(fmt.Sprint("j-", number), bad.change))
+			e, _ := a.Body.(wire.Error)
+			if a.Status != bad.status || !strings.Contains(e.Error, bad.says) || e.Error == "" || strings.Contains(e.Error, "\n") {
+				t.Errorf("%s at %s: %d %q, want %d about %q", name, n.name, a.Status, e.Error, bad.status, bad.says)
+			}
+			if _, named := bad.change["ref"]; named {
+				continue // it is no repetition of anything
+			}
+			if a := s.submitRaw(t, n, with("j-1", bad.change)); a.Status != 200 {
+				t.Errorf("%s as a repetition at %s: %s", name, n.name, describe(a))
+			}
+		}
+	}
+	if n := len(s.state.List(job.Root + "job/")); n != before {
+		t.Errorf("%d jobs are stored, %d before", n, before)
+	}
+}
+
+// What the protocol lets a submission leave out or hold may be left out or held.
+func TestSubmissionsThatMayRun(t *testing.T) {
+	s := newOddWorld()
+	for name, change := range map[string]map[string]any{
+		"nothing optional":        {"rigs": absent, "yard": absent, "due_s": absent},
+		"all of that null":        {"rigs": nil, "yard": nil, "due_s": nil},
+		"a field nobody knows":    {"colour": map[string]any{"deep": []int{1}}},
+		"whole amounts":           {"cores": 1, "gpus": 0, "expect_s": 3},
+		"a type that is unknown":  {"rigs": []string{"t5", "t4"}},
+		"spread array in a zone":  {"spread": true, "lots": 3},
+		"spread replicas in one":  {"spread": true, "shape": wire.Service},
+		"spread gang over both":   {"spread": true, "shape": wire.Gang, "yard": nil},
+		"spread gang of one task": {"spread": true, "shape": wire.Gang, "lots": 1},
+		"only in the other zone":  {"rigs": []string{"only-b"}, "yard": "b", "gpus": 16.0},
+		"array beyond the limit":  {"lots": 1000},
+		"service with an estimate": {
+			"shape": wire.Service, "expect_s": 9.0},
+	} {
+		id := fmt.Sprint("j-", len(s.state.List(job.Root+"job/")))
+		if a := s.submitRaw(t, s.nodes[1], with(id, change)); a.Status != 201 {
+			e, _ := a.Body.(wire.Error)
+			t.Errorf("%s: %s%s", name, describe(a), e.Error)
+		}
+	}
+}
