Zones are barred for jobs past the age cap for 45 s at a time, not without end

Cause: a job past the age cap without room barred its best zone for all of lower rank for as long as it waited, and what is in its way may never end. Change: 45 s barred, 45 s not, whichever job asks. Conclusion: no bar alone leaves room idle for 90 s.

--- a/internal/core/leader/alike.go
+++ b/internal/core/leader/alike.go
@@ -110,13 +110,27 @@
 func (l *Leader) unplaced(s *scan, j *Job, n fleet.Need) {
 	l.counters.without++
 	s.needs = append(s.needs, n)
-	if l.box.Now()-j.arrived > config.FromSeconds(l.cfg.Settings.AgeCapS) && len(s.barred) == 0 {
+	if l.box.Now()-j.arrived > config.FromSeconds(l.cfg.Settings.AgeCapS) && len(s.barred) == 0 && l.mayBar() {
 		if z := l.roomiest(s, j.Rec.Spec); z != "" {
 			s.barred[z] = true
 		}
 	}
 }
 
+// barFor is how long a zone is barred at a time for jobs past the age cap; for as long the others have
+// their turn then, whichever job asks. What is in such a job's way may never end, and room that fits may not
+// lie idle for 90 s while a job waits.
+const barFor = 45 * config.Second
+
+// mayBar tells whether it is the turn of those past the age cap.
+func (l *Leader) mayBar() bool {
+	now := l.box.Now()
+	if l.survey.barSince == 0 || now-l.survey.barSince > 2*barFor {
+		l.survey.barSince = now
+	}
+	return now-l.survey.barSince <= barFor
+}
+
 const (
 	// entryCost is about what a pass takes for a job that waits, on a whole core
 	// (BenchmarkFlood).
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -32,6 +32,8 @@
 	plans   map[string]map[*Job]int // tasks about to be placed, by machine
 	alike   alike
 
+	barSince Micros // when zones were barred for jobs past the age cap, the last time it was their turn
+
 	lookedAt Looked
 }
 
