--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -517,7 +517,7 @@
 	}
 	head := fmt.Sprintf("world nodes=%d scale=%d quota=%d lease=%gs cancel=%gs report=%s", d.nodes, 1+rnd.IntN(3), quota, d.lease, d.in, report) + young
 	weather := "weather seed=" + fmt.Sprint(seed)
-	for _, w := range []string{"late_writes", "lost_writes", "slow_writes", "slow_there", "slow_watch", "slow_reports", "slow_beats", "held_calls", "lost_calls"} {
+	for _, w := range []string{"late_writes", "lost_writes", "slow_writes", "slow_there", "slow_watch", "late_copies", "slow_reports", "slow_beats", "held_calls", "lost_calls"} {
 		if rnd.IntN(3) == 0 {
 			weather += fmt.Sprintf(" %s=%.2f", w, rnd.Float64()*0.4)
 		}
@@ -536,6 +536,9 @@
 				line += " " + word
 			}
 		}
+		if i > 0 && rnd.IntN(5) == 0 { // one that may be a service, or not have come yet, is refused
+			line += fmt.Sprintf(" needs=j-%d", rnd.IntN(i))
+		}
 		d.say(at, "%s", line)
 	}
 	at := d.within(6, 20)
--- a/internal/scenario/runner_test.go
+++ b/internal/scenario/runner_test.go
@@ -624,6 +624,14 @@
 		r := m.Status()
 		m.Reported(s.now, s.world.ReportEvery)
 		s.copies.keep(s.now, &r)
+		if again, after := s.weather.copies(s.world.Lease); again {
+			to := s.nodes[s.weather.rnd.IntN(len(s.nodes))]
+			s.in(after, func() {
+				if to.alive {
+					s.repeat(to, &r)
+				}
+			})
+		}
 		if there, back := s.weather.report(); there+back > 0 {
 			s.slowReport(n, m, r, there, back)
 			continue
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -29,6 +29,7 @@
 //	                                lease=10s, report=2s: of workers, else 4 s and 1 s; cancel=40s: a
 //	                                cancellation's time, else 20 s; scale=3, quota=25: as many times the
 //	                                machines, and so many changes a second
+//	                                hang_keeps: a machine that hangs beyond its lease has its tasks until it goes on
 //	                                boot=2s: of machines; unlisted=5s: the cloud lists them so late
 //	looks cancel=0.2 at_end=0.3 seed=1
 //	                                users ask at all nodes again and again right after a job is accepted or over, and
@@ -110,6 +111,7 @@
 	s.world.CancelIn = length(t, d, "cancel", "20s")
 	s.world.Boot = length(t, d, "boot", "2s")
 	s.world.Unlisted = length(t, d, "unlisted", "0s")
+	s.world.HangKeeps = d.HasArg("hang_keeps")
 	s.copies = &copies{late: 3 * s.world.Lease}
 	s.world.ReportEvery = length(t, d, "report", "1s")
 	if d.HasArg("lease") || d.HasArg("cancel") || d.HasArg("report") {
@@ -124,6 +126,11 @@
 func pick(t *testing.T, s *Sim, d *datadriven.TestData) *node {
 	name := "n1"
 	d.MaybeScanArgs(t, "node", &name)
+	known := slices.Contains([]string{"leader", "old", "heir", "other", "others", "all"}, name) ||
+		slices.ContainsFunc(s.nodes, func(n *node) bool { return n.name == name })
+	if !known {
+		t.Fatalf("%s: there is no node %q", d.Pos, name)
+	}
 	return s.pick(name)
 }
 
--- a/internal/scenario/weather_test.go
+++ b/internal/scenario/weather_test.go
@@ -23,6 +23,7 @@
 	slowWrites  float64 // carried out at once, answered up to 2 s later
 	slowThere   float64 // carried out, and checked, up to 2 s later, and answered then
 	slowWatch   float64 // answers of listings and watches that come up to 2 s later
+	lateCopies  float64 // reports of which a copy arrives again, 2 s to three leases later, at whichever node
 	slowReports float64 // reports and their answers that take up to 6 s, both ways together
 	slowBeats   float64 // answers to beats
 	heldCalls   float64 // direct commands carried out 1 to 9 s later, without an answer
@@ -36,7 +37,7 @@
 	d.MaybeScanArgs(t, "seed", &seed)
 	w.rnd = rand.New(rand.NewPCG(seed, 4711))
 	for name, to := range map[string]*float64{"late_writes": &w.lateWrites, "lost_writes": &w.lostWrites, "slow_writes": &w.slowWrites, "slow_there": &w.slowThere,
-		"slow_watch": &w.slowWatch, "slow_reports": &w.slowReports, "slow_beats": &w.slowBeats, "held_calls": &w.heldCalls, "lost_calls": &w.lostCalls} {
+		"slow_watch": &w.slowWatch, "late_copies": &w.lateCopies, "slow_reports": &w.slowReports, "slow_beats": &w.slowBeats, "held_calls": &w.heldCalls, "lost_calls": &w.lostCalls} {
 		*to = share(t, d, name)
 	}
 	return w
@@ -116,6 +117,14 @@
 	return w.between(0, 3*standin.Second), w.between(tick, 3*standin.Second)
 }
 
+// copies draws whether a copy of a report comes again, and when.
+func (w *weather) copies(lease standin.Micros) (again bool, after standin.Micros) {
+	if w == nil || w.lateCopies == 0 || w.rnd.Float64() >= w.lateCopies {
+		return false, 0
+	}
+	return true, w.between(2*standin.Second, 3*lease)
+}
+
 func (w *weather) slowNews() standin.Micros {
 	if w == nil || w.rnd.Float64() >= w.slowWatch {
 		return 0
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -25,9 +25,12 @@
 	ReportEvery Micros
 	// Unlisted is how long a new machine is missing from lists; it may be up by then.
 	Unlisted Micros
-	CloudOff bool
-	Broken   []string
-	Rented   int
+	// HangKeeps reads the protocol so that a machine which hangs beyond its lease has its tasks until it
+	// goes on, and ends them then. Otherwise they are over with the lease: it may go on within its lease alone.
+	HangKeeps bool
+	CloudOff  bool
+	Broken    []string
+	Rented    int
 	// Model has machines differ, boot late, fetch images and lose spot machines; nil:
 	// everything takes as long as it is said to.
 	Model *Model
@@ -182,7 +185,7 @@
 		if now < m.Up {
 			continue
 		}
-		if now-m.alive > w.Lease { // whether it hangs or not: it may go on within its lease alone
+		if now-m.alive > w.Lease && !(w.HangKeeps && m.Hang) { // whether it hangs or not: it may go on within its lease alone
 			w.lose(now, m)
 			m.tasks, m.changed = nil, true
 			m.Session++
