A cancellation is told only when no start in the answer to a report can follow it

Cause: leader.assure waited for starts sent by calls, not for one in the answer to the worker's last report; on a slow link, above all by way of a home, that answer is on its way for up to 4 s. Change: zone.Machine.StartOnItsWay; such a start counts until a later report follows or a worker has waited too long for it. Conclusion: nothing starts after 'cancelled'; told later by at most a report's interval in just that moment.

--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -541,9 +541,9 @@
 			sure = false
 			return
 		}
-		if _, seen := m.Tasks[p.Key(j.ID)]; !seen && (m.DirectStart || m.Token <= m.Ambiguous) {
+		if _, seen := m.Tasks[p.Key(j.ID)]; !seen && m.StartOnItsWay(l.box.Now()) {
 			sure = false
-			if !m.DirectStart {
+			if !m.DirectStart && m.Unsure() {
 				l.claim.WantRaise()
 			}
 		}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -272,7 +272,7 @@
 		}
 		if m.Settled() {
 			o.to.Close(key, m.Name, false) // never started, and nothing can start it any more
-		} else if reply && !m.DirectStart && m.Token <= m.Ambiguous {
+		} else if reply && !m.DirectStart && m.Unsure() {
 			o.claim.WantRaise()
 		}
 	}
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -47,6 +47,7 @@
 	DirectStart bool // and it carries a start
 	Ambiguous   uint64
 	ReplySeq    uint64            // last report whose answer carried a start
+	replyAt     Micros            // when that came, until a report follows it; 0: none is awaited
 	Asked       map[string]uint64 // the starts that it carried: attempts, by task
 	directToken uint64
 	directID    uint64
@@ -109,7 +110,10 @@
 		m.Mute = now
 	}
 	if r.Session > m.Session {
-		m.ReplySeq = 0
+		m.ReplySeq, m.replyAt = 0, 0
+	}
+	if isReport { // there is one at a time: the answer to the one before it has been taken, or never will be
+		m.replyAt = 0
 	}
 	m.Session, m.Seq, m.Heard = r.Session, r.Seq, now
 	m.Wanted = m.Wanted && !isReport
@@ -164,7 +168,7 @@
 
 // SentByReply notes that the answer to the newest report carries a start.
 func (m *Machine) SentByReply(orders []wire.Order) {
-	m.ReplySeq, m.settled = m.Seq, false
+	m.ReplySeq, m.replyAt, m.settled = m.Seq, m.Heard, false
 	m.Asked = map[string]uint64{}
 	for _, o := range orders {
 		if o.Verb == wire.Start {
@@ -173,6 +177,16 @@
 	}
 }
 
+// Unsure tells whether a start may still arrive that was sent by a call without an answer. A higher token
+// voids it.
+func (m *Machine) Unsure() bool { return m.Token <= m.Ambiguous }
+
+// StartOnItsWay tells whether a start that was sent may still take effect. One in the answer to a report
+// does before the next report, and no later than a worker waits for answers.
+func (m *Machine) StartOnItsWay(now Micros) bool {
+	return m.DirectStart || m.Unsure() || m.replyAt != 0 && now-m.replyAt <= answerTime+answerTime/100
+}
+
 // SentDirect notes a direct call.
 func (m *Machine) SentDirect(now Micros, id, token uint64, start bool) {
 	m.Direct, m.DirectStart, m.DirectAt, m.directID, m.directToken = true, start, now, id, token
--- a/internal/core/zone/zone_test.go
+++ b/internal/core/zone/zone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"coralhub/internal/config"
 	"flag"
 	"fmt"
 	"math"
--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -473,6 +473,20 @@
 		d.say(end, "heal node=all")
 		return end
 	},
+	// Jobs are cancelled just as they are placed, with their starts on the way over slow links.
+	"just_placed": func(d *drawing, at float64) float64 {
+		d.say(0, "weather seed=%d slow_reports=%.2f held_calls=%.2f lost_calls=%.2f slow_there=%.2f", d.rnd.IntN(1000), d.within(0.3, 1), d.within(0, 0.3), d.within(0, 0.3), d.within(0, 0.3))
+		for range 12 {
+			when := at + d.within(0, 10)
+			id := d.submit(when, "shape=%s tasks=%d run=60s", []string{"array", "array", "gang", "service"}[d.rnd.IntN(4)], 1+d.rnd.IntN(5))
+			d.say(when+d.within(0.1, 3), "withdraw id=%s", id)
+		}
+		if d.rnd.IntN(3) == 0 {
+			d.say(at+d.within(0, 10), "node node=leader kill")
+			d.say(at+12, "revive")
+		}
+		return at + 14
+	},
 	// There is more work than room, urgent and not, over slow links.
 	"crowd": func(d *drawing, at float64) float64 {
 		d.say(0, "weather seed=%d slow_reports=%.2f slow_beats=%.2f slow_writes=%.2f slow_there=%.2f", d.rnd.IntN(1000), d.within(0.2, 0.6), d.within(0.2, 0.6), d.within(0, 0.4), d.within(0, 0.3))
@@ -723,7 +737,7 @@
 
 // symptom is what kind of thing is wrong.
 func symptom(wrong string) string {
-	for _, rule := range []string{"ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "idle_room", "invented", "not_done", "went_back", "orphaned", "not ended", "survey", "accounts", "placed twice", "without a claim"} {
+	for _, rule := range []string{"ran_twice", "quota", "wrong_place", "ran_cancelled", "started_cancelled", "forgotten", "idle_room", "invented", "not_done", "went_back", "orphaned", "not ended", "survey", "accounts", "placed twice", "without a claim"} {
 		if strings.Contains(wrong, rule) {
 			return rule
 		}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -439,8 +439,8 @@
 			w.broken(now, "too_early %s before %s", o.Task, need)
 		}
 	}
-	if j.Cancelled != 0 && now-j.Cancelled > w.CancelIn {
-		w.broken(now, "ran_cancelled %s starts", o.Task)
+	if j.Cancelled != 0 { // no rule yet, but the protocol's word: no task may be started from then on
+		w.broken(now, "started_cancelled %s on %s, %d ms after its user was told", o.Task, m.Name, (now-j.Cancelled)/1000)
 	}
 	zones := map[string]int{}
 	for _, name := range w.Names() {
