--- a/internal/core/zone/zone_test.go
+++ b/internal/core/zone/zone_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"coralhub/internal/config"
 	"flag"
 	"fmt"
 	"math"
@@ -12,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"coralhub/internal/config"
 	"coralhub/wire"
 )
 
@@ -148,11 +148,14 @@
 	}
 	m.SentByReply(nil)
 	m.Ingest(6, report(2, 8, 11), false)
-	if m.Settled() {
+	if m.Settled() || !m.StartOnItsWay(6) {
 		t.Fatal("the answer to a direct call says nothing about the answer to a report")
 	}
+	if m.StartOnItsWay(5+answerTime+config.Second) || m.Settled() {
+		t.Fatal("a worker takes no answer so late, and it has not said what became of it")
+	}
 	m.Ingest(7, report(2, 9, 11), true)
-	if !m.Settled() {
+	if !m.Settled() || m.StartOnItsWay(7) {
 		t.Fatal("not settled after the next report")
 	}
 }
