--- a/internal/scenario/runner_test.go
+++ b/internal/scenario/runner_test.go
@@ -406,10 +406,35 @@
 	}
 }
 
+// guards are what a transaction that writes a key has to be guarded by, by the key's prefix: the
+// version of what it replaces, the claim that it is written under, or both. Which interleaving would break a rule
+// without one takes luck to draw.
+var guards = map[string]struct{ own, claim bool }{
+	"job/": {own: true}, "part/": {true, true}, "ended/": {true, true}, "leader": {own: true}, "standing/": {claim: true},
+	"mail/": {claim: true}, "format": {true, true},
+}
+
+// allGuarded checks that a transaction has the guards that its keys ask for.
+func (s *Sim) allGuarded(t *wire.Commit) {
+	by := map[string]bool{}
+	for _, g := range t.Guards {
+		by[g.Key] = true
+	}
+	for _, c := range t.Changes {
+		key := c.Put + c.Delete
+		for prefix, need := range guards {
+			if strings.HasPrefix(key, job.Root+prefix) && (need.own && !by[key] || need.claim && !by[job.Root+"leader"]) {
+				s.world.Broken = append(s.world.Broken, "written without its guards: "+key)
+			}
+		}
+	}
+}
+
 // guarded checks what a scenario can hardly bring about: that a transaction
 // which places tasks can't take effect once its sender's claim is gone, and that
 // no task is placed that has a place. It tells whether any is placed.
 func (s *Sim) guarded(t *wire.Commit) (places bool) {
+	s.allGuarded(t)
 	claimed := false
 	for _, g := range t.Guards {
 		if s.state.Get(g.Key).Version != g.Version {
