--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -254,3 +254,20 @@
 	put("n9", 52, true)
 	is("rewritten", 52, 44)
 }
+
+// A claim of an earlier process of the node isn't this one's, though the node is the same and it holds a lease: that
+// process's transactions and calls may still be on their way under it, and it ends with the other's lease.
+func TestClaimOfAnEarlierProcess(t *testing.T) {
+	w := newTwo(t)
+	w.step(func() { w.a.Tick() })
+	made := w.transaction(w.step(func() { w.a.LeaseDone(msg.LeaseDone{Outcome: msg.OK, Lease: 7}) }))
+	w.step(func() { w.box.CommitDone(msg.CommitDone{ID: made.ID, Outcome: msg.Refused}) })
+	value, err := job.Encode(Value{"n1", 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.step(func() { w.a.Apply(&wire.Change{Put: "zone/a", Value: value, Version: 9}, true) })
+	if w.a.Held() {
+		t.Error("it leads by the claim of an earlier process")
+	}
+}
