A task that failed on a machine may come back there after 60 s, not 120

Cause: with no other room, a job waited for up to 120 s beside a machine that was sound again and fitted; the rule allows 90 s.

--- a/internal/core/leader/workers.go
+++ b/internal/core/leader/workers.go
@@ -52,6 +52,10 @@
 	l.closeSaved(key, m.Name, t.Cause == wire.Done, t.Saved)
 }
 
+// elsewhereFor is how long a task that failed on a machine is tried elsewhere. The machine may be sound again and
+// have the only room, and that may not lie idle for 90 s while the job waits.
+const elsewhereFor = 60 * config.Second
+
 // failed tells machines that fail everything from jobs that fail everywhere.
 // The task is tried elsewhere first; a job that keeps failing waits longer and
 // longer, and a machine on which different jobs fail gets no more work.
@@ -64,7 +68,7 @@
 	if j.failedOn == nil {
 		j.failedOn = map[string]Micros{}
 	}
-	j.failedOn[m.Name] = l.box.Now() + 120*config.Second
+	j.failedOn[m.Name] = l.box.Now() + elsewhereFor
 	if m.Sick() {
 		if !wasSick {
 			l.box.Log("machine fails its tasks", "machine", m.Name)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -62,7 +62,7 @@
 //	  links: state, watch, answer (to one transaction), workers, peers, cloud
 //	zone name=a cut mode=hold       its nodes and machines reach only each other, until a heal of all
 //	state down|up, cloud down|up    outages
-//	machine name=m-000000 hang|resume|fail|die
+//	machine name=m-000000 hang|resume|fail|sound|die
 //	machine nth=3 ...               the machine of that number, modulo how many there are
 //	machine name=m-000000 deaf|hears its reports arrive, nothing reaches it
 //	machine name=m-000000 only=old  no other node reaches it, nor it them, until only=any
@@ -110,6 +110,7 @@
 	s.world.Lease = length(t, d, "lease", "4s")
 	s.world.CancelIn = length(t, d, "cancel", "20s")
 	s.world.Boot = length(t, d, "boot", "2s")
+	s.world.Types[0].BootS = float64(s.world.Boot) / 1e6
 	s.world.Unlisted = length(t, d, "unlisted", "0s")
 	s.world.HangKeeps = d.HasArg("hang_keeps")
 	s.copies = &copies{late: 3 * s.world.Lease}
@@ -491,6 +492,8 @@
 		s.world.Restart(s.now, standin.Second/2, m, d.HasArg("anew"))
 	case d.HasArg("fail"):
 		s.world.Fails[name] = s.now
+	case d.HasArg("sound"):
+		delete(s.world.Fails, name)
 	case d.HasArg("die"):
 		s.world.Release(s.now, []string{name})
 	}
