A machine that seems faulty is tried again when nothing else has room

Cause: a machine on which two jobs failed got no work until a task succeeded there that began later, so never; beside work that never ends it is not idle and not given back. Change: with something unplaced and no failure there for 60 s it offers its room again; the next failure withdraws it.

--- a/internal/core/leader/counters.go
+++ b/internal/core/leader/counters.go
@@ -38,7 +38,7 @@
 		return leaving
 	case m.Session == 0:
 		return booting
-	case m.Sick():
+	case m.Sick() && !m.Retried:
 		return sick
 	case m.Hearing.Deaf():
 		return deaf
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -73,6 +73,7 @@
 		l.bar(s, e.Level)
 		l.place(s, e)
 	})
+	l.survey.lacked = l.counters.without > 0
 	l.rent(s)
 	if l.survey.judgeDue {
 		l.survey.judgeDue = false
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -32,6 +32,7 @@
 	plans   map[string]map[*Job]int // tasks about to be placed, by machine
 	alike   alike
 
+	lacked   bool   // something found no room in the last pass
 	barSince Micros // when zones were barred for jobs past the age cap, the last time it was their turn
 
 	lookedAt Looked
@@ -143,7 +144,14 @@
 // offers tells whether a machine may be given work at all.
 func (l *Leader) offers(m *zone.Machine) bool {
 	return l.survey.byName[m.Zone] != nil && l.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= l.claim.Base() && !m.Releasing &&
-		!m.Failed && !m.Anew && m.NoticeAt == 0 && !m.Sick() && !m.Hearing.Deaf() && m.Mute == 0 && l.box.Now()-m.Spoke <= l.suspectAfter()
+		!m.Failed && !m.Anew && m.NoticeAt == 0 && (!m.Sick() || m.Retried) && !m.Hearing.Deaf() && m.Mute == 0 && l.box.Now()-m.Spoke <= l.suspectAfter()
+}
+
+// retry decides whether a machine that seems faulty is given work again. It goes back once it is idle; with work that
+// never ends it never is. So it is tried when something has found no room and nothing has failed there for
+// a while. Another failure ends that, a success clears what is held against it.
+func (l *Leader) retry(m *zone.Machine) {
+	m.Retried = m.Sick() && (m.Retried || l.survey.lacked && l.box.Now()-m.LastFailed() > elsewhereFor)
 }
 
 // suspectAfter is how long a worker may say nothing before it gets no more work.
@@ -182,6 +190,7 @@
 	s := &l.survey
 	s.whole, s.wholeAt, s.judgeDue = false, l.box.Now(), true
 	for _, m := range l.owner.Roster().All() {
+		l.retry(m)
 		l.touch(m)
 	}
 	if len(s.alike) > mostAlike {
--- a/internal/core/leader/workers.go
+++ b/internal/core/leader/workers.go
@@ -62,7 +62,7 @@
 func (l *Leader) failed(m *zone.Machine, j *Job) {
 	wasSick := m.Sick()
 	if j.failures < 3 { // a job that fails everywhere says nothing about machines
-		m.Errors[j.ID] = l.box.Now()
+		m.Errors[j.ID], m.Retried = l.box.Now(), false
 		l.reconsider(m)
 	}
 	if j.failedOn == nil {
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -66,6 +66,7 @@
 	IdleSince  Micros
 	FullUntil  Micros
 	Errors     map[string]Micros // jobs that failed here since the last success
+	Retried    bool              // it is given work though it seems faulty, to see whether it still is
 	Hearing    Hearing
 	Anew       bool // its worker has forgotten sessions: it can't be told what is over there
 	// Mute is since when its worker is known to reach nobody; 0: it does. Calls reach it and are answered,
@@ -214,5 +215,14 @@
 // Sick tells whether it is the machine that fails what it is given.
 func (m *Machine) Sick() bool { return len(m.Errors) >= sickJobs }
 
+// LastFailed is when a task failed there last, as far as that is held against it.
+func (m *Machine) LastFailed() Micros {
+	last := Micros(0)
+	for _, at := range m.Errors {
+		last = max(last, at)
+	}
+	return last
+}
+
 // ByName compares machines by their names.
 func ByName(a, b *Machine) int { return cmp.Compare(a.Name, b.Name) }
