--- a/internal/scenario/idle_test.go
+++ b/internal/scenario/idle_test.go
@@ -85,11 +85,15 @@
 	return free
 }
 
-// couldStart tells whether a job that has no place could begin: an array or a service with one task, a gang
-// with all of them.
+// couldStart tells whether more of a job could start: one task of an array or a service, all of a gang that has no
+// place. What has places already and is bound by them is left out.
 func (s *Sim) couldStart(id string, open map[string]*openJob, free map[string]float64) bool {
 	j, o := s.world.Jobs[id], open[id]
-	if o == nil || !o.known || o.over || len(o.on) > 0 || s.world.Done(id) || len(s.world.On(id, true)) > 0 {
+	if o == nil || !o.known || o.over || s.world.Done(id) {
+		return false
+	}
+	has := max(len(o.on), len(s.world.On(id, true)))
+	if has > 0 && (j.Shape == wire.Gang || j.OneZone || j.Spread || s.world.DoneTasks(id)+has >= j.Tasks) {
 		return false
 	}
 	for _, need := range j.Needs {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -522,6 +522,9 @@
 	return used
 }
 
+// DoneTasks counts the tasks of a job that have completed.
+func (w *World) DoneTasks(id string) int { return len(w.done[id]) }
+
 // Done tells whether every task of a job has completed.
 func (w *World) Done(id string) bool {
 	j := w.Jobs[id]
