--- a/internal/core/reign_test.go
+++ b/internal/core/reign_test.go
@@ -118,3 +118,23 @@
 		t.Error("nothing is closed though the worker has seen our token")
 	}
 }
+
+// A task that no record places on its machine is never let run, whatever has started it there.
+func TestWhatIsNotPlacedIsStopped(t *testing.T) {
+	f := newFleet(t, 2)
+	in := f.report(1, nil).(msg.ReportIn)
+	stray := wire.TaskName(waitingName(0), 0)
+	in.Report.Tasks = append(in.Report.Tasks, wire.TaskReport{Task: stray, Attempt: 1, State: wire.Running})
+	for _, e := range f.step(1, in) {
+		a, ok := e.(msg.Answer)
+		if !ok {
+			continue
+		}
+		orders := a.Body.(wire.ReportAnswer).Orders
+		if len(orders) != 1 || orders[0].Verb != wire.Stop || orders[0].Task != stray || orders[0].GraceS == nil || *orders[0].GraceS != 0 {
+			t.Errorf("it is told %+v", orders)
+		}
+		return
+	}
+	t.Error("no answer")
+}
