--- a/internal/core/leader/counters.go
+++ b/internal/core/leader/counters.go
@@ -74,6 +74,6 @@
 	n := &l.counters
 	l.box.Debug("leader", "passes", n.passes, "placed", n.placed, "pending", n.pending, "without", n.without, "held", n.held, "moved", n.moved,
 		"writing", l.writing, "waiting", len(l.dirty)+len(l.delayed), "closing", closing, "log", len(l.ended.fresh),
-		usable, states[usable], quiet, states[quiet], mailed, states[mailed], sick, states[sick], deaf, states[deaf], booting, states[booting], leaving, states[leaving])
+		usable, states[usable], quiet, states[quiet], mailed, states[mailed], sick, states[sick], deaf, states[deaf], mute, states[mute], booting, states[booting], leaving, states[leaving])
 	l.counters = counters{at: l.box.Now()}
 }
