--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -644,8 +644,11 @@
 			s = newWorld(t, d)
 			continue
 		}
-		command(t, s, d)
+		out := command(t, s, d)
 		if cmd == "submit" {
+			if strings.HasPrefix(out, "400") {
+				t.Fatalf("%s: a drawn submission is malformed", line)
+			}
 			id := ""
 			d.ScanArgs(t, "id", &id)
 			s.Watch(id)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -500,6 +500,9 @@
 	return name + "\n"
 }
 
+// ranks are the usual names of priorities; scripts may use those of the wire as well.
+var ranks = map[string]string{"production": wire.Production, "normal": wire.Normal, "low": wire.Low}
+
 func description(t *testing.T, d *datadriven.TestData, id string) *standin.JobIn {
 	shape, team, rank := wire.Array, "red", wire.Normal
 	tasks, gpus, save := 1, 1, 0
@@ -511,7 +514,9 @@
 		shape = wire.Gang
 	}
 	d.MaybeScanArgs(t, "team", &team)
-	d.MaybeScanArgs(t, "rank", &rank)
+	if d.MaybeScanArgs(t, "rank", &rank); ranks[rank] != "" {
+		rank = ranks[rank]
+	}
 	d.MaybeScanArgs(t, "tasks", &tasks)
 	d.MaybeScanArgs(t, "gpus", &gpus)
 	d.MaybeScanArgs(t, "save", &save)
