A silent machine that the cloud's lists lack is deleted without the grace of a crowd

Deletions of a deposed leader came late; the heir held a cancelled job's places on machines that were gone, and with many of a zone silent it waited six times the usual silence before it asked for the proof, longer after each late copy of a report. Change: three times the lists' lag without the machine, in lists that came, and the usual silence is enough.

--- a/internal/core/fleet/keeper.go
+++ b/internal/core/fleet/keeper.go
@@ -45,6 +45,7 @@
 	fleet    *Fleet
 	deleted  map[string]Micros // machines proven gone, which the lagging list still names
 	lastList Micros
+	listedAt Micros // when a list came last
 	listing  bool
 
 	kinds   map[*zone.Machine]Kind // those that count
@@ -191,6 +192,7 @@
 	if !k.ready || x.Outcome != msg.OK {
 		return
 	}
+	k.listedAt = k.box.Now()
 	listed := make(map[string]bool, len(x.Machines))
 	for i := range x.Machines {
 		l := &x.Machines[i]
@@ -209,6 +211,14 @@
 		}
 		m.Describe(l.Addr, l.Type, l.Zone, l.Spot)
 	}
+	for _, m := range k.owner.Roster().All() {
+		switch {
+		case listed[m.Name]:
+			m.Unlisted = 0
+		case m.Unlisted == 0:
+			m.Unlisted = k.box.Now()
+		}
+	}
 	for name, since := range k.deleted {
 		if !listed[name] && k.box.Now()-since > 5*config.FromSeconds(k.cfg.Cluster.Cloud.ListLagS) {
 			delete(k.deleted, name)
@@ -267,7 +277,7 @@
 			continue
 		}
 		limit := silence
-		if k.silentFor(m) > silence && k.inCrowd(m, &crowds) {
+		if k.silentFor(m) > silence && !k.vanished(m) && k.inCrowd(m, &crowds) {
 			limit = 6 * silence
 		}
 		why := ""
@@ -312,6 +322,13 @@
 	}
 }
 
+// vanished tells whether the cloud's lists have lacked a machine for longer than they lag: a deletion of a
+// predecessor's that came late, most likely. That proves nothing, but its own deletion does, and there is no
+// worker to be spared.
+func (k *Keeper) vanished(m *zone.Machine) bool {
+	return m.Unlisted != 0 && k.listedAt-m.Unlisted > 3*config.FromSeconds(k.cfg.Cluster.Cloud.ListLagS)
+}
+
 // inCrowd tells whether so many machines of a zone are quiet, deaf or mute that it is rather the network.
 func (k *Keeper) inCrowd(m *zone.Machine, crowds *map[string]bool) bool {
 	if *crowds == nil {
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -62,7 +62,8 @@
 	Releasing  bool
 	Doomed     bool // a deletion without an answer may still be executed
 	ReleasedAt Micros
-	Failed     bool // the cloud says that it has stopped by itself
+	Failed     bool   // the cloud says that it has stopped by itself
+	Unlisted   Micros // since when the cloud's lists lack it; 0: they don't
 	IdleSince  Micros
 	FullUntil  Micros
 	Errors     map[string]Micros // jobs that failed here since the last success
