--- a/internal/core/leader/alike.go
+++ b/internal/core/leader/alike.go
@@ -123,12 +123,15 @@
 const barFor = 45 * config.Second
 
 // mayBar tells whether it is the turn of those past the age cap.
-func (l *Leader) mayBar() bool {
-	now := l.box.Now()
-	if l.survey.barSince == 0 || now-l.survey.barSince > 2*barFor {
-		l.survey.barSince = now
+func (l *Leader) mayBar() bool { return turn(&l.survey.barSince, l.box.Now(), barFor) }
+
+// turn tells whether it is the turn of what asks for it: for so long from when it first asks, and then not for as
+// long, however often it does. It notes when the turn began.
+func turn(since *Micros, now, length Micros) bool {
+	if *since == 0 || now-*since > 2*length {
+		*since = now
 	}
-	return now-l.survey.barSince <= barFor
+	return now-*since <= length
 }
 
 const (
--- a/internal/core/leader/intime.go
+++ b/internal/core/leader/intime.go
@@ -428,11 +428,7 @@
 	if keep <= 0 || j.Rec.Spec.Shape != wire.Gang || k == nil || j != k.first && k.lane(j) != widest {
 		return false
 	}
-	now := l.box.Now()
-	if j.drainSince == 0 || now-j.drainSince > 2*keep {
-		j.drainSince = now
-	}
-	return now-j.drainSince <= keep
+	return turn(&j.drainSince, l.box.Now(), keep)
 }
 
 // drain keeps free machines of a zone for a gang that has found no room. One at a time in a
