State service requests and changes are counted by what they are for

Change: transactions have a Purpose (counted, decides nothing); the store counts transactions, changes and other requests by it, in the debug log (msg=purposes) and in /metrics.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -195,7 +195,7 @@
 
 func (c *Claim) make() {
 	c.claiming = true
-	c.box.Commit(c.over(0), func(d msg.CommitDone) {
+	c.box.Commit(c.over(0), msg.ForClaim, func(d msg.CommitDone) {
 		c.claiming = false
 		switch d.Outcome {
 		case msg.OK:
@@ -349,7 +349,7 @@
 	}
 	c.raising, c.wantRaise, c.raised = true, false, c.box.Now()
 	old := c.token
-	c.box.Commit(c.over(old), func(d msg.CommitDone) {
+	c.box.Commit(c.over(old), msg.ForClaim, func(d msg.CommitDone) {
 		if !c.held || c.token != old {
 			return
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -229,7 +229,7 @@
 		if err != nil || !c.form.Fits(value) {
 			return
 		}
-		c.box.Commit(wire.Commit{Changes: []wire.Change{{Put: catalogKey, Value: value}}}, func(d msg.CommitDone) {
+		c.box.Commit(wire.Commit{Changes: []wire.Change{{Put: catalogKey, Value: value}}}, msg.ForOther, func(d msg.CommitDone) {
 			if d.Outcome == msg.OK && d.Revision > c.catalogVersion {
 				c.catalogVersion = d.Revision
 			}
--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -286,7 +286,7 @@
 	f.box.Transact(wire.Commit{
 		Guards:  []wire.Guard{{Key: key, Version: 0}},
 		Changes: []wire.Change{{Put: key, Value: value}},
-	}, msg.Accept, func(d msg.CommitDone) {
+	}, msg.Accept, msg.ForAccept, func(d msg.CommitDone) {
 		switch d.Outcome {
 		case msg.OK:
 			f.node.Wrote(wire.Change{Put: key, Value: value, Version: d.Revision})
@@ -400,7 +400,7 @@
 	}
 	sort.Slice(guards, func(i, j int) bool { return guards[i].Key < guards[j].Key })
 	f.checking, f.checkAt = true, f.box.Now()+checkEvery
-	f.box.Commit(wire.Commit{Guards: guards}, func(d msg.CommitDone) {
+	f.box.Commit(wire.Commit{Guards: guards}, msg.ForConfirm, func(d msg.CommitDone) {
 		f.checking = false
 		batch := f.asked
 		f.asked = nil
@@ -535,7 +535,7 @@
 	f.box.Commit(wire.Commit{
 		Guards:  []wire.Guard{{Key: key, Version: j.Version}},
 		Changes: []wire.Change{{Put: key, Value: value}},
-	}, func(d msg.CommitDone) {
+	}, msg.ForMark, func(d msg.CommitDone) {
 		switch d.Outcome {
 		case msg.OK:
 			f.node.Wrote(wire.Change{Put: key, Value: value, Version: d.Revision})
@@ -625,7 +625,7 @@
 	for _, id := range batch {
 		t.Guards = append(t.Guards, wire.Guard{Key: job.RecordKey(id)})
 	}
-	f.box.Commit(t, func(d msg.CommitDone) {
+	f.box.Commit(t, msg.ForConfirm, func(d msg.CommitDone) {
 		if d.Outcome != msg.OK && (d.Outcome != msg.Conflict || len(d.Failed) == 0) {
 			then("", msg.Unknown)
 			return
--- a/internal/core/home/home.go
+++ b/internal/core/home/home.go
@@ -435,7 +435,7 @@
 	h.box.Commit(wire.Commit{
 		Guards:  []wire.Guard{h.leader.HoldersGuard()},
 		Changes: []wire.Change{{Put: MailPrefix + h.cfg.Node, Value: value}},
-	}, func(d msg.CommitDone) {
+	}, msg.ForMail, func(d msg.CommitDone) {
 		h.mailOut = false
 		if d.Outcome != msg.OK {
 			return
--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -382,7 +382,7 @@
 	if t.rec != nil && t.rec.Final() && (j.AwaitedBy() > 0 || j.Doomed()) {
 		turn = msg.First
 	}
-	l.box.Transact(t.commit, turn, func(d msg.CommitDone) {
+	l.box.Transact(t.commit, turn, t.purpose(), func(d msg.CommitDone) {
 		if reign == l.reigns {
 			l.writing -= len(t.commit.Changes)
 		}
@@ -432,6 +432,19 @@
 	})
 }
 
+// purpose is what the transaction is counted as.
+func (t *txn) purpose() msg.Purpose {
+	switch {
+	case t.rec != nil && t.rec.Final():
+		return msg.ForJobEnd
+	case len(t.placed) > 0:
+		return msg.ForPlacement
+	case len(t.closes) > 0:
+		return msg.ForClosing
+	}
+	return msg.ForCleanup
+}
+
 // forget drops closings that have been dealt with.
 func (j *Job) forget(closes []closing) {
 	j.closes = slices.DeleteFunc(j.closes, func(cl closing) bool {
--- a/internal/core/leader/decide.go
+++ b/internal/core/leader/decide.go
@@ -148,7 +148,7 @@
 	d := &l.deciding
 	t := d.txn
 	d.out = true
-	l.box.Transact(*t, msg.First, func(x msg.CommitDone) {
+	l.box.Transact(*t, msg.First, msg.ForDecision, func(x msg.CommitDone) {
 		if !l.claim.Held() || d.txn != t {
 			return
 		}
--- a/internal/core/leader/ended.go
+++ b/internal/core/leader/ended.go
@@ -104,7 +104,7 @@
 
 func (l *Leader) sendEnded(t *wire.Commit) {
 	l.ended.out = true
-	l.box.CommitLater(*t, func(d msg.CommitDone) {
+	l.box.CommitLater(*t, msg.ForEndedPage, func(d msg.CommitDone) {
 		e := &l.ended
 		if !l.claim.Held() || e.txn != t {
 			return
@@ -196,7 +196,7 @@
 		l.box.CommitLater(wire.Commit{
 			Guards:  []wire.Guard{l.claim.Guard(), {Key: key, Version: p.Version}},
 			Changes: []wire.Change{{Delete: key}},
-		}, func(d msg.CommitDone) {
+		}, msg.ForCleanup, func(d msg.CommitDone) {
 			delete(leaving, n)
 			if d.Outcome == msg.OK && l.book.Page(n) == p {
 				l.book.Forget(n)
--- a/internal/core/leader/hints.go
+++ b/internal/core/leader/hints.go
@@ -83,7 +83,7 @@
 	l.box.CommitLater(wire.Commit{
 		Guards:  []wire.Guard{l.claim.Guard()},
 		Changes: []wire.Change{{Put: hintPrefix + strconv.Itoa(n), Value: value}},
-	}, func(d msg.CommitDone) { p.changed = p.changed || d.Outcome != msg.OK })
+	}, msg.ForHint, func(d msg.CommitDone) { p.changed = p.changed || d.Outcome != msg.OK })
 }
 
 // fitHints encodes hints so that they fit a value: images go first, then the
--- a/internal/core/leader/learning.go
+++ b/internal/core/leader/learning.go
@@ -142,7 +142,7 @@
 		l.box.CommitLater(wire.Commit{
 			Guards:  []wire.Guard{l.claim.Guard(), {Key: key, Version: v.version}},
 			Changes: []wire.Change{{Put: key, Value: value}},
-		}, func(d msg.CommitDone) {
+		}, msg.ForLearnt, func(d msg.CommitDone) {
 			v.out = false
 			if d.Outcome == msg.OK && d.Revision > v.version {
 				v.version, v.raw, v.at = d.Revision, value, observed
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -193,6 +193,7 @@
 		ID   uint64
 		Txn  wire.Commit
 		Turn Turn
+		For  Purpose `json:"-"`
 	}
 	// Read asks for a key.
 	Read struct {
--- a/internal/core/outbox/outbox.go
+++ b/internal/core/outbox/outbox.go
@@ -71,14 +71,18 @@
 
 // Commit asks for a transaction that should not wait: somebody is to be answered
 // or a claim hangs on it.
-func (b *Box) Commit(t wire.Commit, then func(msg.CommitDone)) { b.Transact(t, msg.First, then) }
+func (b *Box) Commit(t wire.Commit, purpose msg.Purpose, then func(msg.CommitDone)) {
+	b.Transact(t, msg.First, purpose, then)
+}
 
 // CommitLater asks for a transaction that gives way to those of Commit when the
 // state service is short of changes.
-func (b *Box) CommitLater(t wire.Commit, then func(msg.CommitDone)) { b.Transact(t, msg.Later, then) }
+func (b *Box) CommitLater(t wire.Commit, purpose msg.Purpose, then func(msg.CommitDone)) {
+	b.Transact(t, msg.Later, purpose, then)
+}
 
 // Transact asks for a transaction of any kind.
-func (b *Box) Transact(t wire.Commit, turn msg.Turn, then func(msg.CommitDone)) {
+func (b *Box) Transact(t wire.Commit, turn msg.Turn, purpose msg.Purpose, then func(msg.CommitDone)) {
 	id := b.NextID()
 	b.commits[id] = func(d msg.CommitDone) {
 		if d.Outcome == msg.Invalid {
@@ -86,7 +90,7 @@
 		}
 		then(d)
 	}
-	b.Emit(msg.Commit{ID: id, Txn: t, Turn: turn})
+	b.Emit(msg.Commit{ID: id, Txn: t, Turn: turn, For: purpose})
 }
 
 // Read asks for a key.
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -62,7 +62,7 @@
 		panic(err) // a struct of a number always encodes
 	}
 	c.formatAt = c.box.Now() + formatPause
-	c.box.Commit(wire.Commit{Guards: guards, Changes: []wire.Change{{Put: key, Value: value}}}, func(d msg.CommitDone) {
+	c.box.Commit(wire.Commit{Guards: guards, Changes: []wire.Change{{Put: key, Value: value}}}, msg.ForOther, func(d msg.CommitDone) {
 		if d.Outcome == msg.OK {
 			c.apply(&wire.Change{Put: key, Value: value, Version: d.Revision})
 			then(d)
--- a/internal/node/count/count.go
+++ b/internal/node/count/count.go
@@ -13,6 +13,9 @@
 // Add counts one more.
 func (c *Counter) Add() { c.n.Add(1) }
 
+// AddN counts n more.
+func (c *Counter) AddN(n int) { c.n.Add(int64(n)) }
+
 // Total is how many there were.
 func (c *Counter) Total() float64 { return float64(c.n.Load()) }
 
--- a/internal/node/metrics/metrics.go
+++ b/internal/node/metrics/metrics.go
@@ -26,8 +26,15 @@
 	steps   *prometheus.HistogramVec
 }
 
+// Store counts what was asked of the state service, by name, since the process began.
+type Store interface {
+	Totals() map[string]float64   // transactions by turn and what became of them
+	Requests() map[string]float64 // by purpose
+	Changes() map[string]float64  // puts and deletes, by purpose
+}
+
 // New returns the metrics of a node: of what its core and adapters count.
-func New(gauges func() (leader.Gauges, bool), store, peers func() map[string]float64) *Metrics {
+func New(gauges func() (leader.Gauges, bool), store Store, peers func() map[string]float64) *Metrics {
 	r := prometheus.NewRegistry()
 	m := &Metrics{steps: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "coralhub_step_seconds",
 		Help: "Time that the core took for an input, by kind; a pass is part of the input that it followed.", Buckets: prometheus.ExponentialBuckets(1e-5, 4, 9)},
@@ -49,8 +56,9 @@
 
 // counted is what is counted when somebody asks.
 type counted struct {
-	gauges       func() (leader.Gauges, bool)
-	store, peers func() map[string]float64
+	gauges func() (leader.Gauges, bool)
+	store  Store
+	peers  func() map[string]float64
 }
 
 func desc(name, help string, labels ...string) *prometheus.Desc {
@@ -77,11 +85,15 @@
 	usedTask   = desc("used_task_seconds", "Task time of such placements: all, on spot machines, and work that had to be repeated.", "team", "class", "kind", "of")
 	begun      = desc("begun_share", "Part of the jobs whose time to begin was up within ten minutes that had a place by then, by class, team and the largest tenth of a class; of the leader.", "by", "name")
 	begunOf    = desc("begun_jobs", "How many jobs begun_share is of.", "by", "name")
-	reports    = desc("reports_total", "Reports of workers that were handed to the leader, or lost on the way.", "what")
+
+	stateRequests = desc("state_requests_total", "Requests to the state service, refused ones too, by what they are for.", "purpose")
+	stateChanges  = desc("state_changes_total", "Puts and deletes sent to the state service and not refused for its quota, by what they are for.", "purpose")
+
+	reports = desc("reports_total", "Reports of workers that were handed to the leader, or lost on the way.", "what")
 )
 
 func (c *counted) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{leading, records, unfinished, placements, waiting, machines, writing, takeovers, passes, looked, learnt, changes, pace, reports, inTime, judged, begun, begunOf, usedGPU, usedTask} {
+	for _, d := range []*prometheus.Desc{leading, records, unfinished, placements, waiting, machines, writing, takeovers, passes, looked, learnt, changes, pace, stateRequests, stateChanges, reports, inTime, judged, begun, begunOf, usedGPU, usedTask} {
 		ch <- d
 	}
 }
@@ -93,7 +105,13 @@
 	total := func(d *prometheus.Desc, v float64, labels ...string) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, v, labels...)
 	}
-	for name, v := range c.store() {
+	for purpose, v := range c.store.Requests() {
+		total(stateRequests, v, purpose)
+	}
+	for purpose, v := range c.store.Changes() {
+		total(stateChanges, v, purpose)
+	}
+	for name, v := range c.store.Totals() {
 		if name == "later_pace" {
 			gauge(pace, v)
 			continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,7 +68,7 @@
 	n.peers = peer.New(cfg, fromWorkers)
 	n.api = httpapi.New(n.offer, func() bool { return n.loaded.Load() && !n.isolated.Load() && !n.retired.Load() }, cfg.Settings.Admin)
 	if cfg.Settings.Metrics {
-		n.metrics = metrics.New(n.api.Gauges, n.store.Totals, n.peers.Totals)
+		n.metrics = metrics.New(n.api.Gauges, n.store, n.peers.Totals)
 		n.api.Serve(metrics.Path, n.metrics)
 	}
 	n.adapters = []adapter{n.api, n.store, worker.New(fromWorkers), cloud.New(cfg, post), n.peers}
@@ -177,6 +177,7 @@
 		if now.Sub(counted) >= countEvery && slog.Default().Enabled(ctx, slog.LevelDebug) {
 			counted = now
 			slog.Debug("changes", n.store.Counters()...)
+			slog.Debug("purposes", n.store.PurposeTotals()...)
 			slog.Debug("peers", n.peers.Counters()...)
 			slog.Debug("inputs", n.inputs.Counters()...)
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -247,7 +248,7 @@
 		}
 		return false
 	})
-	leaders := 0
+	leaders, accepted := 0, 0.0
 	for _, c := range r.configs {
 		res, err := r.client.Get("http://" + c.Listen + metrics.Path)
 		if err != nil {
@@ -256,6 +257,10 @@
 		text, _ := io.ReadAll(res.Body)
 		_ = res.Body.Close()
 		leaders += strings.Count(string(text), "\ncoralhub_leading 1\n")
+		accepted += metricOf(t, string(text), `coralhub_state_changes_total{purpose="accept"}`)
+		if metricOf(t, string(text), `coralhub_state_requests_total{purpose="watch"}`) == 0 {
+			t.Errorf("%s has counted no watches", c.Node)
+		}
 		if !strings.Contains(string(text), `coralhub_step_seconds_count{input="tick"}`) || !strings.Contains(string(text), `coralhub_changes_total{kind="later_taken"}`) {
 			t.Errorf("metrics: %s", text)
 		}
@@ -263,6 +268,9 @@
 	if leaders != 1 {
 		t.Errorf("%d nodes say that they lead", leaders)
 	}
+	if accepted != 3 { // j-1, j-2 and j-3, each by one change
+		t.Errorf("%g changes for accepted jobs", accepted)
+	}
 	if ask(r, r.configs[0].Listen, httpapi.PathEstimates+"?most=0", &leader.Estimates{}) {
 		t.Error("most=0 was taken")
 	}
@@ -328,3 +336,15 @@
 	}
 	r.kept()
 }
+
+// metricOf returns the value of a sample of a page of metrics.
+func metricOf(t *testing.T, page, sample string) float64 {
+	t.Helper()
+	_, rest, found := strings.Cut(page, "\n"+sample+" ")
+	text, _, _ := strings.Cut(rest, "\n")
+	value, err := strconv.ParseFloat(text, 64)
+	if !found || err != nil {
+		t.Errorf("metrics: no number for %s", sample)
+	}
+	return value
+}
--- a/internal/node/store/store.go
+++ b/internal/node/store/store.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
 	"net/url"
 	"slices"
@@ -19,7 +18,6 @@
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
 	"coralhub/internal/node/call"
-	"coralhub/internal/node/count"
 	"coralhub/internal/node/keep"
 	"coralhub/internal/node/share"
 	"coralhub/internal/wait"
@@ -59,38 +57,6 @@
 	tally   tally
 }
 
-// tally counts what became of transactions that change something, since the process
-// began, by turn.
-type tally struct {
-	taken, refused [msg.Turns]count.Counter // by the service
-	unsent         [msg.Turns]count.Counter // their turn would have come too late
-}
-
-var turns = [msg.Turns]string{msg.First: "first", msg.Accept: "accept", msg.Later: "later"}
-
-// Totals tells what became of changes since the process began, by name.
-func (s *Store) Totals() map[string]float64 {
-	t := &s.tally
-	out := map[string]float64{"later_pace": float64(s.later.limiter.Limit())}
-	for i, kind := range turns {
-		out[kind+"_taken"] = t.taken[i].Total()
-		out[kind+"_refused"] = t.refused[i].Total()
-	}
-	return out
-}
-
-// Counters tells what became of changes since it was last asked, and how many a
-// second those may take that give way. It is for the debug log, which alone asks.
-func (s *Store) Counters() []any {
-	t := &s.tally
-	var out []any
-	for i, kind := range turns {
-		out = append(out, kind, t.taken[i].Since(), kind+"_refused", t.refused[i].Since(), kind+"_unsent", t.unsent[i].Since())
-	}
-	pace := func(p *paced) float64 { return math.Round(float64(p.limiter.Limit())*10) / 10 }
-	return append(out, "later_pace", pace(s.later), "accept_pace", pace(s.accept), "calls_pace", pace(s.calls))
-}
-
 // New returns a client that posts its results, in times of the core's clock.
 func New(cfg *config.Config, clock func() msg.Micros, post func(msg.Input)) *Store {
 	s := &cfg.Cluster.State
@@ -233,12 +199,14 @@
 		s.tally.unsent[x.Turn].Add()
 	} else {
 		var a wire.CommitAnswer
+		s.tally.transactions[x.For].Add()
 		status, err := s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
 		// The quota allows bursts: a moment later there is mostly room again for
 		// what somebody waits for.
 		for try := 0; x.Turn != msg.Later && status == http.StatusTooManyRequests && try < quotaTries; try++ {
 			s.took(&x, true)
 			wait.For(ctx, quotaPause)
+			s.tally.transactions[x.For].Add()
 			status, err = s.call(ctx, http.MethodPost, wire.PathCommit, x.Txn, &a)
 		}
 		done.Outcome, done.Revision, done.Failed = outcome(status, err), a.Revision, a.Failed
@@ -249,6 +217,7 @@
 			s.tally.refused[x.Turn].Add()
 		case len(x.Txn.Changes) > 0:
 			s.tally.taken[x.Turn].Add()
+			s.tally.changes[x.For].AddN(len(x.Txn.Changes))
 		}
 		switch {
 		case err != nil:
@@ -309,6 +278,7 @@
 	defer cancel()
 	done := msg.ReadDone{ID: x.ID, Outcome: msg.Refused, Key: x.Key}
 	if s.ask(ctx) == nil {
+		s.tally.reads.Add()
 		status, err := s.call(ctx, http.MethodGet, wire.PathStore+"/"+x.Key, nil, &done.Item)
 		s.calls.took(time.Now(), status == http.StatusTooManyRequests)
 		done.Outcome = outcome(status, err)
@@ -323,6 +293,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
 	began := time.Now()
+	s.tally.leases.Add()
 	var a wire.LeaseAnswer
 	status, err := s.callOn(ctx, s.alive, http.MethodPost, wire.PathLeases, wire.LeaseRequest{TTLms: x.TTL / 1000}, &a)
 	done := msg.LeaseDone{Outcome: outcome(status, err), Lease: a.Lease, Age: time.Since(began).Microseconds()}
@@ -338,6 +309,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
 	began := time.Now()
+	s.tally.leases.Add()
 	path := wire.PathLeases + "/" + strconv.FormatUint(lease, 10) + "/" + wire.ExtendVerb
 	status, err := s.callOn(ctx, s.alive, http.MethodPost, path, struct{}{}, nil)
 	done := msg.LeaseDone{Outcome: outcome(status, err), Lease: lease, Renewal: true}
@@ -377,6 +349,7 @@
 			q.Set("from", from)
 		}
 		bounded, cancel := context.WithTimeout(ctx, 2*callTimeout)
+		s.tally.lists.Add()
 		var a wire.Items
 		status, err := s.call(bounded, http.MethodGet, wire.PathStore+"?"+q.Encode(), nil, &a)
 		cancel()
@@ -421,6 +394,7 @@
 		q := url.Values{"under": {job.Root}, "from": {strconv.FormatUint(from, 10)},
 			"wait_ms": {strconv.FormatInt(most.Milliseconds(), 10)}}
 		bounded, done := context.WithTimeout(ctx, watchWait+5*time.Second)
+		s.tally.watches.Add()
 		var a wire.Changes
 		status, err := s.callOn(bounded, s.alive, http.MethodGet, wire.PathChanges+"?"+q.Encode(), nil, &a)
 		done()
