coralhub scale: real controllers with hollow workers, at a size for which there are no machines

Change: internal/hollow, workers that speak the whole protocol and do no work, thousands a process, a socket each; internal/scale, controllers, state service with quotas and cloud for a region, load, samples of processor time, memory, files, requests and changes by purpose, rules judged by the kit's judge; internal/process takes from the kit how processes are started and measured. Settings are TOML with a schema.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -5,17 +5,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,7 +19,9 @@
 	"coralhub/internal/config"
 	"coralhub/internal/faults"
 	"coralhub/internal/judge"
+	"coralhub/internal/process"
 	"coralhub/internal/standin"
+	"coralhub/internal/user"
 	"coralhub/internal/wait"
 	"coralhub/wire"
 )
@@ -71,12 +67,11 @@
 	listen, peerListen string
 	file               string
 	mu                 sync.Mutex
-	cmd                *exec.Cmd
-	gone               chan struct{} // closed when the process has ended
+	process            *process.Process // the last that was started
 	restarts           int
-	wanted             bool // to be started again when it ends
-	cpu                time.Duration
-	peakMB             float64
+	wanted             bool          // to be started again when it ends
+	cpu                time.Duration // of the processes before
+	peakMB             float64       // of any
 }
 
 // Start starts a cluster. It returns when the processes run, not when they serve.
@@ -164,23 +159,6 @@
 	return p, err
 }
 
-// freePort returns a loopback address that nobody listens on. A node binds it a moment
-// later, and again whenever it is restarted: so it is none of those that the system
-// hands out by itself, to the next connection or listener that asks for any.
-func freePort() (string, error) {
-	const from, to, tries = 16_000, 32_000, 100 // systems hand out ports above
-	var last error
-	for range tries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", from+rand.IntN(to-from)))
-		if err != nil {
-			last = err
-			continue
-		}
-		return l.Addr().String(), l.Close()
-	}
-	return "", fmt.Errorf("no free port: %w", last)
-}
-
 // lay lays the links.
 func (c *Cluster) lay(state, cloud string) error {
 	zones := c.opt.Cluster.Zones
@@ -188,10 +166,10 @@
 		n := &Node{Name: fmt.Sprintf("node-%d", i), Zone: zones[i%len(zones)], Links: map[string]*faults.Proxy{}}
 		c.Nodes = append(c.Nodes, n)
 		var err error
-		if n.listen, err = freePort(); err != nil {
+		if n.listen, err = process.FreeAddress(); err != nil {
 			return err
 		}
-		if n.peerListen, err = freePort(); err != nil {
+		if n.peerListen, err = process.FreeAddress(); err != nil {
 			return err
 		}
 		for _, l := range []struct {
@@ -243,49 +221,29 @@
 // run starts a node's process. It ends by itself when its standard input does, so that
 // none is left behind even if this process is killed.
 func (c *Cluster) run(n *Node) error {
-	log, err := os.OpenFile(filepath.Join(c.opt.Dir, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
 	args := []string{"serve", "--with-parent", "--config", n.file}
 	if c.opt.Settings != "" {
 		args = append(args, "--settings", c.opt.Settings)
 	}
-	cmd := exec.Command(c.opt.Program, args...)
-	cmd.Env = append(os.Environ(), "LOG_LEVEL="+c.opt.Log)
-	cmd.Stdout, cmd.Stderr = log, log
-	in, err := cmd.StdinPipe()
+	p, err := process.Start(process.Options{Program: c.opt.Program, Args: args, Env: []string{"LOG_LEVEL=" + c.opt.Log},
+		Log: filepath.Join(c.opt.Dir, n.Name+".log")})
 	if err != nil {
 		return err
 	}
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	gone := make(chan struct{})
 	n.mu.Lock()
-	n.cmd, n.gone = cmd, gone
-	n.mu.Unlock()
-	go func() {
-		_ = cmd.Wait() // how it ended is in its log
-		_ = in.Close()
-		n.mu.Lock()
-		n.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
-		n.cmd = nil
-		n.mu.Unlock()
-		close(gone)
-	}()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		n.cpu += n.process.CPU()
+	}
+	n.process = p
 	return nil
 }
 
 // mind starts a node again some time after it has ended.
 func (c *Cluster) mind(ctx context.Context, n *Node) {
 	for {
-		n.mu.Lock()
-		gone := n.gone
-		n.mu.Unlock()
 		select {
-		case <-gone:
+		case <-n.current().Gone():
 		case <-ctx.Done():
 			return
 		}
@@ -304,15 +262,17 @@
 	}
 }
 
-// Signal sends a signal to a node's process; one that has ended gets none.
-func (n *Node) Signal(sig syscall.Signal) error {
+// current is the process that was started last; nil if none was.
+func (n *Node) current() *process.Process {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cmd == nil {
-		return nil
-	}
-	if err := n.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		return err
+	return n.process
+}
+
+// Signal sends a signal to a node's process; one that has ended gets none.
+func (n *Node) Signal(sig syscall.Signal) error {
+	if p := n.current(); p != nil {
+		return p.Signal(sig)
 	}
 	return nil
 }
@@ -329,12 +289,13 @@
 func (c *Cluster) Use() []Use {
 	var out []Use
 	for _, n := range c.Nodes {
+		p := n.current()
 		n.mu.Lock()
 		u := Use{Node: n.Name, CPUS: n.cpu.Seconds(), PeakMB: n.peakMB, Restarts: n.restarts}
-		if n.cmd != nil {
-			u.CPUS += processCPU(n.cmd.Process.Pid).Seconds()
-		}
 		n.mu.Unlock()
+		if p != nil {
+			u.CPUS += p.CPU().Seconds()
+		}
 		out = append(out, u)
 	}
 	return out
@@ -344,61 +305,21 @@
 func (c *Cluster) measure(ctx context.Context) {
 	wait.Every(ctx, 500*time.Millisecond, func() {
 		for _, n := range c.Nodes {
-			n.mu.Lock()
-			if n.cmd != nil {
-				n.peakMB = max(n.peakMB, processMB(n.cmd.Process.Pid))
+			p := n.current()
+			if p == nil {
+				continue
 			}
+			resident := p.Measure()
+			n.mu.Lock()
+			n.peakMB = max(n.peakMB, resident)
 			n.mu.Unlock()
 		}
 	})
 }
 
-// processMB is the memory that a process holds; 0 if that can't be told.
-func processMB(pid int) float64 {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.SplitSeq(string(raw), "\n") {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
-// processCPU is the processor time that a process has taken, to a hundredth of a second.
-func processCPU(pid int) time.Duration {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(raw), ") ")
-	f := strings.Fields(rest)
-	if len(f) < 13 {
-		return 0
-	}
-	user, _ := strconv.ParseInt(f[11], 10, 64)
-	system, _ := strconv.ParseInt(f[12], 10, 64)
-	return time.Duration(user+system) * 10 * time.Millisecond
-}
-
 // Ready tells whether a node takes requests.
 func (n *Node) Ready(ctx context.Context, client *http.Client) bool {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Users.Addr()+wire.PathReady, nil)
-	if err != nil {
-		return false
-	}
-	res, err := client.Do(req)
-	if err != nil {
-		return false
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<16))
-	_ = res.Body.Close()
-	return res.StatusCode == http.StatusOK
+	return user.Ready(ctx, client, n.Users.Addr())
 }
 
 // AwaitReady waits until every node takes requests.
@@ -430,11 +351,8 @@
 		_ = n.Signal(syscall.SIGKILL)
 	}
 	for _, n := range c.Nodes {
-		n.mu.Lock()
-		gone := n.gone
-		n.mu.Unlock()
-		if gone != nil {
-			<-gone
+		if p := n.current(); p != nil {
+			<-p.Gone()
 		}
 	}
 	for _, s := range c.servers {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -101,8 +101,12 @@
 func jobName(i int) string { return fmt.Sprintf("j-%06d", i) }
 
 // takeOver has a new node read all records, claim and read them again.
-func (f *fleet) takeOver(tb testing.TB) {
-	f.core = core.New(fleetConfig(f.machines), 0)
+func (f *fleet) takeOver(tb testing.TB) { f.startAs(tb, fleetConfig(f.machines)) }
+
+// startAs does so with settings of its own.
+func (f *fleet) startAs(tb testing.TB, cfg *config.Config) {
+	tb.Helper()
+	f.core = core.New(cfg, 0)
 	f.step(1, msg.Snapshot{Items: f.records, Revision: f.version})
 	f.step(config.Second, msg.Tick{Wall: f.now})
 	for _, e := range f.step(1, msg.LeaseDone{Outcome: msg.OK, Lease: 9}) {
--- /dev/null
+++ b/internal/scale/controllers.go
@@ -0,0 +1,108 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"coralhub/internal/config"
+	"coralhub/internal/process"
+	"coralhub/internal/user"
+	"coralhub/internal/wait"
+)
+
+// controller is a controller process.
+type controller struct {
+	*process.Process
+	name, zone, listen, peerListen string
+}
+
+// operators are the operators' own settings of the controllers: what is measured is read from
+// their metrics, and an idle machine is kept, since the fleet is to stay as large as it is.
+const operators = `{"metrics": true, "idle_return_s": 3600}`
+
+// readyWithin is how long controllers may take until all serve.
+const readyWithin = 60 * time.Second
+
+// startControllers starts a region's controllers, spread over its zones, and waits until they serve.
+func (r *region) startControllers(ctx context.Context) error {
+	if err := os.MkdirAll(r.dir, 0o700); err != nil {
+		return err
+	}
+	settings := filepath.Join(r.dir, "operators.json")
+	if err := os.WriteFile(settings, []byte(operators), 0o600); err != nil {
+		return err
+	}
+	zones := r.settings.zoneNames()
+	for i := range r.settings.Controllers {
+		c := &controller{name: fmt.Sprintf("%s-node-%d", r.name, i), zone: zones[i%len(zones)]}
+		for _, address := range []*string{&c.listen, &c.peerListen} {
+			var err error
+			if *address, err = process.FreeAddress(); err != nil {
+				return err
+			}
+		}
+		r.controllers = append(r.controllers, c)
+	}
+	for _, c := range r.controllers {
+		if err := r.startController(c, settings); err != nil {
+			return err
+		}
+	}
+	return r.awaitReady(ctx)
+}
+
+func (r *region) startController(c *controller, settings string) error {
+	p := config.Platform{Node: c.name, Location: c.zone, Listen: c.listen, PeerListen: c.peerListen, Cluster: r.settings.cluster(),
+		External: config.Outside{State: r.state, Cloud: r.cloud}}
+	for _, o := range r.controllers {
+		if o != c {
+			p.Peers = append(p.Peers, config.Peer{Node: o.name, Location: o.zone, Address: o.peerListen})
+		}
+	}
+	raw, err := toml.Marshal(&p)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(r.dir, c.name+".toml")
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		return err
+	}
+	c.Process, err = process.Start(process.Options{Program: r.options.Program, Args: append(r.options.ServeArgs, "--settings", settings, "--config", file),
+		Env: []string{"LOG_LEVEL=" + r.options.Log}, Log: filepath.Join(r.dir, c.name+".log")})
+	return err
+}
+
+func (r *region) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	for _, c := range r.controllers {
+		for !user.Ready(ctx, client, c.listen) {
+			if !wait.For(ctx, 20*time.Millisecond) {
+				return fmt.Errorf("%s is not ready, see %s: %w", c.name, filepath.Join(r.dir, c.name+".log"), ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+func (c *controller) kill() {
+	if c.Process != nil {
+		kill(c.Process)
+	}
+}
+
+// kill ends a process and waits for its end.
+func kill(p *process.Process) {
+	if p.Signal(syscall.SIGKILL) == nil {
+		<-p.Gone()
+	}
+}
--- /dev/null
+++ b/internal/scale/machines.go
@@ -0,0 +1,169 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"coralhub/internal/hollow"
+	"coralhub/internal/judge"
+	"coralhub/internal/wait"
+	"coralhub/wire"
+)
+
+// rentAll rents as many machines as there are, up at once: what is measured is a fleet that runs.
+func (r *region) rentAll() {
+	r.servers.With(func() {
+		w := r.servers.World
+		boot := w.Boot
+		w.Boot = 0
+		for _, zone := range r.settings.zoneNames() {
+			w.Rent(r.servers.Now(), wire.Rent{Name: "at-start-" + zone, Type: "m", Zone: zone, Count: w.Capacity[zone]})
+		}
+		w.Boot = boot
+	})
+}
+
+// machineChanged hears from the cloud that a machine was rented or is gone. The cloud's lock is held.
+func (r *region) machineChanged(e judge.Event) {
+	e.At = now()
+	r.record(e)
+	switch e.Kind {
+	case judge.Machine:
+		up := time.Duration(r.servers.World.Machines[e.Machine].Up-r.servers.Now()) * time.Microsecond
+		h := r.assign(e.Machine)
+		m := hollow.Machine{Name: e.Machine, Type: e.Host.Type, Zone: e.Host.Zone, Spot: e.Host.Spot, GPUs: r.settings.Machine.GPUs}
+		start := func() { h.tell(hollow.Command{Start: &m}) }
+		if up <= 0 {
+			start()
+			return
+		}
+		time.AfterFunc(up, start)
+	case judge.Gone:
+		r.mu.Lock()
+		h := r.hostOf[e.Machine]
+		delete(r.hostOf, e.Machine)
+		if h != nil {
+			h.workers--
+		}
+		r.mu.Unlock()
+		if h != nil {
+			h.tell(hollow.Command{Remove: e.Machine})
+		}
+	}
+}
+
+// assign gives a machine to the process with the fewest.
+func (r *region) assign(machine string) *host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	least := r.hosts[0]
+	for _, h := range r.hosts {
+		if h.workers < least.workers {
+			least = h
+		}
+	}
+	least.workers++
+	r.hostOf[machine] = least
+	return least
+}
+
+// machineUp hears that a machine's worker listens: the cloud lists it as running.
+func (r *region) machineUp(u *hollow.Up) {
+	if u.Why != "" {
+		r.options.failed(fmt.Errorf("worker of %s: %s", u.Machine, u.Why))
+		return
+	}
+	r.mu.Lock()
+	r.up++
+	r.mu.Unlock()
+	r.servers.With(func() {
+		if m := r.servers.World.Machines[u.Machine]; m != nil {
+			m.Addr, m.State = u.Address, wire.Running
+		}
+	})
+}
+
+// upWithin is how long workers may take to listen.
+const upWithin = 60 * time.Second
+
+// awaitWorkers waits until all workers listen.
+func (r *region) awaitWorkers(ctx context.Context) error {
+	for deadline := time.Now().Add(upWithin); ; {
+		r.mu.Lock()
+		up := r.up
+		r.mu.Unlock()
+		if up >= r.settings.Workers {
+			return nil
+		}
+		if err := r.options.broke(); err != nil {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s: %d of %d workers listen after %v", r.name, up, r.settings.Workers, upWithin)
+		}
+		if !wait.For(ctx, 50*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+}
+
+// makeTrouble has machines fail and restart until ctx ends.
+func (r *region) makeTrouble(ctx context.Context, rnd *rand.Rand) {
+	f := &r.settings.Failures
+	const day = 24 * 3600
+	failures, restarts := f.FailedPerDay*f.Times/day, f.RestartedPerDay*f.Times/day // a second
+	all := failures + restarts
+	if all <= 0 {
+		return
+	}
+	for wait.For(ctx, time.Duration(rnd.ExpFloat64()/all*float64(time.Second))) {
+		name, err := r.anyMachine(rnd)
+		if err != nil {
+			continue
+		}
+		if rnd.Float64()*all < failures {
+			r.fail(name)
+			continue
+		}
+		r.mu.Lock()
+		h := r.hostOf[name]
+		r.troubles.Restarted++
+		r.mu.Unlock()
+		if h != nil {
+			h.tell(hollow.Command{Restart: &hollow.Restart{Machine: name, AwayS: f.AwayS}})
+		}
+	}
+}
+
+var errNoMachine = errors.New("no machine is up")
+
+func (r *region) anyMachine(rnd *rand.Rand) (name string, err error) {
+	r.servers.With(func() {
+		names := r.servers.World.Names()
+		if len(names) == 0 {
+			err = errNoMachine
+			return
+		}
+		name = names[rnd.IntN(len(names))]
+	})
+	return name, err
+}
+
+// fail ends a machine by itself: it stays listed, as failed, until it is deleted.
+func (r *region) fail(name string) {
+	r.servers.With(func() {
+		if m := r.servers.World.Machines[name]; m != nil {
+			m.State = wire.MachineFailed
+		}
+	})
+	r.mu.Lock()
+	h := r.hostOf[name]
+	r.troubles.Failed++
+	r.mu.Unlock()
+	if h != nil {
+		h.tell(hollow.Command{Remove: name})
+	}
+}
--- /dev/null
+++ b/internal/scale/region.go
@@ -0,0 +1,224 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"coralhub/internal/config"
+	"coralhub/internal/hollow"
+	"coralhub/internal/judge"
+	"coralhub/internal/process"
+	"coralhub/internal/standin"
+	"coralhub/internal/wait"
+	"coralhub/wire"
+)
+
+// region is a region's controllers, workers, state service and cloud.
+type region struct {
+	settings *Settings
+	options  *run
+	name     string
+	dir      string
+
+	servers     *standin.Servers
+	listeners   []*http.Server
+	state       string // addresses
+	cloud       string
+	controllers []*controller
+	hosts       []*host
+	gangs       gangs
+
+	mu       sync.Mutex
+	events   []judge.Event
+	hostOf   map[string]*host // by machine
+	up       int              // machines whose workers listen
+	troubles troubles
+}
+
+// host is a process of hollow workers.
+type host struct {
+	*process.Process
+	commands *json.Encoder
+	mu       sync.Mutex // of commands
+	usage    chan hollow.Usage
+	workers  int
+}
+
+// troubles counts what was done to machines.
+type troubles struct {
+	Failed    int `json:"failed"`
+	Restarted int `json:"restarted"`
+}
+
+func newRegion(s *Settings, opt *run, number int) *region {
+	name := "region-" + strconv.Itoa(number)
+	return &region{settings: s, options: opt, name: name, dir: filepath.Join(opt.Dir, name), servers: standin.NewServers(),
+		gangs: newGangs(), hostOf: map[string]*host{}}
+}
+
+// start starts everything and returns when all controllers serve and all workers listen.
+func (r *region) start(ctx context.Context) error {
+	if err := r.startServers(ctx); err != nil {
+		return err
+	}
+	if err := r.startControllers(ctx); err != nil {
+		return err
+	}
+	if err := r.startHosts(); err != nil {
+		return err
+	}
+	r.rentAll()
+	return r.awaitWorkers(ctx)
+}
+
+// startServers serves the state service and the cloud.
+func (r *region) startServers(ctx context.Context) error {
+	s := r.settings
+	r.servers.State.Keep = 10_000
+	r.servers.State.ValueBytes, r.servers.State.TxnOps = int(s.State.ValueKB*1024), s.State.TxnOps
+	r.servers.SetQuotas(s.State.RPS, s.State.WriteRPS, s.Cloud.RPS)
+	r.servers.Delay(time.Duration(s.State.DelayMS * float64(time.Millisecond)))
+	w := r.servers.World
+	w.Types, w.Capacity, w.Boot = []wire.MachineType{s.machineType()}, map[string]int{}, config.FromSeconds(s.Cloud.BootS)
+	w.Watch = r.machineChanged
+	for i, zone := range s.zoneNames() {
+		w.Capacity[zone] = part(s.Workers, s.Zones, i)
+	}
+	var err error
+	if r.state, err = r.serve(r.servers.StateHandler()); err != nil {
+		return err
+	}
+	if r.cloud, err = r.serve(r.servers.CloudHandler()); err != nil {
+		return err
+	}
+	go wait.Every(ctx, expireEvery, r.servers.Expire)
+	return nil
+}
+
+// expireEvery is how often leases of the state service are looked at.
+const expireEvery = 50 * time.Millisecond
+
+func (r *region) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	r.listeners = append(r.listeners, server)
+	go func() { _ = server.Serve(l) }() // ends when it is closed
+	return l.Addr().String(), nil
+}
+
+// startHosts starts the processes of hollow workers.
+func (r *region) startHosts() error {
+	p := &r.settings.Protocol
+	c := hollow.Config{ReportS: p.ReportS, LeaseS: p.LeaseS, GangWaitS: p.GangWaitS, GangPeerS: p.GangPeerS}
+	for _, n := range r.controllers {
+		c.Nodes = append(c.Nodes, hollow.Node{Name: n.name, Address: n.listen})
+	}
+	for i := range r.options.hostsPerRegion {
+		read, write := io.Pipe()
+		p, err := process.Start(process.Options{Program: r.options.Program, Args: r.options.HollowArgs, Output: write,
+			Log: filepath.Join(r.dir, fmt.Sprintf("hollow-%d.log", i))})
+		if err != nil {
+			return err
+		}
+		h := &host{Process: p, commands: json.NewEncoder(p.Input()), usage: make(chan hollow.Usage, 1)}
+		r.hosts = append(r.hosts, h)
+		go r.read(h, read)
+		go func() {
+			<-p.Gone()
+			_ = write.Close()
+		}()
+		if err := h.commands.Encode(&c); err != nil {
+			return fmt.Errorf("hollow workers: %w", err)
+		}
+	}
+	return nil
+}
+
+// tell sends a command to a process of hollow workers. One that has ended is found when its
+// workers are missed.
+func (h *host) tell(c hollow.Command) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.commands.Encode(&c)
+}
+
+// tellAll sends a command to all of them.
+func (r *region) tellAll(c hollow.Command) {
+	for _, h := range r.hosts {
+		h.tell(c)
+	}
+}
+
+// read takes what hollow workers tell until their process ends.
+func (r *region) read(h *host, from io.Reader) {
+	events := json.NewDecoder(from)
+	for {
+		var e hollow.Event
+		if events.Decode(&e) != nil {
+			return
+		}
+		switch {
+		case e.Up != nil:
+			r.machineUp(e.Up)
+		case e.Task != nil:
+			r.taskChanged(e.At, e.Task)
+		case e.Usage != nil:
+			h.usage <- *e.Usage
+		}
+	}
+}
+
+// taskChanged records what has happened to a task, and has gangs begin and break up.
+func (r *region) taskChanged(at int64, t *hollow.Task) {
+	kind := map[string]judge.Kind{hollow.TaskOn: judge.On, hollow.TaskOff: judge.Off, hollow.TaskDone: judge.Done}[t.Kind]
+	r.record(judge.Event{At: at, Kind: kind, Job: t.Job, Task: t.Task, Attempt: t.Attempt, Machine: t.Machine})
+	attempt := hollow.Attempt{Job: t.Job, Attempt: t.Attempt}
+	switch r.gangs.taskChanged(t) {
+	case gangComplete:
+		r.tellAll(hollow.Command{Run: &attempt})
+	case gangBroken:
+		r.tellAll(hollow.Command{Break: &attempt})
+	}
+}
+
+func (r *region) record(e judge.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+}
+
+// now is the time of day in microseconds: what all processes of a run go by.
+func now() int64 { return time.Now().UnixMicro() }
+
+// close ends everything and waits for the processes.
+func (r *region) close() {
+	for _, c := range r.controllers {
+		c.kill()
+	}
+	for _, h := range r.hosts {
+		kill(h.Process)
+	}
+	for _, s := range r.listeners {
+		_ = s.Close()
+	}
+}
+
+// part is what the i-th of n gets of a whole.
+func part(whole, n, i int) int {
+	out := whole / n
+	if i < whole%n {
+		out++
+	}
+	return out
+}
--- /dev/null
+++ b/internal/scale/sample.go
@@ -0,0 +1,154 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"coralhub/internal/hollow"
+	"coralhub/internal/node/metrics"
+)
+
+// sample is what a region's processes tell at a moment.
+type sample struct {
+	at          time.Time
+	controllers []controllerSample
+	hosts       []hostSample
+	requests    int // of the state service, as the stand-in counts them
+	refused     int
+	revision    uint64
+}
+
+// controllerSample is a controller's.
+type controllerSample struct {
+	cpu      time.Duration
+	memoryMB float64
+	files    int
+	leads    bool
+	requests map[string]float64 // of the state service, by purpose
+	changes  map[string]float64
+	handed   float64            // reports handed to the leader
+	steps    map[string]float64 // seconds that the core took, by input
+	inputs   map[string]float64 // how many there were
+	machines map[string]float64 // by state, of the leader
+	waiting  float64            // jobs, of the leader
+	heapMB   float64
+}
+
+// hostSample is of a process of hollow workers.
+type hostSample struct {
+	cpu      time.Duration
+	memoryMB float64
+	usage    hollow.Usage
+}
+
+// sampleWithin is how long a process may take to tell.
+const sampleWithin = 10 * time.Second
+
+// sample asks all processes of the region.
+func (r *region) sample(ctx context.Context) (sample, error) {
+	ctx, cancel := context.WithTimeout(ctx, sampleWithin)
+	defer cancel()
+	out := sample{at: time.Now()}
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	for _, c := range r.controllers {
+		s := controllerSample{cpu: c.CPU(), memoryMB: c.Measure(), files: c.Files()}
+		page, err := scrape(ctx, client, c.listen)
+		if err != nil {
+			return out, fmt.Errorf("metrics of %s: %w", c.name, err)
+		}
+		page.fill(&s)
+		out.controllers = append(out.controllers, s)
+	}
+	for _, h := range r.hosts {
+		h.tell(hollow.Command{Usage: true})
+		select {
+		case usage := <-h.usage:
+			out.hosts = append(out.hosts, hostSample{cpu: h.CPU(), memoryMB: h.Measure(), usage: usage})
+		case <-h.Gone():
+			return out, fmt.Errorf("%s: a process of hollow workers has ended", r.name)
+		case <-ctx.Done():
+			return out, fmt.Errorf("%s: hollow workers: %w", r.name, ctx.Err())
+		}
+	}
+	r.servers.With(func() {
+		out.requests, out.refused, out.revision = r.servers.Requests, r.servers.Refused, r.servers.State.Revision()
+	})
+	return out, nil
+}
+
+// page is a page of metrics.
+type page map[string]*dto.MetricFamily
+
+// scrape reads a controller's metrics.
+func scrape(ctx context.Context, client *http.Client, address string) (page, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+metrics.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", res.StatusCode)
+	}
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	return parser.TextToMetricFamilies(res.Body)
+}
+
+// fill reads from the page what a sample tells.
+func (p page) fill(s *controllerSample) {
+	s.leads = p.sum("coralhub_leading") == 1
+	s.requests = p.by("coralhub_state_requests_total", "purpose")
+	s.changes = p.by("coralhub_state_changes_total", "purpose")
+	s.handed = p.by("coralhub_reports_total", "what")["handed"]
+	s.machines = p.by("coralhub_machines", "state")
+	s.waiting = p.sum("coralhub_waiting_jobs")
+	s.heapMB = p.sum("go_memstats_heap_alloc_bytes") / (1 << 20)
+	s.steps, s.inputs = map[string]float64{}, map[string]float64{}
+	for _, m := range p["coralhub_step_seconds"].GetMetric() {
+		input := label(m, "input")
+		s.steps[input] = m.GetHistogram().GetSampleSum()
+		s.inputs[input] = float64(m.GetHistogram().GetSampleCount())
+	}
+}
+
+// by is a family's values by a label.
+func (p page) by(family, by string) map[string]float64 {
+	out := map[string]float64{}
+	for _, m := range p[family].GetMetric() {
+		out[label(m, by)] += value(m)
+	}
+	return out
+}
+
+// sum adds up a family's values.
+func (p page) sum(family string) float64 {
+	sum := 0.0
+	for _, m := range p[family].GetMetric() {
+		sum += value(m)
+	}
+	return sum
+}
+
+func label(m *dto.Metric, name string) string {
+	for _, l := range m.GetLabel() {
+		if l.GetName() == name {
+			return l.GetValue()
+		}
+	}
+	return ""
+}
+
+// value is a metric's, whichever of the plain kinds it is.
+func value(m *dto.Metric) float64 {
+	return m.GetCounter().GetValue() + m.GetGauge().GetValue() + m.GetUntyped().GetValue()
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,241 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"coralhub/internal/config"
+	"coralhub/internal/hollow"
+	"coralhub/internal/node"
+)
+
+// Controllers and hollow workers of a test's run are this very test program.
+func TestMain(m *testing.M) {
+	if len(os.Args) < 2 {
+		os.Exit(m.Run())
+	}
+	var err error
+	switch os.Args[1] {
+	case "serve":
+		err = serve(os.Args)
+	case "hollow-workers":
+		err = hollow.Run(context.Background(), os.Stdin, os.Stdout)
+	default:
+		os.Exit(m.Run())
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// serve runs a controller: serve --settings FILE --config FILE.
+func serve(args []string) error {
+	cfg, err := config.Load(args[5], args[3])
+	if err != nil {
+		return err
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin) // ends with the test
+		os.Exit(0)
+	}()
+	return node.New(cfg).Run(context.Background())
+}
+
+// small is a run of some seconds.
+func small(t *testing.T) (Settings, Options) {
+	t.Helper()
+	s, err := Parse([]byte(`
+workers = 300
+zones = 2
+controllers = 3
+teams = 20
+starts_per_s = 60
+ramp_s = 5
+duration_s = 6
+settle_s = 30
+[protocol]
+report_s = 1
+lease_s = 8
+cancel_s = 16
+[failures]
+failed_per_day = 40
+restarted_per_day = 400
+times = 500
+away_s = 1
+[[class]]
+name = "urgent"
+priority = "production"
+share = 1
+tasks = [1]
+run_s = [1, 2]
+gpus = 1
+urgent = true
+[[class]]
+name = "array"
+share = 4
+tasks = [8, 40]
+run_s = [1, 3]
+gpus = 1
+cancelled = 0.1
+[[class]]
+name = "gang"
+shape = "gang"
+priority = "high"
+share = 2
+tasks = [4, 64]
+run_s = [1, 3]
+gpus = 1
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, Options{Program: program, ServeArgs: []string{"serve"}, HollowArgs: []string{"hollow-workers"}, Dir: t.TempDir(), Log: "error"}
+}
+
+func TestScale(t *testing.T) {
+	s, opt := small(t)
+	res, err := Run(t.Context(), s, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &res.Regions[0]
+	if len(r.Broken) > 0 {
+		t.Errorf("rules broken: %v", r.Broken)
+	}
+	if r.Jobs.Accepted == 0 || r.Jobs.Accepted < r.Jobs.Submitted*9/10 || r.Jobs.Over < r.Jobs.Accepted*9/10 {
+		t.Errorf("jobs: %+v", r.Jobs)
+	}
+	if r.StartsPerS < s.StartsPerS/4 || r.UrgentS.P50 <= 0 || r.OtherS.P50 <= 0 {
+		t.Errorf("%.1f starts a second, urgent ones after %+v, others after %+v", r.StartsPerS, r.UrgentS, r.OtherS)
+	}
+	leaders, handed := 0, 0.0
+	for _, c := range r.Controllers {
+		if handed += c.HandedPerS; c.Leads {
+			leaders++
+		}
+		if c.Cores <= 0 || c.MemoryMB <= 0 || c.Files <= 0 || len(c.CoreS) == 0 {
+			t.Errorf("controller: %+v", c)
+		}
+	}
+	if leaders != 1 || handed == 0 {
+		t.Errorf("%d leaders, %.1f reports handed on a second", leaders, handed)
+	}
+	if w := r.Workers; w.BytesPerS <= 0 || w.ReportsPerS < 0.5 || w.ReportsPerS > 4 || w.MemoryMBEach <= 0 {
+		t.Errorf("workers: %+v", w)
+	}
+	if r.ChangesPerS["accept"] == 0 || r.ChangesPerS["placement"] == 0 || r.RequestsPerS["watch"] == 0 {
+		t.Errorf("changes %v, requests %v", r.ChangesPerS, r.RequestsPerS)
+	}
+	if r.Troubles.Restarted == 0 {
+		t.Errorf("no machine was restarted: %+v", r.Troubles)
+	}
+	if err := res.Print(io.Discard); err != nil {
+		t.Error(err)
+	}
+}
+
+// What can't be made is refused before anything is started.
+func TestRefused(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"processes are needed":   func(s *Settings) { s.Regions, s.Controllers = 5, 90 },
+		"a process may open":     func(s *Settings) { s.Limits.MaxConnections = 1 << 30 },
+		"half of the machine":    func(s *Settings) { s.Limits.MemoryMB = 1 << 30 },
+		"each zone needs one":    func(s *Settings) { s.Zones = 16 },
+		"a machine has":          func(s *Settings) { s.Classes[0].GPUs = 1000 },
+		"a team may use":         func(s *Settings) { s.Classes[2].Tasks = []int{100_000} },
+		"no class has a share":   func(s *Settings) { s.Classes = nil },
+		"duration_s must be":     func(s *Settings) { s.DurationS = 0 },
+		"controllers and teams ": func(s *Settings) { s.Teams = 0 },
+	} {
+		s, opt := small(t)
+		change(&s)
+		if _, err := Run(t.Context(), s, opt); err == nil || !strings.Contains(err.Error(), name) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v", name, err)
+		}
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	for text, want := range map[string]string{
+		"workers = 0":               "minimum",
+		"workers = \"many\"":        "want integer",
+		"worker = 5":                "worker",
+		"workers = ":                "line 1",
+		"[[class]]\nname = \"c\"\n": "missing properties",
+		"[[class]]\nname = \"c\"\nshape = \"x\"\n":  "",
+		"[state]\nwrite_rps = 0\n":                  "minimum",
+		"controllers = 2":                           "each zone needs one",
+		"[failures]\ntimes = -1\n":                  "minimum",
+		"[protocol]\nreport_s = 0.1\nlease_s = 3\n": "minimum",
+	} {
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+	if _, err := Load("no-such-file.toml"); err == nil {
+		t.Error("a file that isn't there was read")
+	}
+	d := Defaults()
+	if err := d.Check(); err != nil {
+		t.Errorf("the defaults: %v", err)
+	}
+}
+
+// When this process has no more files to open, the run says so and nobody is blamed.
+func TestOutOfFiles(t *testing.T) {
+	stopped := false
+	o := &run{stop: func() { stopped = true }}
+	o.requestFailed(errors.New("reset"))
+	if o.broke() != nil || stopped {
+		t.Error("another failure ends the run")
+	}
+	o.requestFailed(&net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)})
+	if err := o.broke(); err == nil || !stopped || !strings.Contains(err.Error(), "files") {
+		t.Errorf("%v, stopped %v", err, stopped)
+	}
+}
+
+func TestGangs(t *testing.T) {
+	g := newGangs()
+	g.add("j-1", 2)
+	change := func(kind string, task int, attempt uint64) gangChange {
+		return g.taskChanged(&hollow.Task{Kind: kind, Job: "j-1", Task: task, Attempt: attempt})
+	}
+	for i, step := range []struct {
+		kind    string
+		task    int
+		attempt uint64
+		want    gangChange
+	}{
+		{hollow.TaskOn, 0, 1, gangUnchanged},
+		{hollow.TaskOn, 0, 1, gangUnchanged}, // said twice
+		{hollow.TaskOff, 0, 1, gangUnchanged},
+		{hollow.TaskOn, 0, 1, gangUnchanged},
+		{hollow.TaskOn, 1, 1, gangComplete},
+		{hollow.TaskOff, 0, 1, gangBroken},
+		{hollow.TaskOff, 1, 1, gangUnchanged}, // told once
+		{hollow.TaskOn, 1, 2, gangUnchanged},
+		{hollow.TaskOn, 0, 2, gangComplete},
+		{hollow.TaskDone, 0, 2, gangUnchanged},
+		{hollow.TaskOff, 0, 2, gangUnchanged}, // completed, so nothing is broken
+	} {
+		if got := change(step.kind, step.task, step.attempt); got != step.want {
+			t.Errorf("step %d: %v, want %v", i, got, step.want)
+		}
+	}
+	if got := g.taskChanged(&hollow.Task{Kind: hollow.TaskOn, Job: "j-2"}); got != gangUnchanged {
+		t.Errorf("a job that is no gang: %v", got)
+	}
+}
--- /dev/null
+++ b/internal/scale/users.go
@@ -0,0 +1,222 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"coralhub/internal/hollow"
+	"coralhub/internal/judge"
+	"coralhub/internal/user"
+	"coralhub/internal/wait"
+	"coralhub/wire"
+)
+
+const (
+	pollEvery   = 5 * time.Second
+	probeEvery  = time.Second
+	longestWait = 10 * time.Second // until a user who cancels does so
+)
+
+// users submit a region's jobs, poll and cancel.
+type users struct {
+	region *region
+	ask    *user.Asker
+
+	mu        sync.Mutex
+	ready     []string // addresses of controllers that take requests
+	submitted map[string]*submission
+	errors    map[string]int // answers other than the hoped for, by status
+}
+
+// submission is a job that has come.
+type submission struct {
+	class    *Class
+	tasks    int
+	at       int64 // when it was first submitted
+	accepted int64 // 0: not yet
+	over     bool
+}
+
+func newUsers(r *region) *users {
+	u := &users{region: r, submitted: map[string]*submission{}, errors: map[string]int{}}
+	u.ask = &user.Asker{Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute}},
+		Pick: u.pick, Failed: r.options.requestFailed}
+	return u
+}
+
+// probe finds out which controllers take requests, until ctx ends.
+func (u *users) probe(ctx context.Context) {
+	look := func() {
+		var ready []string
+		for _, c := range u.region.controllers {
+			if user.Ready(ctx, u.ask.Client, c.listen) {
+				ready = append(ready, c.listen)
+			}
+		}
+		u.mu.Lock()
+		u.ready = ready
+		u.mu.Unlock()
+	}
+	look()
+	wait.Every(ctx, probeEvery, look)
+}
+
+// pick chooses a controller that takes requests, or any if none is known to.
+func (u *users) pick() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.ready) > 0 {
+		return u.ready[rand.IntN(len(u.ready))]
+	}
+	return u.region.controllers[rand.IntN(len(u.region.controllers))].listen
+}
+
+// submitUntil has a class's jobs come at random times until ctx ends. The jobs that have come
+// are followed until follow ends.
+func (u *users) submitUntil(ctx, follow context.Context, class int, rnd *rand.Rand, open *sync.WaitGroup) {
+	s := u.region.settings
+	c := &s.Classes[class]
+	share := 0.0
+	for i := range s.Classes {
+		share += s.Classes[i].Share
+	}
+	rate := s.StartsPerS * c.Share / share / c.meanTasks() // jobs a second
+	if rate <= 0 {
+		return
+	}
+	for number := 0; wait.For(ctx, time.Duration(rnd.ExpFloat64()/rate*float64(time.Second))); number++ {
+		j := c.draw(rnd, s, class, number)
+		cancelIn := time.Duration(0)
+		if rnd.Float64() < c.Cancelled {
+			cancelIn = time.Duration(1 + rnd.Float64()*float64(longestWait))
+		}
+		open.Go(func() { u.follow(follow, c, j, cancelIn) })
+	}
+}
+
+// draw draws a class's next job.
+func (c *Class) draw(rnd *rand.Rand, s *Settings, class, number int) *drawn {
+	run := c.RunS[0] + rnd.Float64()*(c.RunS[1]-c.RunS[0])
+	return &drawn{run: run, Job: wire.Job{ID: fmt.Sprintf("j-%d%08d", class+1, number), Class: c.Name, Team: teamName(rnd.IntN(s.Teams)), Shape: c.shape(),
+		Priority: c.priority(), Tasks: c.Tasks[rnd.IntN(len(c.Tasks))], CPUs: c.GPUs, GPUs: c.GPUs, MemoryGB: c.GPUs, Image: "image", ImageGB: 1,
+		EstimateS: max(run, 0.1)}}
+}
+
+// drawn is a job and how long each of its tasks runs, in seconds.
+type drawn struct {
+	wire.Job
+	run float64
+}
+
+// follow is a user with one job.
+func (u *users) follow(ctx context.Context, c *Class, j *drawn, cancelIn time.Duration) {
+	r := u.region
+	if j.Shape == wire.Gang {
+		r.gangs.add(j.ID, j.Tasks)
+	}
+	r.tellAll(hollow.Command{Job: &hollow.Job{ID: j.ID, Tasks: j.Tasks, GPUs: j.GPUs, Gang: j.Shape == wire.Gang, RunS: j.run}})
+	raw, err := wire.Marshal(&j.Job)
+	if err != nil {
+		return
+	}
+	sub := &submission{class: c, tasks: j.Tasks, at: now()}
+	u.mu.Lock()
+	u.submitted[j.ID] = sub
+	u.mu.Unlock()
+	r.record(judge.Event{At: sub.at, Kind: judge.Submitted, Job: j.ID, Spec: &judge.Spec{Team: j.Team, Tasks: j.Tasks, CPUs: j.CPUs, GPUs: j.GPUs}})
+	if !u.repeat(ctx, j.ID, judge.BySubmit, wire.PathJobs, raw) {
+		return
+	}
+	u.mu.Lock()
+	sub.accepted = now()
+	u.mu.Unlock()
+	u.poll(ctx, j.ID, cancelIn)
+	u.mu.Lock()
+	sub.over = ctx.Err() == nil
+	u.mu.Unlock()
+}
+
+// poll asks for a job's state until it is over, and cancels it if that is planned.
+func (u *users) poll(ctx context.Context, id string, cancelIn time.Duration) {
+	var cancelAt <-chan time.Time
+	if cancelIn > 0 {
+		t := time.NewTimer(cancelIn)
+		defer t.Stop()
+		cancelAt = t.C
+	}
+	next := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(pollEvery)))
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-cancelAt:
+			cancelAt = nil
+			u.region.record(judge.Event{At: now(), Kind: judge.Asked, Job: id})
+			u.repeat(ctx, id, judge.ByCancel, wire.PathJobs+"/"+id+"/"+wire.CancelVerb, nil)
+		case <-next.C:
+			a := u.ask.Poll(ctx, id)
+			if ctx.Err() != nil {
+				return
+			}
+			if u.told(id, judge.ByPoll, &a); a.Over() {
+				return
+			}
+			next.Reset(pollEvery)
+		}
+	}
+}
+
+// repeat makes a request until it is taken.
+func (u *users) repeat(ctx context.Context, id, via, path string, body []byte) bool {
+	return u.ask.Repeat(ctx, http.MethodPost, path, body, func(a *user.Answer) { u.told(id, via, a) })
+}
+
+func (u *users) told(id, via string, a *user.Answer) {
+	u.region.record(judge.Event{At: now(), Kind: judge.Told, Job: id, Via: via, Status: a.Status, Said: a.Job.Status})
+	if !a.Taken() {
+		u.mu.Lock()
+		u.errors[via+" "+strconv.Itoa(a.Status)]++
+		u.mu.Unlock()
+	}
+}
+
+// all lists the jobs that have come, by their ids.
+func (u *users) all() map[string]submission {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := make(map[string]submission, len(u.submitted))
+	for id, s := range u.submitted {
+		out[id] = *s
+	}
+	return out
+}
+
+// unanswered counts the jobs that were accepted and are not over.
+func (u *users) unfinished() int {
+	n := 0
+	for _, s := range u.all() {
+		if s.accepted != 0 && !s.over {
+			n++
+		}
+	}
+	return n
+}
+
+// classesOf lists the classes' names in the order of the settings.
+func (s *Settings) classesOf(urgent bool) []string {
+	var out []string
+	for i := range s.Classes {
+		if s.Classes[i].Urgent == urgent {
+			out = append(out, s.Classes[i].Name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -180,6 +180,14 @@
 	return mux
 }
 
+// Expire ends the leases of the state service that were not renewed in time. Drive does so by itself.
+func (s *Servers) Expire() {
+	s.With(func() {
+		s.State.Expire(s.Now())
+		s.ring()
+	})
+}
+
 // ring wakes the watches. The lock is held.
 func (s *Servers) ring() {
 	close(s.wake)
--- a/internal/user/user.go
+++ b/internal/user/user.go
@@ -41,6 +41,7 @@
 type Asker struct {
 	Client *http.Client
 	Pick   func() string
+	Failed func(error) // hears why a request got no answer; nil: nobody does
 }
 
 // Ask makes one request.
@@ -53,6 +54,9 @@
 	}
 	res, err := u.Client.Do(req)
 	if err != nil {
+		if u.Failed != nil {
+			u.Failed(err)
+		}
 		return a
 	}
 	defer res.Body.Close()
@@ -95,3 +99,23 @@
 func (a *Answer) Over() bool {
 	return a.Status == http.StatusOK && (a.Job.Status == wire.Done || a.Job.Status == wire.Cancelled)
 }
+
+// readyWait is how long a node may take to tell that it takes requests.
+const readyWait = time.Second
+
+// Ready tells whether the node at an address takes requests, as a balancer asks it.
+func Ready(ctx context.Context, client *http.Client, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+wire.PathReady, nil)
+	if err != nil {
+		return false
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, wire.MaxBody))
+	return res.StatusCode == http.StatusOK
+}
