The kit says when it has run out of files, ends, and blames nobody

Change: proxies say why and go on accepting; the kit ends such a run, names the limit and does not judge it.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -40,6 +40,9 @@
 	Model    *standin.Model
 	Boot     standin.Micros
 	Watch    func(judge.Event)
+	// Failed hears why a connection of this process was not made; nil: nobody does. It is called
+	// by several goroutines.
+	Failed func(error)
 	// RestartAfter is how long a node that has ended stays down.
 	RestartAfter time.Duration
 }
@@ -96,6 +99,7 @@
 		}
 	}
 	s, cl := c.Servers, &opt.Cluster
+	s.Failed = opt.Failed
 	s.State.Keep = 10_000
 	s.State.ValueBytes, s.State.TxnOps = int(cl.State.ValueKB*1024), cl.State.TxnOps
 	s.SetQuotas(cl.State.RPS, cl.State.WriteRPS, cl.Cloud.RPS)
@@ -154,6 +158,7 @@
 func (c *Cluster) proxy(name, target string) (*faults.Proxy, error) {
 	p, err := faults.New(name, target)
 	if err == nil {
+		p.OnFailure(c.opt.Failed)
 		c.proxies = append(c.proxies, p)
 	}
 	return p, err
--- a/internal/faults/proxy.go
+++ b/internal/faults/proxy.go
@@ -3,6 +3,7 @@
 package faults
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -36,6 +37,9 @@
 // dialTimeout is how long the target may take to accept.
 const dialTimeout = 2 * time.Second
 
+// acceptPause is how long a proxy waits after a connection that it could not accept.
+const acceptPause = 50 * time.Millisecond
+
 // Proxy passes connections on to a target.
 type Proxy struct {
 	name, target, addr string
@@ -48,6 +52,7 @@
 	change   chan struct{} // closed when something above changes
 	conns    map[*pair]bool
 	closed   bool
+	failed   func(error) // hears why connections were not made; nil: nobody does
 	wg       sync.WaitGroup
 }
 
@@ -110,6 +115,23 @@
 	return nil
 }
 
+// OnFailure has f hear why a connection could not be accepted, or not passed on. f is called by
+// several goroutines.
+func (p *Proxy) OnFailure(f func(error)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed = f
+}
+
+func (p *Proxy) tellFailure(err error) {
+	p.mu.Lock()
+	failed := p.failed
+	p.mu.Unlock()
+	if failed != nil {
+		failed(err)
+	}
+}
+
 // Delay has everything take so much longer, each way.
 func (p *Proxy) Delay(d time.Duration) {
 	p.mu.Lock()
@@ -157,9 +179,14 @@
 	defer p.wg.Done()
 	for {
 		in, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // this process can open no more files, most likely: the next connection may find one
+			p.tellFailure(err)
+			time.Sleep(acceptPause)
+			continue
+		}
 		p.wg.Add(1)
 		go p.serve(in)
 	}
@@ -177,6 +204,7 @@
 	}
 	out, err := net.DialTimeout("tcp", p.target, dialTimeout)
 	if err != nil {
+		p.tellFailure(err)
 		c.reset()
 		return
 	}
--- a/internal/faults/proxy_test.go
+++ b/internal/faults/proxy_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -141,3 +144,53 @@
 		t.Fatal("nothing passes afterwards")
 	}
 }
+
+// poorListener fails as one does whose process has no more files to open, the first time.
+type poorListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *poorListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// A proxy that could not accept a connection says why and accepts the next.
+func TestAcceptsAfterFailure(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	p, err := New("poor", target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	heard := make(chan error, 10)
+	p.OnFailure(func(err error) { heard <- err })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.wg.Add(1)
+	go p.accept(&poorListener{Listener: l})
+	if err := <-heard; !errors.Is(err, syscall.EMFILE) {
+		t.Errorf("heard %v", err)
+	}
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	passed, err := target.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = passed.Close()
+	_ = l.Close()
+}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -5,11 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"coralhub/internal/config"
@@ -186,6 +189,35 @@
 	}
 }
 
+// exhausted is a transport of a process that has no more files to open after some requests.
+type exhausted struct {
+	next http.RoundTripper
+	left atomic.Int32
+}
+
+func (x *exhausted) RoundTrip(req *http.Request) (*http.Response, error) {
+	if x.left.Add(-1) < 0 {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	}
+	return x.next.RoundTrip(req)
+}
+
+// A rehearsal that has no more files to open says so, ends, and blames nobody.
+func TestOutOfFiles(t *testing.T) {
+	t.Parallel()
+	res := play(t, short, func(next http.RoundTripper) http.RoundTripper {
+		x := &exhausted{next: next}
+		x.left.Store(20)
+		return x
+	})
+	if res.Passed || !strings.Contains(res.Why, "run out of files") || len(res.Broken) > 0 {
+		t.Errorf("why %q, broken %v", res.Why, res.Broken)
+	}
+	if res.TookS > 4 {
+		t.Errorf("it went on for %.1f s", res.TookS)
+	}
+}
+
 // liar changes what users are told.
 type liar struct {
 	next http.RoundTripper
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -19,6 +20,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core/claim"
 	"coralhub/internal/judge"
+	"coralhub/internal/process"
 	"coralhub/internal/quantile"
 	"coralhub/internal/standin"
 	"coralhub/internal/wait"
@@ -107,6 +109,9 @@
 	events []judge.Event
 	marks  []Mark
 	broke  error // the rehearsal itself, not the service
+
+	outOfFiles atomic.Bool   // this process could not open all that it was to: what it saw proves nothing
+	over       chan struct{} // closed then
 }
 
 func (r *run) say(format string, args ...any) {
@@ -135,6 +140,18 @@
 	}
 }
 
+// connectionFailed hears why a connection of this process was not made. With no more files to
+// open, users and workers of the rehearsal fall silent by themselves, and the service is not to be
+// blamed for what comes of that.
+func (r *run) connectionFailed(err error) {
+	if !process.OutOfFiles(err) || r.outOfFiles.Swap(true) {
+		return
+	}
+	limit, _ := process.FileLimit() // 0 if it can't be told
+	r.failed(fmt.Errorf("this process has run out of files: it may open %d; play fewer machines at a time", limit))
+	close(r.over)
+}
+
 // leader names the node that holds the claim; "" if none does.
 func (r *run) leader() string {
 	var holder claim.Value
@@ -179,7 +196,7 @@
 	if err := os.MkdirAll(opt.Dir, 0o700); err != nil {
 		return nil, err
 	}
-	r := &run{scenario: s, opt: opt, jobs: s.plan(opt.Seed)}
+	r := &run{scenario: s, opt: opt, jobs: s.plan(opt.Seed), over: make(chan struct{})}
 	d := &s.Deploy
 	capacity, spot := map[string]int{}, map[string]int{}
 	for i, z := range d.Zones {
@@ -187,7 +204,7 @@
 		spot[z] = share(d.Spot, len(d.Zones), i)
 	}
 	c, err := cluster.Start(cluster.Options{Program: opt.Program, Dir: opt.Dir, Nodes: d.Nodes, Settings: opt.Settings, Log: opt.Log,
-		Cluster: r.deploy(), Capacity: capacity, Boot: config.FromSeconds(d.BootS), Watch: r.record,
+		Cluster: r.deploy(), Capacity: capacity, Boot: config.FromSeconds(d.BootS), Watch: r.record, Failed: r.connectionFailed,
 		RestartAfter: time.Duration(d.RestartAfterS * 1e9),
 		Types: []wire.MachineType{{Name: "m", CPUs: 16 * d.GPUs, GPUs: d.GPUs, MemoryGB: 64 * d.GPUs, CacheGB: 500, FetchGBs: 0.4, Price: 4, SpotPrice: 2,
 			BootS: d.BootS, Zones: d.Zones}},
@@ -235,6 +252,13 @@
 func (r *run) play(ctx context.Context, began time.Time) {
 	ctx, stop := context.WithCancel(ctx)
 	var wg, open sync.WaitGroup // open: users whose jobs end by themselves
+	wg.Go(func() {
+		select {
+		case <-r.over:
+			stop()
+		case <-ctx.Done():
+		}
+	})
 	defer func() {
 		stop()
 		open.Wait()
@@ -242,6 +266,7 @@
 		r.users.ask.Client.CloseIdleConnections()
 	}()
 	r.users = newUsers(r.cluster, r.record, r.now, r.opt.wrap)
+	r.users.ask.Failed = r.connectionFailed
 	wg.Go(func() { r.users.balance(ctx) })
 	wg.Go(func() { r.users.strangers(ctx) })
 	wg.Go(func() { r.trouble(ctx, began) })
@@ -372,7 +397,9 @@
 	for _, name := range r.scenario.teams() {
 		terms.Teams[name] = judge.Limit{GPUs: d.TeamGPUs}
 	}
-	res.Broken = append(res.Broken, judge.Judge(terms, r.events)...)
+	if !r.outOfFiles.Load() {
+		res.Broken = append(res.Broken, judge.Judge(terms, r.events)...)
+	}
 	fates := r.fates(from)
 	end := float64(r.now()-from) / 1e6
 	for i := range r.scenario.Expect {
--- a/internal/scale/region.go
+++ b/internal/scale/region.go
@@ -43,15 +43,6 @@
 	troubles troubles
 }
 
-// host is a process of hollow workers.
-type host struct {
-	*process.Process
-	commands *json.Encoder
-	mu       sync.Mutex // of commands
-	usage    chan hollow.Usage
-	workers  int
-}
-
 // troubles counts what was done to machines.
 type troubles struct {
 	Failed    int `json:"failed"`
@@ -131,28 +122,20 @@
 		if err != nil {
 			return err
 		}
-		h := &host{Process: p, commands: json.NewEncoder(p.Input()), usage: make(chan hollow.Usage, 1)}
+		if err := json.NewEncoder(p.Input()).Encode(&c); err != nil {
+			return fmt.Errorf("hollow workers: %w", err)
+		}
+		h := newHost(p)
 		r.hosts = append(r.hosts, h)
 		go r.read(h, read)
 		go func() {
 			<-p.Gone()
 			_ = write.Close()
 		}()
-		if err := h.commands.Encode(&c); err != nil {
-			return fmt.Errorf("hollow workers: %w", err)
-		}
 	}
 	return nil
 }
 
-// tell sends a command to a process of hollow workers. One that has ended is found when its
-// workers are missed.
-func (h *host) tell(c hollow.Command) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	_ = h.commands.Encode(&c)
-}
-
 // tellAll sends a command to all of them.
 func (r *region) tellAll(c hollow.Command) {
 	for _, h := range r.hosts {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -25,6 +25,8 @@
 	World *World
 	Nodes []string // addresses that workers report to
 	Names []string // and the nodes' names, which redirections give
+	// Failed hears why a report was not answered; nil: nobody does. It is called by several goroutines.
+	Failed func(error)
 	// Requests counts what was asked of the state service and refused for its quota.
 	Requests, Refused int
 
@@ -463,6 +465,9 @@
 	}
 	res, err := client.Do(req)
 	if err != nil {
+		if s.Failed != nil {
+			s.Failed(err)
+		}
 		return 0, nil
 	}
 	defer func() { _ = res.Body.Close() }()
