--- a/cmd/coralhub/main.go
+++ b/cmd/coralhub/main.go
@@ -32,7 +32,7 @@
 		"Without a subcommand it serves as a controller node."
 	cmd.Version = version
 	cmd.SilenceUsage, cmd.SilenceErrors = true, true
-	cmd.AddCommand(serve("serve --config FILE"), upCommand(), rehearseCommand(), loadCommand(), experimentCommand(), estimateCommand(), boundCommand(), scaleCommand(), hollowCommand())
+	cmd.AddCommand(serve("serve --config FILE"), upCommand(), rehearseCommand(), loadCommand(), experimentCommand(), estimateCommand(), boundCommand(), scaleCommand(), capacityCommand(), hollowCommand())
 	return cmd
 }
 
