Log of placements: leaders place tasks of many jobs by one change (shared parts, format 4)

Need: changes are what the target's region is over its limit by most; a job's record was rewritten for its placements, one change a job or 32 tasks. A node settles a cancellation alone only with guards on all pages and the next, or on a needed job that is not done. Format 4, raised once all nodes read it; setting shared_parts switches it off.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -159,6 +159,7 @@
 	DrainS          float64 `json:"drain_s"`
 	ShareFetches    bool    `json:"share_fetches"`
 	HoldFormat      bool    `json:"hold_format"`
+	SharedParts     bool    `json:"shared_parts"`
 
 	Estimates       bool    `json:"estimates"`
 	EstimateGroups  int     `json:"estimate_groups"`
@@ -191,7 +192,7 @@
 	return Settings{
 		AgeWeight: 1, ShareWeight: 1, AgeCapS: 300, UsageWindowS: 60, ScanPeriodS: 10,
 		PassIntervalMS: 100, LeaderLeaseMS: 3000, StandInS: 60, IdleReturnS: 0, SilentReleaseS: 0,
-		MemoryShare: 0.6, BootGiveUpTimes: 3, RentSurplus: 0.5, GatherPerS: 2, BeginWithinS: 240, InTimeFirst: true, DrainS: 60,
+		MemoryShare: 0.6, BootGiveUpTimes: 3, RentSurplus: 0.5, GatherPerS: 2, BeginWithinS: 240, InTimeFirst: true, DrainS: 60, SharedParts: true,
 		Estimates: true, EstimateGroups: 512, Rank: RankCredit, SlowTimes: 1.3,
 	}
 }
--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -71,6 +71,9 @@
 	checkAt   Micros              // when the next check may go out
 	closelyAt Micros              // when the watch was last told that many wait
 	waiting   map[string][]waiter // cancellations that wait for the leader
+
+	pagesRevision uint64 // of the last change of a page of shared parts
+	pagesAt       Micros // when that was seen
 }
 
 // New returns the front of a node.
@@ -505,26 +508,43 @@
 	})
 }
 
+// mark has a job cancelled: at once, if it is sure that nothing of it is on any machine, or else by a
+// mark that the leader acts upon.
 func (f *Front) mark(req uint64, j *records.Job) {
+	if guards, sure := f.aloneGuards(j); sure {
+		f.settle(req, j, guards)
+		return
+	}
 	rec := j.Rec.Clone()
 	rec.Cancel = true
-	if rec.Attempt == 0 || len(rec.Open) == 0 && rec.Spec.Tasks <= job.PartTasks && !rec.Apart {
-		// Nothing of it is on any machine, and the guard on the record's
-		// version keeps it so: no leader is needed.
-		// What it had on machines before is all over, by what this copy holds, and charged.
-		rec.Phase, rec.Count = job.Cancelled, rec.Part.Count()
-		account := job.AccountOf(rec.Spec, rec.Spent, 0)
-		if rec.Shrink(); f.form.Format >= job.Standing {
-			rec.Account = account
-		}
-	}
-	value, err := job.EncodeRecord(&rec, f.form.Format)
+	f.writeMark(req, j, &rec, []wire.Guard{{Key: job.RecordKey(j.ID), Version: j.Version}}, func() { f.box.Later(req, "try again") })
+}
+
+// settle cancels a job without the leader. If the guards fail although nobody has cancelled it, a
+// leader has been placing jobs meanwhile, and it is the leader's.
+func (f *Front) settle(req uint64, j *records.Job, guards []wire.Guard) {
+	// What it had on machines before is all over, by what this copy holds, and charged.
+	rec := job.Record{Phase: job.Cancelled, Count: j.Done}
+	if f.form.Format >= job.Standing {
+		rec.Account = job.AccountOf(j.Rec.Spec, j.Rec.Spent.Plus(j.SharedSpent()), 0)
+	}
+	f.writeMark(req, j, &rec, guards, func() {
+		marked := j.Rec.Clone()
+		marked.Cancel = true
+		f.writeMark(req, j, &marked, []wire.Guard{{Key: job.RecordKey(j.ID), Version: j.Version}}, func() { f.box.Later(req, "try again") })
+	})
+}
+
+// writeMark commits a record that says that a job is cancelled, or is to be. If the guards fail
+// although it is not, refused is called, with the job as it is now.
+func (f *Front) writeMark(req uint64, j *records.Job, rec *job.Record, guards []wire.Guard, refused func()) {
+	value, err := job.EncodeRecord(rec, f.form.Format)
 	if err == nil && !f.form.Fits(value) && rec.Spec != nil {
 		// Nothing of it starts again: what is only for placing may go.
 		spec := *rec.Spec
 		spec.Types, spec.Class, spec.Image, spec.Needs = nil, "", "", nil
 		rec.Spec = &spec
-		value, err = job.EncodeRecord(&rec, f.form.Format)
+		value, err = job.EncodeRecord(rec, f.form.Format)
 	}
 	if err != nil || !f.form.Fits(value) {
 		f.box.Log("record too large to be marked", "job", j.ID, "limit", f.form.Room())
@@ -533,7 +553,7 @@
 	}
 	key := job.RecordKey(j.ID)
 	f.box.Commit(wire.Commit{
-		Guards:  []wire.Guard{{Key: key, Version: j.Version}},
+		Guards:  guards,
 		Changes: []wire.Change{{Put: key, Value: value}},
 	}, msg.ForMark, func(d msg.CommitDone) {
 		switch d.Outcome {
@@ -542,11 +562,14 @@
 			f.wait(req, j)
 		case msg.Conflict:
 			f.current(req, j.ID, func(j *records.Job) {
-				if j != nil && (j.Rec.Cancel || j.Rec.Final()) {
+				switch {
+				case j != nil && (j.Rec.Cancel || j.Rec.Final()):
 					f.wait(req, j)
-					return
+				case j == nil || j.Rec.Spec == nil:
+					f.box.Later(req, "try again")
+				default:
+					refused()
 				}
-				f.box.Later(req, "try again")
 			})
 		case msg.Invalid:
 			f.box.Later(req, "try again")
@@ -556,6 +579,40 @@
 	})
 }
 
+// pagesQuiet is how long pages of shared parts are to be unchanged for that guards on all of them are
+// likely to hold: a transaction whose guards fail costs as much as one whose guards hold.
+const pagesQuiet = config.Second
+
+// aloneGuards returns guards that hold only if nothing of a job is on any machine: then no leader is
+// needed to cancel it. From job.SharedParts on a place may be in a page, and no guard on the record tells
+// of that. So either all pages are guarded, and the next one, which is the only one that could be begun; or
+// the job waits for another that is not done: the record of that one says so, and nothing of this one starts before.
+func (f *Front) aloneGuards(j *records.Job) (guards []wire.Guard, sure bool) {
+	rec := &j.Rec
+	if rec.Attempt > 0 && (j.Open > 0 || rec.Spec.Tasks > job.PartTasks || rec.Apart) {
+		return nil, false
+	}
+	guards = []wire.Guard{{Key: job.RecordKey(j.ID), Version: j.Version}, f.form.Guard()}
+	if f.form.Format < job.SharedParts || j.Doomed() {
+		return guards, true
+	}
+	for _, id := range j.UndoneNeeds() {
+		return append(guards, wire.Guard{Key: job.RecordKey(id), Version: f.book.Job(id).Version}), true
+	}
+	pages := f.book.SharedGuards()
+	if len(guards)+len(pages) > wire.GuardFactor*f.form.Ops() || f.box.Now()-f.pagesAt < pagesQuiet {
+		return nil, false
+	}
+	return append(guards, pages...), true
+}
+
+// followPages notes when pages of shared parts have changed.
+func (f *Front) followPages() {
+	if v := f.book.SharedRevision(); v != f.pagesRevision {
+		f.pagesRevision, f.pagesAt = v, f.box.Now()
+	}
+}
+
 // wait answers a cancellation once the job's phase is final, or with 503 when
 // that takes more than a moment.
 func (f *Front) wait(req uint64, j *records.Job) {
@@ -576,6 +633,7 @@
 
 // Tick gives up on requests that have waited too long.
 func (f *Front) Tick() {
+	f.followPages()
 	f.checks = f.inTime(f.checks)
 	f.asked = f.inTime(f.asked) // the answer to a check may take longer than its users wait
 	ids := slices.Sorted(maps.Keys(f.waiting))
--- a/internal/core/job/format.go
+++ b/internal/core/job/format.go
@@ -29,8 +29,11 @@
 	// placements have the time at which they were made, parts and the log of ended attempts what
 	// was used, and what is left of a job that is over has its account.
 	Standing Format = 3
+	// SharedParts has leaders place tasks of many jobs in one value, see package records. A record
+	// doesn't tell any more by itself whether anything of its job was ever placed.
+	SharedParts Format = 4
 	// Newest is the last format that this version reads.
-	Newest = Standing
+	Newest = SharedParts
 )
 
 // group is the tasks of a part that share a machine and an attempt.
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -86,14 +86,31 @@
 	return out
 }
 
-func (p *Part) mask() uint64 {
-	if p.Done == "" {
+func (p *Part) mask() uint64 { return maskOf(p.Done) }
+
+// maskOf reads a bit set of done tasks.
+func maskOf(done string) uint64 {
+	if done == "" {
 		return 0
 	}
-	m, _ := strconv.ParseUint(p.Done, 16, 64)
+	m, _ := strconv.ParseUint(done, 16, 64)
 	return m
 }
 
+// UnionDone is the bit set of the tasks that are done by either of two.
+func UnionDone(a, b string) string {
+	switch {
+	case a == "" || a == b:
+		return b
+	case b == "":
+		return a
+	}
+	return strconv.FormatUint(maskOf(a)|maskOf(b), 16)
+}
+
+// CountDone tells how many tasks a bit set says are done.
+func CountDone(done string) int { return bits.OnesCount64(maskOf(done)) }
+
 // Clone returns a copy that shares nothing with p.
 func (p *Part) Clone() Part {
 	return Part{Done: p.Done, Open: append([]Placement(nil), p.Open...), Spent: p.Spent}
--- a/internal/core/leader/accounts.go
+++ b/internal/core/leader/accounts.go
@@ -27,11 +27,8 @@
 	if kept || spec.Shape == wire.Service {
 		return s
 	}
-	p, _ := j.Part(j.Rec.PartOf(key.Task))
-	for _, o := range p.Open {
-		if o.Task == key.Task && o.Attempt == key.Attempt && o.Machine == machine && o.At > 0 {
-			s.Lost = max(0, s.End-o.At)
-		}
+	if o, open := j.Placement(key.Task, key.Attempt, machine); open && o.At > 0 {
+		s.Lost = max(0, s.End-o.At)
 	}
 	if spec.CheckpointS > 0 { // what came before the last checkpoint is safe
 		s.Lost = min(s.Lost, int64(spec.CheckpointS*10))
@@ -46,16 +43,18 @@
 	for i := range j.Parts {
 		sum = sum.Plus(j.Parts[i].Spent)
 	}
+	sum = sum.Plus(j.SharedSpent())
 	if !closing {
 		return sum
 	}
 	for _, cl := range j.closes {
-		p, _ := j.Part(j.Rec.PartOf(cl.key.Task))
-		q := p.Clone()
-		q.Spent = nil
-		if q.Close(cl.key.Task, cl.key.Attempt, cl.machine, cl.stay) {
-			sum = sum.Plus(q.Spent)
+		o, open := j.Placement(cl.key.Task, cl.key.Attempt, cl.machine)
+		if !open {
+			continue
 		}
+		q := job.Part{Open: []job.Placement{o}}
+		q.Close(cl.key.Task, cl.key.Attempt, cl.machine, cl.stay)
+		sum = sum.Plus(q.Spent)
 	}
 	return sum
 }
--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -70,23 +70,41 @@
 	}
 	l.assure(j)
 	t, more := l.fitting(j)
-	if t == nil {
+	if t == nil || t.ends {
+		if t != nil {
+			l.note(j, t.closes)
+		}
+		if len(j.plan) > 0 && l.shares(j) {
+			l.share(j)
+		}
+		if t != nil {
+			return !more
+		}
 		// A cancellation waits for workers to be heard: look again.
 		return !j.Rec.Cancel || j.Rec.Final()
 	}
-	if t.ends {
-		l.note(j, t.closes)
-		return !more
-	}
 	if len(j.plan) == 0 && !j.Rec.Cancel && !j.Doomed() && j.AwaitedBy() == 0 && l.writing >= l.mostWriting() {
 		return false
 	}
-	t.placed = j.plan
+	if !l.shares(j) {
+		t.placed = j.plan
+	}
 	j.txn = t
 	l.send(j, t)
 	return !more
 }
 
+// shares tells whether a job's places go into pages with those of others.
+func (l *Leader) shares(j *Job) bool { return l.sharing() && !j.alone }
+
+// placeCost is what placing a job, or 32 more tasks of it, counts of a pass's changes.
+func (l *Leader) placeCost(j *Job) float64 {
+	if l.shares(j) {
+		return sharedCost
+	}
+	return 1
+}
+
 // fitting returns a job's next transaction, made so small that every value of it
 // may be put: a plan is cut down, and ends go by the log.
 func (l *Leader) fitting(j *Job) (*txn, bool) {
@@ -179,7 +197,12 @@
 		}
 		changed = true
 	}
+	var inPages []closing
 	for _, cl := range j.closes {
+		if j.InPage(cl.key.Task, cl.key.Attempt, cl.machine) {
+			inPages = append(inPages, cl) // the log closes it there: the record says nothing of it
+			continue
+		}
 		p := part(cl.key.Task)
 		if p == nil {
 			continue
@@ -193,8 +216,9 @@
 			keep(cl.key.Task, p)
 		}
 	}
+	l.note(j, inPages)
 	// A service wants its replicas back at once; the log takes its time.
-	t.ends = changed && !j.parting && !j.mergeNow && len(j.plan) == 0 && (rec.Spec.Shape != wire.Service || rec.Cancel || rec.Final())
+	t.ends = changed && !j.parting && !j.mergeNow && (len(j.plan) == 0 || l.shares(j)) && (rec.Spec.Shape != wire.Service || rec.Cancel || rec.Final())
 	if j.mergeNow {
 		changed = true
 		j.Unmerged(func(task int) {
@@ -203,7 +227,7 @@
 			}
 		})
 	}
-	if !rec.Cancel && !rec.Final() {
+	if !rec.Cancel && !rec.Final() && !l.shares(j) {
 		for _, pl := range j.plan {
 			p := part(pl.Task)
 			if p == nil {
@@ -215,22 +239,7 @@
 			keep(pl.Task, p)
 		}
 	}
-	// What the job would be with this transaction applied.
-	done, open := rec.Part.Count(), len(rec.Open)
-	for i := range j.Parts {
-		p := &j.Parts[i].Part
-		if q, ok := t.parts[i+1]; ok {
-			p = &q
-		}
-		done += p.Count()
-		open += len(p.Open)
-	}
-	for n, p := range t.parts {
-		if n > len(j.Parts) {
-			done += p.Count()
-			open += len(p.Open)
-		}
-	}
+	done, open := t.after(j, &rec)
 	if rec.Spec.Shape == wire.Gang && done > 0 && !rec.Final() {
 		// A gang completes together: if one task is done, so are all.
 		rec.Phase, rec.Count, changed, t.ends, t.whole = job.Done, rec.Spec.Tasks, true, false, true
@@ -276,11 +285,10 @@
 	}
 	done, open := j.Done, j.Open
 	for _, cl := range j.closes {
-		p, _ := j.Part(j.Rec.PartOf(cl.key.Task))
-		if p.IsOpen(cl.key.Task, cl.key.Attempt, cl.machine) {
+		if j.IsOpen(cl.key.Task, cl.key.Attempt, cl.machine) {
 			open--
 		}
-		if cl.done && !p.IsDone(cl.key.Task%job.PartTasks) {
+		if cl.done && !j.IsDone(cl.key.Task) {
 			done++
 		}
 	}
@@ -308,6 +316,26 @@
 	return t
 }
 
+// after counts the done tasks and the open placements that a job would have with a transaction
+// applied: by its record and parts as they would be, and by pages.
+func (t *txn) after(j *Job, rec *job.Record) (done, open int) {
+	last := max(len(j.Parts), j.LastShared(rec))
+	for n := range t.parts {
+		last = max(last, n)
+	}
+	for n := range last + 1 {
+		p := &rec.Part
+		if q, written := t.parts[n]; written {
+			p = &q
+		} else if n > 0 {
+			p, _ = j.Part(n)
+		}
+		open += len(p.Open)
+		done += job.CountDone(job.UnionDone(p.Done, j.SharedDone(rec, n)))
+	}
+	return done, open + j.SharedOpen()
+}
+
 // leftover returns the deletion of what parts are left of a job that is over.
 func (l *Leader) leftover(j *Job) (*txn, bool) {
 	t := &txn{token: l.claim.Token()}
--- a/internal/core/leader/ended.go
+++ b/internal/core/leader/ended.go
@@ -150,7 +150,7 @@
 	for _, line := range e.fresh {
 		j := l.jobs[line.Job]
 		if j != nil && j.Rec.Spec != nil {
-			if p, _ := j.Part(j.Rec.PartOf(line.Task)); p.IsOpen(line.Task, line.Attempt, line.Machine) {
+			if j.IsOpen(line.Task, line.Attempt, line.Machine) {
 				left = append(left, line)
 				continue
 			}
@@ -182,7 +182,14 @@
 				continue
 			}
 			needed = true
-			if i == 0 && len(pages)*l.form.Room() > maxLogBytes && !j.mergeNow {
+			if i > 0 || len(pages)*l.form.Room() <= maxLogBytes {
+				continue
+			}
+			if shared, ok := f.SharedPage(); ok {
+				l.placing.fold[shared] = true
+				continue
+			}
+			if !j.mergeNow {
 				j.mergeNow = true
 				l.dirty[j.ID] = true
 			}
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -54,6 +54,7 @@
 	reigns    uint64 // counts the times that this node began anew
 
 	ended     endedLog
+	placing   placing
 	learning  learning
 	survey    survey
 	usage     *queue.Usage
@@ -169,6 +170,7 @@
 // Tick does what the leader does by time alone.
 func (l *Leader) Tick() {
 	l.wakeJobs()
+	l.resendPlacements()
 	l.writeHints()
 	l.tidyEnded()
 	l.count()
@@ -193,6 +195,7 @@
 		l.pass()
 		l.flushJobs()
 	}
+	l.writePlacements()
 	l.writeDecisions()
 	l.refreshMachines()
 	l.owner.SendUrgent()
@@ -209,10 +212,9 @@
 	for _, id := range ids {
 		j := l.jobs[id]
 		j.closes, j.plan, j.txn = nil, nil, nil
-		l.placed(j, nil, j.Rec.Open)
-		for i := range j.Parts {
-			l.placed(j, nil, j.Parts[i].Open)
-		}
+		var all []job.Placement
+		j.EachOpen(func(p job.Placement) { all = append(all, p) })
+		l.placed(j, nil, all)
 		open += j.Open
 		if j.Rec.Spec != nil && j.Rec.Spec.Shape == wire.Gang && j.Open > 0 && j.Open < j.Rec.Spec.Tasks {
 			// Where the missing tasks were is not known any more, and an attempt
@@ -236,7 +238,7 @@
 
 func (l *Leader) reset() {
 	for _, j := range l.jobs {
-		j.closes, j.plan, j.txn, j.reserved, j.mergeNow, j.moved = nil, nil, nil, nil, false, nil
+		j.closes, j.plan, j.txn, j.reserved, j.mergeNow, j.moved, j.alone = nil, nil, nil, nil, false, nil, false
 		j.surveyed, j.runs, j.like, j.drainSince, j.behind, j.kind = surveyed{}, runs{}, 0, 0, false, nil
 	}
 	l.ready = false
@@ -248,6 +250,7 @@
 	l.reigns++
 	l.standIns, l.assured = map[string]standIn{}, 0
 	l.writing, l.gathering, l.order = 0, gathering{}, order{kinds: map[string]*kind{}, claimed: map[string]queue.Amount{}}
+	l.placing = newPlacing()
 	l.ended = endedLog{writeAt: l.ended.writeAt, leaving: map[uint64]bool{}}
 	l.resetDeciding()
 	l.dirty, l.delayed = map[string]bool{}, map[string]bool{}
@@ -297,6 +300,7 @@
 	cancelling bool
 	tooLarge   bool // its record was once found too large to be written
 	parting    bool // its tasks are to be moved out of its record
+	alone      bool // its places go into its record: one transaction on pages has no room for all of it
 }
 
 // closing is a placement with proof that it is over.
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -31,7 +31,7 @@
 	kept    []kept                    // the highest level first
 	victims map[string][]*zone.Victim // by zone; nil: nobody has asked
 	running *running                  // nil: nobody has asked
-	budget  int                       // changes that may still be asked of the state service
+	budget  float64                   // changes that may still be asked of the state service
 }
 
 // typeSet is the machine types that suit a job.
@@ -85,7 +85,7 @@
 // workers last said of it, and so does what is being committed.
 func (l *Leader) surveyAll() *scan {
 	l.refresh()
-	s := &scan{zones: l.survey.zones, used: maps.Clone(l.survey.used), barred: map[string]bool{}, drained: map[string]bool{}, budget: l.mostWriting() - l.writing}
+	s := &scan{zones: l.survey.zones, used: maps.Clone(l.survey.used), barred: map[string]bool{}, drained: map[string]bool{}, budget: float64(l.mostWriting() - l.writing)}
 	for _, z := range s.zones {
 		z.Victims = func() []*zone.Victim { return l.victims(s, z.Name) }
 	}
@@ -250,7 +250,7 @@
 	tasks := j.Rec.Spec.Tasks
 	var out []int
 	for n, end := j.Rec.Parts(tasks); n < end; n++ {
-		p, _ := j.Part(n)
+		p := j.Whole(n)
 		first, count := j.Rec.Span(n, tasks)
 		for _, i := range p.Missing(count) {
 			if out = append(out, first+i); len(out) == most {
@@ -334,7 +334,7 @@
 			return
 		}
 		if commit && len(j.plan) == 0 {
-			s.budget-- // its record is written
+			s.budget -= l.placeCost(j) // its record is written, or a part of a page
 		}
 		for i, r := range bid.Rooms {
 			image := ""
@@ -349,7 +349,7 @@
 				continue
 			}
 			if tasks[i] >= job.PartTasks && tasks[i]%job.PartTasks == 0 {
-				s.budget-- // another value is written
+				s.budget -= l.placeCost(j) // another value is written
 			}
 			l.addPlan(j, job.Placement{Task: tasks[i], Attempt: attempt, Machine: r.Machine.Name,
 				Session: r.Machine.Session, Zone: r.Machine.Zone, At: job.TimeOf(j.Rec.Created, l.wall()), Cheap: r.Machine.Spot})
--- a/internal/core/records/form.go
+++ b/internal/core/records/form.go
@@ -15,7 +15,8 @@
 // Form is how what is written has to look: the format in force, and how much the state
 // service takes.
 type Form struct {
-	Format job.Format // as far as this node knows
+	Format  job.Format // as far as this node knows
+	Version uint64     // of the key that says so; 0: there is none
 
 	state *config.State
 	tight int // values stay below this, if it isn't 0
@@ -24,6 +25,12 @@
 // NewForm returns the first format within the limits of a state service.
 func NewForm(state *config.State) *Form { return &Form{Format: job.Placements, state: state} }
 
+// FormatKey is where the format is.
+const FormatKey = job.Root + "format"
+
+// Guard has a transaction fail unless the format is the one that this node knows.
+func (f *Form) Guard() wire.Guard { return wire.Guard{Key: FormatKey, Version: f.Version} }
+
 // Upgrading tells whether the format is still to be raised.
 func (f *Form) Upgrading() bool { return f.Format < job.Newest }
 
--- a/internal/core/records/log.go
+++ b/internal/core/records/log.go
@@ -73,7 +73,17 @@
 // Fact is a line of a page as its job knows it.
 type Fact struct {
 	Ended
-	Merged bool // the job's record, as it is stored, says so too
+	Merged bool   // the job's record or page, as it is stored, says so too
+	share  *share // the part of a page that has the attempt open, as it is stored; nil: none
+}
+
+// SharedPage is the page of shared parts that has to be rewritten for a line to be of no more use;
+// false: none has.
+func (f *Fact) SharedPage() (page uint64, ok bool) {
+	if f.share == nil {
+		return 0, false
+	}
+	return f.share.page, true
 }
 
 // Page is a page of the log.
@@ -130,13 +140,16 @@
 func (b *Book) learn(f *Fact) {
 	j := b.job(f.Job)
 	j.facts = append(j.facts, f)
+	if b.learnShared(j, f) {
+		return
+	}
 	n := j.Rec.PartOf(f.Task)
 	if j.Version == 0 || j.Over() || n > len(j.Parts) {
 		return // the record or the part comes later, or not at all
 	}
 	p, _ := j.Part(n)
 	q := p.Clone()
-	if !f.apply(&q) {
+	if !f.apply(j, &q) {
 		return
 	}
 	b.place(j, p.Open, q.Open)
@@ -145,8 +158,31 @@
 	b.to.Changed(j)
 }
 
-// apply brings a part up to a line; it returns whether that changed anything.
-func (f *Fact) apply(p *job.Part) bool {
+// learnShared closes what a line says has ended if a page of shared parts has it open.
+func (b *Book) learnShared(j *Job, f *Fact) bool {
+	for _, s := range j.shares {
+		old := s.Open
+		if !s.close(f) {
+			continue
+		}
+		b.place(j, old, s.Open)
+		j.recount()
+		b.to.Changed(j)
+		return true
+	}
+	return false
+}
+
+// apply brings a part of the record up to a line; it returns whether that changed anything. A line
+// about what a page has placed is none of the record's business.
+func (f *Fact) apply(j *Job, p *job.Part) bool {
+	if f.share != nil {
+		return false
+	}
+	if f.Done && j.pagesSayDone(f.Task) {
+		f.Merged = true
+		return false
+	}
 	changed := p.Close(f.Task, f.Attempt, f.Machine, f.Stay)
 	if f.Done && !p.IsDone(f.Task%job.PartTasks) {
 		p.SetDone(f.Task % job.PartTasks)
@@ -160,7 +196,7 @@
 func (j *Job) applyFacts(n int, p *job.Part) {
 	for _, f := range j.facts {
 		if j.Rec.PartOf(f.Task) == n {
-			f.apply(p)
+			f.apply(j, p)
 		}
 	}
 }
@@ -168,7 +204,7 @@
 // Unmerged calls f for the task of each line that the job's record doesn't say yet.
 func (j *Job) Unmerged(f func(task int)) {
 	for _, x := range j.facts {
-		if !x.Merged {
+		if !x.Merged && x.share == nil {
 			f(x.Task)
 		}
 	}
--- a/internal/core/records/records.go
+++ b/internal/core/records/records.go
@@ -28,7 +28,9 @@
 	Done    int    // done tasks
 	Open    int    // open placements
 
-	facts []*Fact // lines of the log that are about it
+	facts   []*Fact  // lines of the log that are about it
+	shares  []*share // what pages of shared parts say of it, in the order of pages
+	highest uint64   // attempt that was ever seen
 	chain
 }
 
@@ -52,19 +54,21 @@
 
 // Book is the copy.
 type Book struct {
-	to    Listener
-	jobs  map[string]*Job
-	pages map[uint64]*Page
-	open  map[string]map[job.Key]job.Placement // by machine
+	to     Listener
+	jobs   map[string]*Job
+	pages  map[uint64]*Page
+	shared map[uint64]*SharedPage
+	open   map[string]map[job.Key]job.Placement // by machine
 
-	currentAt Micros
-	revision  uint64
+	currentAt      Micros
+	revision       uint64
+	sharedRevision uint64 // of the last change of a page of shared parts
 }
 
 // New returns a Book that knows nothing yet.
 func New(to Listener) *Book {
 	return &Book{to: to, jobs: map[string]*Job{}, pages: map[uint64]*Page{},
-		open: map[string]map[job.Key]job.Placement{}}
+		shared: map[uint64]*SharedPage{}, open: map[string]map[job.Key]job.Placement{}}
 }
 
 // Apply takes a put or a delete of a key that is a job's or a page's. It returns false for
@@ -81,6 +85,16 @@
 		}
 		return true, b.applyPage(n, ev)
 	}
+	if num, ok := strings.CutPrefix(key, sharedPrefix); ok {
+		n, err := strconv.ParseUint(num, 10, 64)
+		if err == nil {
+			err = b.applyShared(n, ev)
+		}
+		if err != nil {
+			return true, fmt.Errorf("shared parts: %w", err)
+		}
+		return true, nil
+	}
 	id, n, ok := job.ParseKey(key)
 	switch {
 	case !ok:
@@ -137,6 +151,10 @@
 		j.applyFacts(0, &j.Rec.Part)
 	}
 	b.place(j, old, j.Rec.Open)
+	if j.Over() {
+		b.voidShares(j)
+	}
+	j.raiseAttempt()
 	b.to.Stored(j)
 	b.to.Recorded(j)
 	b.link(j)
@@ -262,12 +280,30 @@
 			f(p)
 		}
 	}
+	for _, s := range j.shares {
+		for _, p := range s.Open {
+			f(p)
+		}
+	}
 }
 
+// recount counts done tasks and open placements. A task is done once, whoever says so.
 func (j *Job) recount() {
 	j.Done, j.Open = j.Rec.Part.Count(), len(j.Rec.Open)
 	for i := range j.Parts {
 		j.Done += j.Parts[i].Count()
 		j.Open += len(j.Parts[i].Open)
 	}
+	if len(j.shares) == 0 {
+		return
+	}
+	said := map[int]string{} // by index of the part: what pages say is done
+	for _, s := range j.shares {
+		said[s.index] = job.UnionDone(said[s.index], s.Done)
+		j.Open += len(s.Open)
+	}
+	for index, done := range said { // sums: in any order
+		p, _ := j.Part(j.Rec.PartOf(index * job.PartTasks))
+		j.Done += job.CountDone(job.UnionDone(p.Done, done)) - p.Count()
+	}
 }
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -4,6 +4,7 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
+	"coralhub/internal/core/records"
 	"coralhub/wire"
 )
 
@@ -15,7 +16,7 @@
 // nothing is accepted that the older version would lose.
 
 const (
-	formatKey      = job.Root + "format"
+	formatKey      = records.FormatKey
 	announcePrefix = job.Root + "nodes/"
 	// formatPause is between tries to announce or raise.
 	formatPause = config.Second
@@ -27,18 +28,17 @@
 }
 
 type upgrade struct {
-	formatVersion uint64
-	announced     map[string]job.Format // by node
-	formatAt      Micros                // when to try again
-	foreign       bool                  // the format is one that this node can't read
+	announced map[string]job.Format // by node
+	formatAt  Micros                // when to try again
+	foreign   bool                  // the format is one that this node can't read
 }
 
 func (c *Core) formatIn(ev *wire.Change) {
 	var m formatMark
-	if ev.Put == "" || ev.Version <= c.formatVersion || job.Decode(ev.Value, &m) != nil {
+	if ev.Put == "" || ev.Version <= c.form.Version || job.Decode(ev.Value, &m) != nil {
 		return
 	}
-	c.form.Format, c.formatVersion = m.Format, ev.Version
+	c.form.Format, c.form.Version = m.Format, ev.Version
 	c.leader.Wake()
 	if m.Format > job.Newest && !c.foreign {
 		c.foreign = true
@@ -70,13 +70,21 @@
 	})
 }
 
-// announceFormat tells for good that this node reads the newest format.
+// wanted is the format that this node would have: the newest that it reads, unless that is switched off.
+func (c *Core) wanted() job.Format {
+	if !c.cfg.Settings.SharedParts {
+		return job.SharedParts - 1
+	}
+	return job.Newest
+}
+
+// announceFormat tells for good that this node reads the format that it would have.
 func (c *Core) announceFormat() {
-	if !c.serving() || c.cfg.Settings.HoldFormat || c.announced[c.cfg.Node] >= job.Newest || c.box.Now() < c.formatAt {
+	if !c.serving() || c.cfg.Settings.HoldFormat || c.announced[c.cfg.Node] >= c.wanted() || c.box.Now() < c.formatAt {
 		return
 	}
-	c.putFormat(announcePrefix+c.cfg.Node, job.Newest, nil, func(msg.CommitDone) {
-		c.box.Log("announced", "reads_format", int(job.Newest))
+	c.putFormat(announcePrefix+c.cfg.Node, c.wanted(), nil, func(msg.CommitDone) {
+		c.box.Log("announced", "reads_format", int(c.wanted()))
 	})
 }
 
@@ -92,7 +100,7 @@
 	if least = min(least, job.Newest); least <= c.form.Format {
 		return
 	}
-	guards := []wire.Guard{c.claim.Guard(), {Key: formatKey, Version: c.formatVersion}}
+	guards := []wire.Guard{c.claim.Guard(), {Key: formatKey, Version: c.form.Version}}
 	c.putFormat(formatKey, least, guards, func(msg.CommitDone) {
 		c.box.Log("format raised: no way back to older versions", "format", int(least))
 	})
--- a/internal/scenario/runner_test.go
+++ b/internal/scenario/runner_test.go
@@ -42,6 +42,7 @@
 	announced bool
 	seeds     uint64
 	late      wire.Report // held back by a script
+	unshared  bool        // nodes are set not to place tasks of many jobs by one change
 	effects   hash.Hash64 // of all that nodes have done, if anybody wants to know
 	copies    *copies     // of reports, to come again; nil: none are kept
 	strike    strike
@@ -135,6 +136,7 @@
 	c := &config.Config{Settings: config.Defaults()}
 	c.Node, c.Location = name, location(name)
 	c.Settings.HoldFormat = s.node(name).held
+	c.Settings.SharedParts = !s.unshared
 	for _, n := range s.nodes {
 		if n.name != name {
 			c.Peers = append(c.Peers, config.Peer{Node: n.name, Location: location(n.name)})
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -115,7 +115,8 @@
 	s.world.HangKeeps = d.HasArg("hang_keeps")
 	s.copies = &copies{late: 3 * s.world.Lease}
 	s.world.ReportEvery = length(t, d, "report", "1s")
-	if d.HasArg("lease") || d.HasArg("cancel") || d.HasArg("report") {
+	s.unshared = d.HasArg("unshared")
+	if d.HasArg("lease") || d.HasArg("cancel") || d.HasArg("report") || s.unshared {
 		for _, n := range s.nodes {
 			s.start(n) // it is told of it
 		}
