--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -47,7 +47,7 @@
 type Listener interface {
 	Won()                          // this node holds it from now on
 	Lost(why string, token uint64) // and doesn't any more
-	Passed(from, to string)        // somebody has written a claim
+	HolderChanged(from, to string) // somebody has written a claim
 }
 
 // Claim is one key's.
@@ -315,7 +315,7 @@
 		base = c.holder.Base
 	}
 	c.holder, c.gone = Holder{v.Node, ev.Version, base, v.Nonce}, false
-	c.to.Passed(from, v.Node)
+	c.to.HolderChanged(from, v.Node)
 	if v.Node != c.node {
 		if c.held && ev.Version > c.token {
 			c.Resign("claim of " + v.Node)
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -26,9 +26,9 @@
 	name string
 }
 
-func (e ear) Won()                      { e.w.said = append(e.w.said, e.name+" won") }
-func (e ear) Lost(why string, _ uint64) { e.w.said = append(e.w.said, e.name+" lost: "+why) }
-func (e ear) Passed(_, to string)       { e.w.said = append(e.w.said, e.name+" passed to "+to) }
+func (e ear) Won()                       { e.w.said = append(e.w.said, e.name+" won") }
+func (e ear) Lost(why string, _ uint64)  { e.w.said = append(e.w.said, e.name+" lost: "+why) }
+func (e ear) HolderChanged(_, to string) { e.w.said = append(e.w.said, e.name+" passed to "+to) }
 
 const ttl = 4 * config.Second
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,8 +49,8 @@
 	keeper  *fleet.Keeper
 	owner   *owner.Owner // of every zone, as the leader
 
-	loaded         bool          // a first Snapshot has come
-	book           *records.Book // what is committed about jobs
+	loaded         bool             // a first Snapshot has come
+	replica        *records.Replica // what is committed about jobs
 	catalogVersion uint64
 	catalogAsked   Micros
 
@@ -62,17 +62,17 @@
 func New(cfg *config.Config, seed uint64) *Core {
 	c := &Core{cfg: cfg, form: records.NewForm(&cfg.Cluster.State), catalog: &zone.Catalog{}, upgrade: upgrade{announced: map[string]job.Format{}}}
 	c.box = outbox.New(c.malformed)
-	c.claim = claim.New(c.box, leaderKey, cfg.Node, config.FromMillis(cfg.Settings.LeaderLeaseMS), seed, throne{c})
+	c.claim = claim.New(c.box, leaderKey, cfg.Node, config.FromMillis(cfg.Settings.LeaderLeaseMS), seed, claimListener{c})
 	c.leader = leader.New(cfg, c.box, c.form, c.catalog, c.claim)
 	hears := &listener{Leader: c.leader}
-	c.book = records.New(hears)
-	c.front = front.New(cfg, c.box, c.book, c.form, c.catalog, house{c})
+	c.replica = records.New(hears)
+	c.front = front.New(cfg, c.box, c.replica, c.form, c.catalog, frontNode{c})
 	hears.front = c.front
-	c.home = home.New(cfg, c.box, c.book, c.form, c.claim)
+	c.home = home.New(cfg, c.box, c.replica, c.form, c.claim)
 	hears.home = c.home
-	c.owner = owner.New(cfg, c.box, c.book, c.claim, c.leader.Desk())
-	c.keeper = fleet.NewKeeper(cfg, c.box, c.book, c.catalog, c.claim, c.owner, c.leader.Desk())
-	c.leader.Use(c.book, c.owner, c.keeper)
+	c.owner = owner.New(cfg, c.box, c.replica, c.claim, c.leader.Desk())
+	c.keeper = fleet.NewKeeper(cfg, c.box, c.replica, c.catalog, c.claim, c.owner, c.leader.Desk())
+	c.leader.Use(c.replica, c.owner, c.keeper)
 	return c
 }
 
@@ -88,9 +88,9 @@
 	case msg.Changed:
 		for i := range x.Events {
 			c.apply(&x.Events[i])
-			c.book.Upto(x.Events[i].Version)
+			c.replica.Upto(x.Events[i].Version)
 		}
-		c.book.Current(x.AsOf)
+		c.replica.Current(x.AsOf)
 		c.front.Followed()
 	case msg.ForwardDone:
 		c.home.ForwardDone(x)
@@ -173,8 +173,8 @@
 	if !listed[leaderKey] {
 		c.claim.Listed(s.Revision)
 	}
-	c.book.Listed(s.Revision, listed)
-	c.book.Upto(s.Revision)
+	c.replica.Listed(s.Revision, listed)
+	c.replica.Upto(s.Revision)
 	c.loaded = true
 	c.leader.Read(s.Revision)
 }
--- a/internal/core/fleet/keeper.go
+++ b/internal/core/fleet/keeper.go
@@ -34,7 +34,7 @@
 type Keeper struct {
 	cfg     *config.Config
 	box     *outbox.Box
-	book    *records.Book
+	replica *records.Replica
 	catalog *zone.Catalog
 	claim   *claim.Claim
 	owner   Machines
@@ -55,8 +55,8 @@
 }
 
 // NewKeeper returns a keeper of no machines.
-func NewKeeper(cfg *config.Config, box *outbox.Box, book *records.Book, catalog *zone.Catalog, claim *claim.Claim, owner Machines, to Leader) *Keeper {
-	k := &Keeper{cfg: cfg, box: box, book: book, catalog: catalog, claim: claim, owner: owner, to: to}
+func NewKeeper(cfg *config.Config, box *outbox.Box, replica *records.Replica, catalog *zone.Catalog, claim *claim.Claim, owner Machines, to Leader) *Keeper {
+	k := &Keeper{cfg: cfg, box: box, replica: replica, catalog: catalog, claim: claim, owner: owner, to: to}
 	k.Reset()
 	return k
 }
@@ -284,9 +284,9 @@
 		switch {
 		case m.Failed:
 			why = "failed"
-		case m.Anew:
+		case m.SessionReset:
 			why = "began anew"
-		case m.Session == 0 && len(k.book.OpenOn(name)) == 0:
+		case m.Session == 0 && len(k.replica.OpenOn(name)) == 0:
 			if k.box.Now()-max(m.Rented, k.since) > k.bootLimit(m) {
 				why = "never came up"
 			}
@@ -309,7 +309,7 @@
 			continue
 		}
 		if m.ReleasedAt == 0 {
-			k.box.Log("releasing", "machine", name, "why", why, "placements", len(k.book.OpenOn(name)))
+			k.box.Log("releasing", "machine", name, "why", why, "placements", len(k.replica.OpenOn(name)))
 		}
 		m.Releasing, m.ReleasedAt = true, k.box.Now()
 		k.to.Looks(m)
@@ -353,7 +353,7 @@
 func (k *Keeper) crowds() map[string]bool {
 	quiet, all := map[string]int{}, map[string]int{}
 	for _, m := range k.owner.Roster().All() {
-		if m.Session == 0 && m.Heard == 0 && len(k.book.OpenOn(m.Name)) == 0 {
+		if m.Session == 0 && m.Heard == 0 && len(k.replica.OpenOn(m.Name)) == 0 {
 			continue
 		}
 		all[m.Zone]++
@@ -409,7 +409,7 @@
 		return
 	}
 	for _, name := range slices.Sorted(slices.Values(x.Machines)) {
-		for _, key := range job.SortedKeys(k.book.OpenOn(name)) {
+		for _, key := range job.SortedKeys(k.replica.OpenOn(name)) {
 			k.to.Close(key, name, false)
 		}
 		if m := k.owner.Roster().Get(name); m != nil {
@@ -432,7 +432,7 @@
 	case m.IdleSince == 0:
 		m.IdleSince = k.box.Now()
 	}
-	if !busy || m.Session == 0 || m.Releasing || m.Failed || m.Anew || m.Mute != 0 || m.Hearing.Deaf() {
+	if !busy || m.Session == 0 || m.Releasing || m.Failed || m.SessionReset || m.Mute != 0 || m.Hearing.Deaf() {
 		k.watched[m] = true
 	} else {
 		delete(k.watched, m)
--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -60,7 +60,7 @@
 	cfg     *config.Config
 	teams   map[string]*config.Team
 	box     *outbox.Box
-	book    *records.Book
+	replica *records.Replica
 	form    *records.Form
 	catalog *zone.Catalog
 	node    Node
@@ -77,8 +77,8 @@
 }
 
 // New returns the front of a node.
-func New(cfg *config.Config, box *outbox.Box, book *records.Book, form *records.Form, catalog *zone.Catalog, node Node) *Front {
-	return &Front{cfg: cfg, teams: cfg.Cluster.TeamsByName(), box: box, book: book, form: form, catalog: catalog, node: node,
+func New(cfg *config.Config, box *outbox.Box, replica *records.Replica, form *records.Form, catalog *zone.Catalog, node Node) *Front {
+	return &Front{cfg: cfg, teams: cfg.Cluster.TeamsByName(), box: box, replica: replica, form: form, catalog: catalog, node: node,
 		waiting: map[string][]waiter{}}
 }
 
@@ -128,7 +128,7 @@
 		f.box.Later(x.Req, why)
 		return
 	}
-	if j := f.book.Job(spec.ID); j != nil && j.Rec.Final() {
+	if j := f.replica.Job(spec.ID); j != nil && j.Rec.Final() {
 		f.box.Answer(x.Req, http.StatusOK, Status(j))
 		return
 	}
@@ -146,7 +146,7 @@
 	default:
 		refusal, why = f.impossible(&spec)
 	}
-	if j := f.book.Job(spec.ID); refusal != 0 || j != nil && j.Version != 0 {
+	if j := f.replica.Job(spec.ID); refusal != 0 || j != nil && j.Version != 0 {
 		f.refuse(x, spec.ID, refusal, why)
 		return
 	}
@@ -170,7 +170,7 @@
 // knows. One that slips through waits, and is cancelled with the service.
 func (f *Front) needsService(spec *wire.Job) bool {
 	return slices.ContainsFunc(spec.Needs, func(id string) bool {
-		n := f.book.Job(id)
+		n := f.replica.Job(id)
 		return n != nil && n.Rec.Spec != nil && n.Rec.Spec.Shape == wire.Service
 	})
 }
@@ -196,7 +196,7 @@
 func (f *Front) firstRecord(x msg.SubmitIn, spec *wire.Job) (*job.Record, []byte, error) {
 	var left []string
 	for _, id := range spec.Needs {
-		n := f.book.Job(id) // nil: it exists, and its record is on its way here
+		n := f.replica.Job(id) // nil: it exists, and its record is on its way here
 		if n != nil && (n.Rec.Phase == job.Cancelled || n.Doomed()) {
 			rec := &job.Record{Phase: job.Cancelled}
 			value, err := job.EncodeRecord(rec, f.form.Format)
@@ -351,7 +351,7 @@
 			return
 		}
 		f.node.Heard(wire.Change{Put: d.Item.Key, Value: d.Item.Value, Version: d.Item.Version})
-		then(f.book.Job(id))
+		then(f.replica.Job(id))
 	})
 }
 
@@ -362,8 +362,8 @@
 		f.box.Answer(x.Req, http.StatusNotFound, wire.Error{Error: "no such job"})
 	case f.node.Refusal() != "":
 		f.box.Later(x.Req, f.node.Refusal())
-	case f.book.Job(x.ID) != nil && f.book.Job(x.ID).Rec.Final():
-		f.box.Answer(x.Req, http.StatusOK, Status(f.book.Job(x.ID)))
+	case f.replica.Job(x.ID) != nil && f.replica.Job(x.ID).Rec.Final():
+		f.box.Answer(x.Req, http.StatusOK, Status(f.replica.Job(x.ID)))
 	case len(f.checks) >= maxChecks:
 		f.box.Later(x.Req, "too many requests")
 	default:
@@ -382,7 +382,7 @@
 			f.closelyAt = f.box.Now()
 			f.box.Emit(msg.FollowClosely{})
 		}
-		if f.box.Now()-f.book.CurrentAt() < lively {
+		if f.box.Now()-f.replica.CurrentAt() < lively {
 			return // the watch will confirm all of them, with one request
 		}
 	}
@@ -391,7 +391,7 @@
 	for ; n < len(f.checks) && len(ids) < most; n++ {
 		id := f.checks[n].id
 		ids[id] = 0
-		if j := f.book.Job(id); j != nil {
+		if j := f.replica.Job(id); j != nil {
 			ids[id] = j.Version
 		}
 	}
@@ -417,11 +417,11 @@
 func (f *Front) Followed() {
 	left := f.checks[:0]
 	for _, p := range f.checks {
-		if p.since >= f.book.CurrentAt() {
+		if p.since >= f.replica.CurrentAt() {
 			left = append(left, p)
 			continue
 		}
-		f.answerPoll(p, f.book.Job(p.id))
+		f.answerPoll(p, f.replica.Job(p.id))
 	}
 	f.checks = left
 }
@@ -432,7 +432,7 @@
 		failed[k] = true
 	}
 	for _, p := range batch {
-		j := f.book.Job(p.id)
+		j := f.replica.Job(p.id)
 		switch {
 		case d.Outcome != msg.OK && d.Outcome != msg.Conflict:
 			f.box.Later(p.req, "state service not available")
@@ -484,7 +484,7 @@
 		f.box.Later(x.Req, why)
 		return
 	}
-	if j := f.book.Job(x.ID); j != nil && j.Version != 0 {
+	if j := f.replica.Job(x.ID); j != nil && j.Version != 0 {
 		switch {
 		case j.Rec.Final():
 			f.box.Answer(x.Req, http.StatusOK, wire.JobStatus{ID: j.ID, Status: Status(j).Status})
@@ -597,9 +597,9 @@
 		return guards, true
 	}
 	for _, id := range j.UndoneNeeds() {
-		return append(guards, wire.Guard{Key: job.RecordKey(id), Version: f.book.Job(id).Version}), true
+		return append(guards, wire.Guard{Key: job.RecordKey(id), Version: f.replica.Job(id).Version}), true
 	}
-	pages := f.book.SharedGuards()
+	pages := f.replica.SharedGuards()
 	if len(guards)+len(pages) > wire.GuardFactor*f.form.Ops() || f.box.Now()-f.pagesAt < pagesQuiet {
 		return nil, false
 	}
@@ -608,7 +608,7 @@
 
 // followPages notes when pages of shared parts have changed.
 func (f *Front) followPages() {
-	if v := f.book.SharedRevision(); v != f.pagesRevision {
+	if v := f.replica.SharedRevision(); v != f.pagesRevision {
 		f.pagesRevision, f.pagesAt = v, f.box.Now()
 	}
 }
@@ -666,14 +666,14 @@
 // stale tells whether this node can't know well enough whether a job that waits
 // for others is still to be called queued.
 func (f *Front) stale(j *records.Job) bool {
-	return j.Waits() && f.box.Now()-f.book.CurrentAt() > config.FromSeconds(f.cfg.Cluster.Workers.CancelS)/4
+	return j.Waits() && f.box.Now()-f.replica.CurrentAt() > config.FromSeconds(f.cfg.Cluster.Workers.CancelS)/4
 }
 
 // needed hands over which of the ids were never accepted, as the state service
 // confirms it now: this node's copy may lag, and users submit a job as soon as
 // those that it needs are accepted, perhaps by another node.
 func (f *Front) needed(ids []string, then func(missing string, o msg.Outcome)) {
-	batch := f.book.Unknown(ids)
+	batch := f.replica.Unknown(ids)
 	if len(batch) == 0 {
 		then("", msg.OK)
 		return
--- a/internal/core/home/home.go
+++ b/internal/core/home/home.go
@@ -36,11 +36,11 @@
 
 // Home is one node's.
 type Home struct {
-	cfg    *config.Config
-	box    *outbox.Box
-	book   *records.Book
-	form   *records.Form
-	leader *claim.Claim
+	cfg     *config.Config
+	box     *outbox.Box
+	replica *records.Replica
+	form    *records.Form
+	leader  *claim.Claim
 
 	location map[string]string // of every node
 	heard    map[string]Micros // when a peer was last heard
@@ -61,8 +61,8 @@
 }
 
 // New returns the home that a node is to the workers near it.
-func New(cfg *config.Config, box *outbox.Box, book *records.Book, form *records.Form, leader *claim.Claim) *Home {
-	h := &Home{cfg: cfg, box: box, book: book, form: form, leader: leader, location: map[string]string{cfg.Node: cfg.Location},
+func New(cfg *config.Config, box *outbox.Box, replica *records.Replica, form *records.Form, leader *claim.Claim) *Home {
+	h := &Home{cfg: cfg, box: box, replica: replica, form: form, leader: leader, location: map[string]string{cfg.Node: cfg.Location},
 		heard: map[string]Micros{}, visits: map[string]visit{}, taken: map[string]taken{}, mailbox: map[string]Line{}, mailed: map[string]Line{}}
 	for _, p := range cfg.Peers {
 		h.location[p.Node] = p.Location
@@ -77,8 +77,8 @@
 	h.sendMail()
 }
 
-// Passed hears that somebody has written a claim to lead.
-func (h *Home) Passed(from, to string) {
+// HolderChanged hears that somebody has written a claim to lead.
+func (h *Home) HolderChanged(from, to string) {
 	if from != to {
 		h.heard[to] = h.box.Now()
 		h.passed, h.led = h.box.Now(), false
@@ -239,7 +239,7 @@
 // leader has given its word to tell of none.
 func (h *Home) fresh() bool {
 	w := &h.cfg.Cluster.Workers
-	return h.box.Now()-h.book.CurrentAt() < config.FromSeconds(w.CancelS-w.LeaseS)-4*config.Second || h.granted()
+	return h.box.Now()-h.replica.CurrentAt() < config.FromSeconds(w.CancelS-w.LeaseS)-4*config.Second || h.granted()
 }
 
 // granted tells whether the leader's word holds.
@@ -251,7 +251,7 @@
 // the records ask nothing of the worker.
 func (h *Home) quiet(r *wire.Report) bool {
 	t, ok := h.taken[r.Machine]
-	expected := h.book.OpenOn(r.Machine)
+	expected := h.replica.OpenOn(r.Machine)
 	if !ok || t.leader != h.leader.Holder().Version || t.session != r.Session || h.box.Now()-t.at > takenFor || r.Token != h.leader.Holder().Version ||
 		r.NoticeS != nil || len(expected) != len(r.Tasks) || !slices.Equal(t.tasks, r.Tasks) || !h.fresh() {
 		return false
@@ -262,7 +262,7 @@
 			return false
 		}
 		p, open := expected[job.Key{Job: id, Task: n, Attempt: r.Tasks[i].Attempt}]
-		if j := h.book.Job(id); !open || p.Session != r.Session || j.Rec.Cancel || j.Rec.Final() {
+		if j := h.replica.Job(id); !open || p.Session != r.Session || j.Rec.Cancel || j.Rec.Final() {
 			return false
 		}
 	}
@@ -277,7 +277,7 @@
 	}
 	h.beatAt = h.box.Now() + beatEvery
 	if !leads && h.leader.Elsewhere() != "" {
-		h.box.Emit(msg.Beat{Node: h.leader.Holder().Node, Claim: h.leader.Holder().Version, Sent: h.box.Now(), Revision: h.book.Revision(), Heard: h.beats})
+		h.box.Emit(msg.Beat{Node: h.leader.Holder().Node, Claim: h.leader.Holder().Version, Sent: h.box.Now(), Revision: h.replica.Revision(), Heard: h.beats})
 	}
 	h.beats = nil
 }
@@ -348,7 +348,7 @@
 // that it answers nobody, and a worker that has seen its token can be kept alive by no one else: not by the
 // leader before it, and by homes only as long as their copies are recent. If the state service goes down between
 // a claim and the listing, that would be every worker.
-func (h *Home) begun() bool { return h.led || h.book.CurrentAt() >= h.passed+settled }
+func (h *Home) begun() bool { return h.led || h.replica.CurrentAt() >= h.passed+settled }
 
 // KeepsAlive answers a worker that has seen no token of the leader's reign by the token that it has
 // seen, if it may: it returns false if not. However old the copy gets, a task of a cancelled job isn't
@@ -357,7 +357,7 @@
 // rests on workers that have seen its token, and those drop this answer.
 func (h *Home) KeepsAlive(x msg.ReportIn) bool {
 	base := h.leader.Holder().Base
-	if x.Report.Token == 0 || x.Report.Token >= base || h.book.Revision() < base {
+	if x.Report.Token == 0 || x.Report.Token >= base || h.replica.Revision() < base {
 		return false
 	}
 	h.answer(x, x.Report.Token)
@@ -373,7 +373,7 @@
 		if !ok || t.State == wire.Exited {
 			continue
 		}
-		j := h.book.Job(id)
+		j := h.replica.Job(id)
 		if j == nil {
 			h.box.Later(x.Req, "not the leader")
 			return false
--- a/internal/core/home/home_test.go
+++ b/internal/core/home/home_test.go
@@ -25,7 +25,7 @@
 func (nobody) Doomed(*records.Job)                         {}
 func (nobody) Won()                                        {}
 func (nobody) Lost(string, uint64)                         {}
-func (nobody) Passed(string, string)                       {}
+func (nobody) HolderChanged(string, string)                {}
 
 // newHome returns the home that n2 is in zone b, and the value of a claim of n1, in zone a, to lead.
 // A lease has 4 s here, a cancellation 20.
@@ -34,9 +34,9 @@
 	cfg := &config.Config{Platform: config.Platform{Node: "n2", Location: "b", Peers: []config.Peer{{Node: "n1", Location: "a"}},
 		Cluster: config.Cluster{Workers: config.Workers{ReportS: 1, LeaseS: 4, CancelS: 20}}}}
 	box := outbox.New(func(*wire.Commit) {})
-	book := records.New(nobody{})
+	replica := records.New(nobody{})
 	leader := claim.New(box, "leader", "n2", config.Second, 1, nobody{})
-	h := New(cfg, box, book, records.NewForm(&cfg.Cluster.State), leader)
+	h := New(cfg, box, replica, records.NewForm(&cfg.Cluster.State), leader)
 	raw, err := job.Encode(claim.Value{Node: "n1", Nonce: 1})
 	if err != nil {
 		t.Fatal(err)
@@ -68,7 +68,7 @@
 		}
 		return "nothing"
 	}
-	h.book.Current(config.FromSeconds(1))
+	h.replica.Current(config.FromSeconds(1))
 	for _, c := range []struct {
 		at   float64
 		want string
@@ -111,7 +111,7 @@
 		if c.raised {
 			h.leader.Apply(&wire.Change{Put: "leader", Value: raw, Version: 11}, true)
 		}
-		h.book.Upto(c.revision)
+		h.replica.Upto(c.revision)
 		h.box.Begin(1000 * config.Second)
 		got := h.KeepsAlive(msg.ReportIn{Req: 1, Report: wire.Report{Machine: "m-1", Session: 1, Token: c.token}})
 		if got != c.want {
@@ -133,13 +133,13 @@
 	h, raw := newHome(t)
 	h.box.Begin(config.FromSeconds(10))
 	h.leader.Apply(&wire.Change{Put: "leader", Value: raw, Version: 9}, true)
-	h.Passed("", "n1")
-	h.book.Upto(9)
+	h.HolderChanged("", "n1")
+	h.replica.Upto(9)
 	for _, c := range []struct {
 		current float64
 		want    int
 	}{{10, 503}, {11.9, 503}, {12, 200}} {
-		h.book.Current(config.FromSeconds(c.current))
+		h.replica.Current(config.FromSeconds(c.current))
 		h.box.Begin(config.FromSeconds(15))
 		h.standIn(msg.ReportIn{Req: 1, Report: wire.Report{Machine: "m-1", Session: 1}}, false)
 		if a, _ := h.box.End()[0].(msg.Answer); a.Status != c.want {
--- a/internal/core/leader/audit.go
+++ b/internal/core/leader/audit.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		on := planned[m.Name]
-		for _, key := range job.SortedKeys(l.book.OpenOn(m.Name)) {
+		for _, key := range job.SortedKeys(l.replica.OpenOn(m.Name)) {
 			if j := l.jobs[key.Job]; j != nil && j.Rec.Spec != nil {
 				on = on.Plus(taskRes(j.Rec.Spec), 1)
 			}
@@ -60,7 +60,7 @@
 		if d := on.Plus(m.Used, -1); math.Abs(d.GPUs)+math.Abs(d.CPUs)+math.Abs(d.MemoryGB) > 1e-6 {
 			return fmt.Errorf("machine %s has %v placed, reckoned with %v", m.Name, on, m.Used)
 		}
-		if idle := len(l.book.OpenOn(m.Name)) == 0 && planned[m.Name] == (zone.Res{}); idle != (m.IdleSince != 0) {
+		if idle := len(l.replica.OpenOn(m.Name)) == 0 && planned[m.Name] == (zone.Res{}); idle != (m.IdleSince != 0) {
 			return fmt.Errorf("machine %s is idle: %v", m.Name, idle)
 		}
 	}
@@ -93,13 +93,13 @@
 	for _, j := range l.jobs {
 		j.EachOpen(func(p job.Placement) {
 			open++
-			if _, ok := l.book.OpenOn(p.Machine)[p.Key(j.ID)]; !ok {
+			if _, ok := l.replica.OpenOn(p.Machine)[p.Key(j.ID)]; !ok {
 				wrong = fmt.Errorf("%s/%d is not known to be on %s", j.ID, p.Task, p.Machine)
 			}
 		})
 	}
-	for _, machine := range l.book.Used() {
-		open -= len(l.book.OpenOn(machine))
+	for _, machine := range l.replica.Used() {
+		open -= len(l.replica.OpenOn(machine))
 	}
 	if wrong == nil && open != 0 {
 		wrong = fmt.Errorf("%d placements more by job than by machine", open)
--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -68,11 +68,11 @@
 	if j.txn != nil || l.box.Now() < j.retryAt || l.claim.Raising() {
 		return false
 	}
-	l.assure(j)
+	l.confirmCancellation(j)
 	t, more := l.fitting(j)
 	if t == nil || t.ends {
 		if t != nil {
-			l.note(j, t.closes)
+			l.logEnds(j, t.closes)
 		}
 		if len(j.plan) > 0 && l.shares(j) {
 			l.share(j)
@@ -118,7 +118,7 @@
 			l.box.Log("record too large to be written whole", "job", j.ID, "limit", l.form.Room())
 		}
 		switch {
-		case j.Rec.Spec != nil && l.book.Shorten(j.Job, l.catalog.Slim(j.Rec.Spec)):
+		case j.Rec.Spec != nil && l.replica.Shorten(j.Job, l.catalog.Slim(j.Rec.Spec)):
 		case l.canPart(j):
 			j.parting = true
 		case len(j.plan) > 1 && j.Rec.Spec.Shape != wire.Gang:
@@ -216,7 +216,7 @@
 			keep(cl.key.Task, p)
 		}
 	}
-	l.note(j, inPages)
+	l.logEnds(j, inPages)
 	// A service wants its replicas back at once; the log takes its time.
 	t.ends = changed && !j.parting && !j.mergeNow && (len(j.plan) == 0 || l.shares(j)) && (rec.Spec.Shape != wire.Service || rec.Cancel || rec.Final())
 	if j.mergeNow {
@@ -485,17 +485,17 @@
 	j.forget(t.closes)
 	j.mergeNow, j.parting = false, false
 	if t.rec != nil && j.Version < revision { // first: tasks may have moved out of it
-		l.book.SetRecord(j.ID, *t.rec, revision)
+		l.replica.SetRecord(j.ID, *t.rec, revision)
 	}
 	nums := slices.Sorted(maps.Keys(t.parts))
 	for _, n := range nums {
 		if _, v := j.Part(n); v < revision {
-			l.book.SetPart(j.Job, n, t.parts[n], revision)
+			l.replica.SetPart(j.Job, n, t.parts[n], revision)
 		}
 	}
 	for _, ch := range t.commit.Changes {
 		if _, n, ok := job.ParseKey(ch.Delete); ok && n > 0 && n <= len(j.Parts) {
-			l.book.SetPart(j.Job, n, job.Part{}, 0)
+			l.replica.SetPart(j.Job, n, job.Part{}, 0)
 		}
 	}
 	l.noteMine(j, t.placed)
@@ -557,7 +557,7 @@
 			if d.Item.Version != 0 {
 				l.take(&wire.Change{Put: key, Value: d.Item.Value, Version: d.Item.Version})
 			} else if _, n, ok := job.ParseKey(key); ok && n > 0 {
-				l.book.SetPart(j.Job, n, job.Part{}, 0)
+				l.replica.SetPart(j.Job, n, job.Part{}, 0)
 			}
 		}
 		l.dirty[j.ID] = true
@@ -565,12 +565,12 @@
 	})
 }
 
-// assure decides whether the user may be told that a job is cancelled: every
+// confirmCancellation decides whether the user may be told that a job is cancelled: every
 // open placement must be on a worker that follows us, so that we will stop the
 // task or the worker's lease ends, and no start may still be on its way that
 // could take effect after that. Where a lease may outlast a cancellation's time, only
 // proof that all of it is over will do: a worker that hears nothing keeps its tasks until then.
-func (l *Leader) assure(j *Job) {
+func (l *Leader) confirmCancellation(j *Job) {
 	if !j.Rec.Cancel || j.Rec.Final() {
 		j.cancelling = false
 		return
--- a/internal/core/leader/ended.go
+++ b/internal/core/leader/ended.go
@@ -40,12 +40,12 @@
 	writeAt Micros
 }
 
-// note hands closings to the log.
-func (l *Leader) note(j *Job, closes []closing) {
+// logEnds hands closings to the log.
+func (l *Leader) logEnds(j *Job, closes []closing) {
 	for _, cl := range closes {
 		for i := range j.closes {
-			if o := &j.closes[i]; o.key == cl.key && o.machine == cl.machine && !o.noted {
-				o.noted = true
+			if o := &j.closes[i]; o.key == cl.key && o.machine == cl.machine && !o.logging {
+				o.logging = true
 				l.ended.fresh = append(l.ended.fresh, records.Ended{Job: cl.key.Job, Task: cl.key.Task, Attempt: cl.key.Attempt,
 					Machine: cl.machine, Done: cl.done, Stay: cl.stay})
 			}
@@ -68,7 +68,7 @@
 	}
 	var lines []records.Ended
 	version := uint64(0)
-	if p := l.book.Page(e.current); p != nil {
+	if p := l.replica.Page(e.current); p != nil {
 		version = p.Version
 		for _, f := range p.Facts {
 			lines = append(lines, f.Ended)
@@ -157,7 +157,7 @@
 		}
 		if j != nil {
 			j.closes = slices.DeleteFunc(j.closes, func(cl closing) bool {
-				return cl.noted && cl.key.Task == line.Task && cl.key.Attempt == line.Attempt && cl.machine == line.Machine
+				return cl.logging && cl.key.Task == line.Task && cl.key.Attempt == line.Attempt && cl.machine == line.Machine
 			})
 			l.dirty[j.ID] = true
 			l.passDue = true
@@ -169,9 +169,9 @@
 // tidyEnded deletes pages that no record needs any more, and has jobs written
 // for the sake of the oldest page when there are many.
 func (l *Leader) tidyEnded() {
-	pages := l.book.Pages()
+	pages := l.replica.Pages()
 	for i, n := range pages {
-		p := l.book.Page(n)
+		p := l.replica.Page(n)
 		if n == l.ended.current || l.ended.leaving[n] {
 			continue
 		}
@@ -205,8 +205,8 @@
 			Changes: []wire.Change{{Delete: key}},
 		}, msg.ForCleanup, func(d msg.CommitDone) {
 			delete(leaving, n)
-			if d.Outcome == msg.OK && l.book.Page(n) == p {
-				l.book.Forget(n)
+			if d.Outcome == msg.OK && l.replica.Page(n) == p {
+				l.replica.Forget(n)
 			}
 		})
 		return // one at a time
--- a/internal/core/leader/gather.go
+++ b/internal/core/leader/gather.go
@@ -99,7 +99,7 @@
 		}
 		x := &gather.Machine{Name: m.Name, Type: m.Type, Spot: m.Spot, Free: m.Room.Free, Movable: len(l.survey.plans[m.Name]) == 0,
 			Suits: q.Types[m.Type] && (q.Spot || !m.Spot) && q.Avoid[m.Name] <= l.box.Now()}
-		open := l.book.OpenOn(m.Name)
+		open := l.replica.OpenOn(m.Name)
 		for _, key := range job.SortedKeys(open) {
 			of := l.jobs[key.Job]
 			if of == nil || !l.mayMove(of, key.Task) || queue.Level(of.Priority(), true) < level {
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -33,7 +33,7 @@
 type Leader struct {
 	cfg     *config.Config
 	box     *outbox.Box
-	book    *records.Book
+	replica *records.Replica
 	form    *records.Form
 	catalog *zone.Catalog
 	claim   *claim.Claim // to lead
@@ -44,7 +44,7 @@
 	// seen coming. It decides about ranks alone.
 	wallAhead Micros
 
-	jobs   map[string]*Job // those of the book, with what a leader adds to them
+	jobs   map[string]*Job // those of the replica, with what a leader adds to them
 	active []*Job          // jobs that have anything left, oldest first: passes must not cost more with every finished job
 	teams  map[string]*config.Team
 
@@ -87,8 +87,8 @@
 }
 
 // Use gives the leader the rooms that it commands and goes by.
-func (l *Leader) Use(book *records.Book, owner *owner.Owner, keeper *fleet.Keeper) {
-	l.book, l.owner, l.keeper = book, owner, keeper
+func (l *Leader) Use(replica *records.Replica, owner *owner.Owner, keeper *fleet.Keeper) {
+	l.replica, l.owner, l.keeper = replica, owner, keeper
 	l.reset()
 }
 
@@ -104,7 +104,7 @@
 			l.arrivedBy(j)
 		}
 	}
-	if l.service.since == 0 && l.book.Revision() > 0 {
+	if l.service.since == 0 && l.replica.Revision() > 0 {
 		l.service.since = wall // what comes from now on is known from its beginning
 	}
 }
@@ -162,7 +162,7 @@
 
 // take takes a change of a job's record or of the log.
 func (l *Leader) take(ev *wire.Change) {
-	if _, err := l.book.Apply(ev); err != nil {
+	if _, err := l.replica.Apply(ev); err != nil {
 		l.box.Log("unreadable", "error", err.Error())
 	}
 }
@@ -309,7 +309,7 @@
 	machine string
 	done    bool
 	stay    job.Stay
-	noted   bool // on its way into the log of ended attempts
+	logging bool // on its way into the log of ended attempts
 }
 
 // setActive puts a job into the list of active ones or takes it out.
--- a/internal/core/leader/placing.go
+++ b/internal/core/leader/placing.go
@@ -137,7 +137,7 @@
 // foldOne begins to rewrite one of the pages that are to be, if any can be now.
 func (l *Leader) foldOne() []*draft {
 	for _, n := range slices.Sorted(maps.Keys(l.placing.fold)) {
-		if l.placing.free(n) && l.book.SharedPage(n) != nil {
+		if l.placing.free(n) && l.replica.SharedPage(n) != nil {
 			return []*draft{l.draftOf(n)}
 		}
 	}
@@ -152,7 +152,7 @@
 
 // draftOf begins to rewrite a page of the copy.
 func (l *Leader) draftOf(n uint64) *draft {
-	d := &draft{number: n, version: l.book.SharedPage(n).Version, parts: l.book.Folded(n)}
+	d := &draft{number: n, version: l.replica.SharedPage(n).Version, parts: l.replica.Folded(n)}
 	value, err := records.EncodeShared(d.parts)
 	if err != nil {
 		panic(err) // a struct of numbers and text always encodes
@@ -210,7 +210,7 @@
 	}
 	p := &l.placing
 	best, least := uint64(0), int(pageFill*float64(l.form.Room()))
-	for _, n := range l.book.SharedPages() {
+	for _, n := range l.replica.SharedPages() {
 		if !p.free(n) || slices.ContainsFunc(drafts, func(d *draft) bool { return d.number == n }) {
 			continue
 		}
@@ -225,7 +225,7 @@
 	}
 	// Pages are begun in the order of their numbers, and by one transaction at a time: who guards
 	// all pages there are and the next one guards against any.
-	number := l.book.NextShared()
+	number := l.replica.NextShared()
 	if _, begun := p.busy[number]; begun {
 		return nil
 	}
@@ -247,7 +247,7 @@
 // liveSize estimates what a page would take without the jobs that are over.
 func (l *Leader) liveSize(n uint64) int {
 	size := emptyPageSize
-	page := l.book.SharedPage(n)
+	page := l.replica.SharedPage(n)
 	for i := range page.Parts {
 		if j := l.jobs[page.Parts[i].Job]; j == nil || !j.Over() {
 			size += partRest + placeSize*min(len(page.Parts[i].Open), job.PartTasks)
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -144,7 +144,7 @@
 // offers tells whether a machine may be given work at all.
 func (l *Leader) offers(m *zone.Machine) bool {
 	return l.survey.byName[m.Zone] != nil && l.catalog.Types[m.Type] != nil && m.Session != 0 && m.Token >= l.claim.Base() && !m.Releasing &&
-		!m.Failed && !m.Anew && m.NoticeAt == 0 && (!m.Sick() || m.Retried) && !m.Hearing.Deaf() && m.Mute == 0 && l.box.Now()-m.Spoke <= l.suspectAfter()
+		!m.Failed && !m.SessionReset && m.NoticeAt == 0 && (!m.Sick() || m.Retried) && !m.Hearing.Deaf() && m.Mute == 0 && l.box.Now()-m.Spoke <= l.suspectAfter()
 }
 
 // retry decides whether a machine that seems faulty is given work again. It goes back once it is idle; with work that
@@ -162,7 +162,7 @@
 // watch keeps the list of machines that may have to go back: all but those that
 // work. It notes since when a machine is idle.
 func (l *Leader) watch(m *zone.Machine) {
-	l.keeper.Watch(m, len(l.book.OpenOn(m.Name)) > 0 || len(l.survey.plans[m.Name]) > 0)
+	l.keeper.Watch(m, len(l.replica.OpenOn(m.Name)) > 0 || len(l.survey.plans[m.Name]) > 0)
 }
 
 // refresh looks at what has changed since the last pass.
@@ -234,7 +234,7 @@
 		l.keeper.Forget(m)
 		return
 	}
-	open, plans := l.book.OpenOn(m.Name), s.plans[m.Name]
+	open, plans := l.replica.OpenOn(m.Name), s.plans[m.Name]
 	l.keeper.Count(m, len(open) == 0, len(open)+len(plans) > 0)
 	if !l.offers(m) {
 		return
--- a/internal/core/rooms.go
+++ b/internal/core/listeners.go
@@ -33,20 +33,20 @@
 	l.front.Ended(r)
 }
 
-// throne hears how the claim to lead fares.
-type throne struct{ c *Core }
+// claimListener hears how the claim to lead fares.
+type claimListener struct{ c *Core }
 
-func (t throne) Won()                          { t.c.leader.Won() }
-func (t throne) Lost(why string, token uint64) { t.c.leader.Lost(why, token) }
-func (t throne) Passed(from, to string)        { t.c.home.Passed(from, to) }
+func (t claimListener) Won()                          { t.c.leader.Won() }
+func (t claimListener) Lost(why string, token uint64) { t.c.leader.Lost(why, token) }
+func (t claimListener) HolderChanged(from, to string) { t.c.home.HolderChanged(from, to) }
 
-// house is what the front knows of the rest of its node.
-type house struct{ c *Core }
+// frontNode is what the front knows of the rest of its node.
+type frontNode struct{ c *Core }
 
-func (h house) Refusal() string      { return h.c.refusal() }
-func (h house) Heard(ev wire.Change) { h.c.apply(&ev) }
+func (h frontNode) Refusal() string      { return h.c.refusal() }
+func (h frontNode) Heard(ev wire.Change) { h.c.apply(&ev) }
 
-func (h house) Wrote(ev wire.Change) {
+func (h frontNode) Wrote(ev wire.Change) {
 	h.c.apply(&ev)
 	if l := h.c.claim.Elsewhere(); l != "" {
 		h.c.box.Emit(msg.Tell{Node: l, Event: ev})
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -43,11 +43,11 @@
 
 // Owner is one node's.
 type Owner struct {
-	cfg   *config.Config
-	box   *outbox.Box
-	book  *records.Book
-	claim *claim.Claim // by whose token it commands
-	to    Leader
+	cfg     *config.Config
+	box     *outbox.Box
+	replica *records.Replica
+	claim   *claim.Claim // by whose token it commands
+	to      Leader
 
 	ready   bool // the records have been read since the claim
 	roster  *zone.Roster
@@ -58,8 +58,8 @@
 }
 
 // New returns an owner of nothing.
-func New(cfg *config.Config, box *outbox.Box, book *records.Book, claim *claim.Claim, to Leader) *Owner {
-	o := &Owner{cfg: cfg, box: box, book: book, claim: claim, to: to}
+func New(cfg *config.Config, box *outbox.Box, replica *records.Replica, claim *claim.Claim, to Leader) *Owner {
+	o := &Owner{cfg: cfg, box: box, replica: replica, claim: claim, to: to}
 	o.Reset()
 	return o
 }
@@ -83,7 +83,7 @@
 // Begin begins to command: the records have been read since the claim.
 func (o *Owner) Begin() {
 	o.ready = true
-	for _, name := range o.book.Used() {
+	for _, name := range o.replica.Used() {
 		o.Machine(name)
 	}
 	for _, m := range o.roster.All() {
@@ -175,16 +175,16 @@
 		o.box.Log("worker joined", "machine", m.Name, "zone", m.Zone, "spot", m.Spot, "after_ms", (o.box.Now()-m.Rented)/1000)
 		o.to.Joined(m)
 	}
-	expected := o.book.OpenOn(m.Name)
+	expected := o.replica.OpenOn(m.Name)
 	for _, key := range job.SortedKeys(expected) {
 		switch p := expected[key]; {
 		case p.Session < m.Session:
 			o.to.Close(key, m.Name, false) // a later session: everything of the earlier one is gone
-		case p.Session > m.Session && m.Token >= o.claim.Base() && !m.Anew:
+		case p.Session > m.Session && m.Token >= o.claim.Base() && !m.SessionReset:
 			// Whoever placed it had heard of that session, and this was sent after our
 			// claim. A worker that counts from the start again may be about to do things that
 			// it was told before; only its deletion proves anything.
-			m.Anew = true
+			m.SessionReset = true
 			o.box.Log("worker has begun anew", "machine", m.Name, "session", m.Session, "placed_in", p.Session)
 			o.to.Looks(m)
 		}
@@ -198,7 +198,7 @@
 	images := map[string]float64{}
 	for _, key := range job.SortedKeys(m.Tasks) {
 		t := m.Tasks[key]
-		if j := o.book.Job(key.Job); j != nil && j.Rec.Spec != nil && t.State != wire.Fetching && t.State != wire.Exited {
+		if j := o.replica.Job(key.Job); j != nil && j.Rec.Spec != nil && t.State != wire.Fetching && t.State != wire.Exited {
 			images[j.Rec.Spec.Image] = j.Rec.Spec.ImageGB
 		}
 		p, ok := expected[key]
@@ -223,8 +223,8 @@
 
 // drain stops what can still save before the cloud takes the machine.
 func (o *Owner) drain(m *zone.Machine) {
-	for _, key := range job.SortedKeys(o.book.OpenOn(m.Name)) {
-		j := o.book.Job(key.Job)
+	for _, key := range job.SortedKeys(o.replica.OpenOn(m.Name)) {
+		j := o.replica.Job(key.Job)
 		if j == nil || j.Rec.Spec == nil || j.Rec.Spec.CheckpointS == 0 {
 			continue
 		}
@@ -238,7 +238,7 @@
 // records. Forgetting is left to reports' answers: it is never urgent.
 func (o *Owner) orders(m *zone.Machine, reply bool) []wire.Order {
 	orders := []wire.Order{}
-	expected := o.book.OpenOn(m.Name)
+	expected := o.replica.OpenOn(m.Name)
 	for _, key := range job.SortedKeys(m.Tasks) {
 		t := m.Tasks[key]
 		if t.State == wire.Exited {
@@ -261,7 +261,7 @@
 		if _, seen := m.Tasks[key]; seen || expected[key].Session != m.Session {
 			continue
 		}
-		if j := o.book.Job(key.Job); j != nil && o.to.Closing(key, m.Name) {
+		if j := o.replica.Job(key.Job); j != nil && o.to.Closing(key, m.Name) {
 			// Its end is proven and only not committed yet: a start now would run
 			// beside the one that follows elsewhere.
 			continue
@@ -281,7 +281,7 @@
 
 // shouldStop tells whether a task is to be stopped, and with how much grace.
 func (o *Owner) shouldStop(m *zone.Machine, key job.Key, t *zone.Task) (float64, bool) {
-	j := o.book.Job(key.Job)
+	j := o.replica.Job(key.Job)
 	if j == nil || j.Rec.Cancel || j.Rec.Final() && j.Rec.Phase == job.Cancelled {
 		return 0, true
 	}
--- a/internal/core/records/chain.go
+++ b/internal/core/records/chain.go
@@ -64,7 +64,7 @@
 
 // link ties a job to those that it needs when its record first comes. The
 // record of a needed job may come later.
-func (b *Book) link(j *Job) {
+func (b *Replica) link(j *Job) {
 	if j.linked || j.Rec.Spec == nil {
 		return
 	}
@@ -111,7 +111,7 @@
 }
 
 // settled tells the jobs that wait for one that its phase is final.
-func (b *Book) settled(j *Job) {
+func (b *Replica) settled(j *Job) {
 	waiting := j.neededBy
 	j.neededBy, j.needs = nil, nil
 	for _, d := range waiting {
@@ -127,7 +127,7 @@
 
 // doom marks a job, and those that need it, directly or not, as cancelled by a
 // cancellation before them.
-func (b *Book) doom(j *Job) {
+func (b *Replica) doom(j *Job) {
 	for todo := []*Job{j}; len(todo) > 0; {
 		x := todo[len(todo)-1]
 		todo = todo[:len(todo)-1]
@@ -141,7 +141,7 @@
 }
 
 // Unknown lists those of the ids that the copy has no record of.
-func (b *Book) Unknown(ids []string) []string {
+func (b *Replica) Unknown(ids []string) []string {
 	var out []string
 	for _, id := range ids {
 		if j := b.jobs[id]; j == nil || j.Version == 0 {
--- a/internal/core/records/chain_test.go
+++ b/internal/core/records/chain_test.go
@@ -25,7 +25,7 @@
 func (h *heard) Freed(j *Job)                                  { h.freed = append(h.freed, j.ID) }
 func (h *heard) Doomed(*Job)                                   {}
 
-func put(t *testing.T, b *Book, version uint64, rec job.Record, n int) {
+func put(t *testing.T, b *Replica, version uint64, rec job.Record, n int) {
 	t.Helper()
 	value, err := job.EncodeRecord(&rec, job.Grouped)
 	if err != nil {
@@ -38,7 +38,7 @@
 
 // chained returns a copy that holds a chain whose last job alone is urgent. The
 // records come in any order.
-func chained(t *testing.T, backwards bool) (*Book, *heard) {
+func chained(t *testing.T, backwards bool) (*Replica, *heard) {
 	t.Helper()
 	h := &heard{}
 	b := New(h)
--- a/internal/core/records/log.go
+++ b/internal/core/records/log.go
@@ -93,12 +93,12 @@
 }
 
 // Pages lists the pages' numbers, oldest first.
-func (b *Book) Pages() []uint64 { return slices.Sorted(maps.Keys(b.pages)) }
+func (b *Replica) Pages() []uint64 { return slices.Sorted(maps.Keys(b.pages)) }
 
 // Page returns a page; nil: there is none.
-func (b *Book) Page(n uint64) *Page { return b.pages[n] }
+func (b *Replica) Page(n uint64) *Page { return b.pages[n] }
 
-func (b *Book) applyPage(n uint64, ev *wire.Change) error {
+func (b *Replica) applyPage(n uint64, ev *wire.Change) error {
 	p := b.pages[n]
 	if p != nil && p.Version >= ev.Version {
 		return nil
@@ -127,7 +127,7 @@
 }
 
 // Forget drops a page that was deleted.
-func (b *Book) Forget(n uint64) {
+func (b *Replica) Forget(n uint64) {
 	for _, f := range b.pages[n].Facts {
 		if j := b.jobs[f.Job]; j != nil {
 			j.facts = slices.DeleteFunc(j.facts, func(o *Fact) bool { return o == f })
@@ -137,7 +137,7 @@
 }
 
 // learn holds a line against what is known of its job.
-func (b *Book) learn(f *Fact) {
+func (b *Replica) learn(f *Fact) {
 	j := b.job(f.Job)
 	j.facts = append(j.facts, f)
 	if b.learnShared(j, f) {
@@ -159,7 +159,7 @@
 }
 
 // learnShared closes what a line says has ended if a page of shared parts has it open.
-func (b *Book) learnShared(j *Job, f *Fact) bool {
+func (b *Replica) learnShared(j *Job, f *Fact) bool {
 	for _, s := range j.shares {
 		old := s.Open
 		if !s.close(f) {
--- a/internal/core/records/records.go
+++ b/internal/core/records/records.go
@@ -52,8 +52,8 @@
 	Doomed(*Job)                             // a job that it needs, directly or not, is cancelled
 }
 
-// Book is the copy.
-type Book struct {
+// Replica is the copy.
+type Replica struct {
 	to     Listener
 	jobs   map[string]*Job
 	pages  map[uint64]*Page
@@ -65,15 +65,15 @@
 	sharedRevision uint64 // of the last change of a page of shared parts
 }
 
-// New returns a Book that knows nothing yet.
-func New(to Listener) *Book {
-	return &Book{to: to, jobs: map[string]*Job{}, pages: map[uint64]*Page{},
+// New returns a Replica that knows nothing yet.
+func New(to Listener) *Replica {
+	return &Replica{to: to, jobs: map[string]*Job{}, pages: map[uint64]*Page{},
 		shared: map[uint64]*SharedPage{}, open: map[string]map[job.Key]job.Placement{}}
 }
 
 // Apply takes a put or a delete of a key that is a job's or a page's. It returns false for
 // other keys, and an error for a value that can't be read, which changes nothing.
-func (b *Book) Apply(ev *wire.Change) (bool, error) {
+func (b *Replica) Apply(ev *wire.Change) (bool, error) {
 	key := ev.Put
 	if key == "" {
 		key = ev.Delete
@@ -116,7 +116,7 @@
 }
 
 // Listed drops what a listing of this revision doesn't hold any more.
-func (b *Book) Listed(revision uint64, listed map[string]bool) {
+func (b *Replica) Listed(revision uint64, listed map[string]bool) {
 	for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
 		j := b.jobs[id]
 		for n := range j.Parts {
@@ -132,7 +132,7 @@
 	}
 }
 
-func (b *Book) job(id string) *Job {
+func (b *Replica) job(id string) *Job {
 	j := b.jobs[id]
 	if j == nil {
 		j = &Job{ID: id}
@@ -143,7 +143,7 @@
 }
 
 // SetRecord takes a newer record of a job.
-func (b *Book) SetRecord(id string, rec job.Record, version uint64) {
+func (b *Replica) SetRecord(id string, rec job.Record, version uint64) {
 	j := b.job(id)
 	old := j.Rec.Open
 	j.Rec, j.Version = rec, version
@@ -172,7 +172,7 @@
 	b.to.Changed(j)
 }
 
-func (b *Book) applyPart(id string, n int, ev *wire.Change) error {
+func (b *Replica) applyPart(id string, n int, ev *wire.Change) error {
 	j := b.job(id)
 	if n <= len(j.Parts) && j.Parts[n-1].Version >= ev.Version {
 		return nil
@@ -192,7 +192,7 @@
 }
 
 // SetPart takes a newer part of a job; version 0 means that it was deleted.
-func (b *Book) SetPart(j *Job, n int, p job.Part, version uint64) {
+func (b *Replica) SetPart(j *Job, n int, p job.Part, version uint64) {
 	for len(j.Parts) < n {
 		j.Parts = append(j.Parts, Part{})
 	}
@@ -209,7 +209,7 @@
 
 // Shorten replaces a job's description by a shorter one that decides the same; nil: there
 // is none, and it returns false.
-func (b *Book) Shorten(j *Job, spec *wire.Job) bool {
+func (b *Replica) Shorten(j *Job, spec *wire.Job) bool {
 	if spec != nil {
 		j.Rec.Spec = spec
 	}
@@ -217,7 +217,7 @@
 }
 
 // place keeps the open placements by machine.
-func (b *Book) place(j *Job, old, now []job.Placement) {
+func (b *Replica) place(j *Job, old, now []job.Placement) {
 	for _, p := range old {
 		on := b.open[p.Machine]
 		if delete(on, p.Key(j.ID)); len(on) == 0 {
@@ -236,25 +236,25 @@
 }
 
 // OpenOn returns the open placements on a machine, to be read only.
-func (b *Book) OpenOn(machine string) map[job.Key]job.Placement { return b.open[machine] }
+func (b *Replica) OpenOn(machine string) map[job.Key]job.Placement { return b.open[machine] }
 
 // Used lists the machines with open placements.
-func (b *Book) Used() []string { return slices.Sorted(maps.Keys(b.open)) }
+func (b *Replica) Used() []string { return slices.Sorted(maps.Keys(b.open)) }
 
 // Current notes a moment as of which the copy was current.
-func (b *Book) Current(at Micros) { b.currentAt = max(b.currentAt, at) }
+func (b *Replica) Current(at Micros) { b.currentAt = max(b.currentAt, at) }
 
 // Upto notes that the copy holds all changes up to a revision.
-func (b *Book) Upto(revision uint64) { b.revision = max(b.revision, revision) }
+func (b *Replica) Upto(revision uint64) { b.revision = max(b.revision, revision) }
 
 // Revision is the last one up to which the copy holds all changes.
-func (b *Book) Revision() uint64 { return b.revision }
+func (b *Replica) Revision() uint64 { return b.revision }
 
 // CurrentAt is the last such moment.
-func (b *Book) CurrentAt() Micros { return b.currentAt }
+func (b *Replica) CurrentAt() Micros { return b.currentAt }
 
 // Job returns a job; nil: nothing is known of it.
-func (b *Book) Job(id string) *Job { return b.jobs[id] }
+func (b *Replica) Job(id string) *Job { return b.jobs[id] }
 
 // Over tells whether a job is over and nothing is left of it but its phase.
 func (j *Job) Over() bool { return j.Rec.Final() && j.Rec.Spec == nil }
--- a/internal/core/records/shared.go
+++ b/internal/core/records/shared.go
@@ -174,14 +174,14 @@
 }
 
 // SharedPages lists the pages' numbers, oldest first.
-func (b *Book) SharedPages() []uint64 { return slices.Sorted(maps.Keys(b.shared)) }
+func (b *Replica) SharedPages() []uint64 { return slices.Sorted(maps.Keys(b.shared)) }
 
 // SharedRevision is the last revision at which a page was changed; 0: there is none.
-func (b *Book) SharedRevision() uint64 { return b.sharedRevision }
+func (b *Replica) SharedRevision() uint64 { return b.sharedRevision }
 
 // SharedGuards returns guards that hold only if no page was changed, nor begun, since this copy was
 // current: pages are numbered from 1 on, and the next is begun only once all before it exist.
-func (b *Book) SharedGuards() []wire.Guard {
+func (b *Replica) SharedGuards() []wire.Guard {
 	var out []wire.Guard
 	next := b.NextShared()
 	for n := uint64(1); n <= next; n++ {
@@ -195,7 +195,7 @@
 }
 
 // NextShared is the number of the page that would be begun next.
-func (b *Book) NextShared() uint64 {
+func (b *Replica) NextShared() uint64 {
 	next := uint64(1)
 	for b.shared[next] != nil {
 		next++
@@ -204,11 +204,11 @@
 }
 
 // SharedPage returns a page; nil: there is none.
-func (b *Book) SharedPage(n uint64) *SharedPage { return b.shared[n] }
+func (b *Replica) SharedPage(n uint64) *SharedPage { return b.shared[n] }
 
 // Folded returns the parts of a page as they are now: with ended attempts taken in, and without
 // the jobs that are over. What it leaves out or takes in means the same to every reader.
-func (b *Book) Folded(n uint64) []SharedPart {
+func (b *Replica) Folded(n uint64) []SharedPart {
 	page := b.shared[n]
 	if page == nil {
 		return nil
@@ -243,7 +243,7 @@
 }
 
 // applyShared takes a newer value of a page.
-func (b *Book) applyShared(n uint64, ev *wire.Change) error {
+func (b *Replica) applyShared(n uint64, ev *wire.Change) error {
 	old := b.shared[n]
 	if old != nil && old.Version >= ev.Version || ev.Put == "" { // pages are rewritten, never deleted
 		return nil
@@ -258,7 +258,7 @@
 }
 
 // setShared replaces a page, and with it what it says of each job.
-func (b *Book) setShared(n uint64, page *SharedPage) {
+func (b *Replica) setShared(n uint64, page *SharedPage) {
 	before := map[string]bool{}
 	if old := b.shared[n]; old != nil {
 		for i := range old.Parts {
@@ -278,7 +278,7 @@
 }
 
 // setShares replaces what a page says of a job.
-func (b *Book) setShares(j *Job, page uint64, parts []*SharedPart) {
+func (b *Replica) setShares(j *Job, page uint64, parts []*SharedPart) {
 	var old []job.Placement
 	oldDone, oldSpent := j.Done, j.SharedSpent()
 	j.forgetShare(page)
@@ -316,7 +316,7 @@
 }
 
 // voidShares drops what pages say of a job that is over.
-func (b *Book) voidShares(j *Job) {
+func (b *Replica) voidShares(j *Job) {
 	var old []job.Placement
 	for _, s := range j.shares {
 		old = append(old, s.Open...)
--- a/internal/core/records/shared_test.go
+++ b/internal/core/records/shared_test.go
@@ -53,7 +53,7 @@
 	t       *rapid.T
 	store   map[string]wire.Item
 	version uint64
-	book    *Book
+	replica *Replica
 	jobs    int
 	ended   uint64 // page of the log that is being filled
 }
@@ -61,10 +61,10 @@
 func (w *sharedWorld) put(key string, value []byte) {
 	w.version++
 	w.store[key] = wire.Item{Key: key, Value: value, Version: w.version}
-	w.apply(w.book, wire.Change{Put: key, Value: value, Version: w.version})
+	w.apply(w.replica, wire.Change{Put: key, Value: value, Version: w.version})
 }
 
-func (w *sharedWorld) apply(b *Book, ev wire.Change) {
+func (w *sharedWorld) apply(b *Replica, ev wire.Change) {
 	if _, err := b.Apply(&ev); err != nil {
 		w.t.Fatal(err)
 	}
@@ -89,7 +89,7 @@
 func (w *sharedWorld) pick() *Job {
 	var open []*Job
 	for i := range w.jobs {
-		if j := w.book.Job(fmt.Sprintf("j-%d", i)); !j.Over() {
+		if j := w.replica.Job(fmt.Sprintf("j-%d", i)); !j.Over() {
 			open = append(open, j)
 		}
 	}
@@ -105,8 +105,8 @@
 	if j == nil {
 		return
 	}
-	page := rapid.Uint64Range(1, w.book.NextShared()).Draw(w.t, "page")
-	parts := w.book.Folded(page)
+	page := rapid.Uint64Range(1, w.replica.NextShared()).Draw(w.t, "page")
+	parts := w.replica.Folded(page)
 	attempt := j.Rec.Attempt + 1
 	for n, end := j.Rec.Parts(j.Rec.Spec.Tasks); n < end; n++ {
 		first, count := j.Rec.Span(n, j.Rec.Spec.Tasks)
@@ -139,9 +139,9 @@
 
 // fold rewrites a page with nothing new.
 func (w *sharedWorld) fold() {
-	if pages := w.book.SharedPages(); len(pages) > 0 {
+	if pages := w.replica.SharedPages(); len(pages) > 0 {
 		n := rapid.SampledFrom(pages).Draw(w.t, "page")
-		w.write(n, w.book.Folded(n))
+		w.write(n, w.replica.Folded(n))
 	}
 }
 
@@ -152,7 +152,7 @@
 		return
 	}
 	var lines []Ended
-	if p := w.book.Page(w.ended); p != nil {
+	if p := w.replica.Page(w.ended); p != nil {
 		for _, f := range p.Facts {
 			lines = append(lines, f.Ended)
 		}
@@ -175,9 +175,9 @@
 
 // tidy deletes pages of the log that nothing needs any more.
 func (w *sharedWorld) tidy() {
-	for _, n := range w.book.Pages() {
-		needed := slices.ContainsFunc(w.book.Page(n).Facts, func(f *Fact) bool {
-			j := w.book.Job(f.Job)
+	for _, n := range w.replica.Pages() {
+		needed := slices.ContainsFunc(w.replica.Page(n).Facts, func(f *Fact) bool {
+			j := w.replica.Job(f.Job)
 			return !f.Merged && j.Rec.Spec != nil
 		})
 		if needed || n == w.ended {
@@ -185,7 +185,7 @@
 		}
 		w.version++
 		delete(w.store, PageKey(n))
-		w.apply(w.book, wire.Change{Delete: PageKey(n), Version: w.version})
+		w.apply(w.replica, wire.Change{Delete: PageKey(n), Version: w.version})
 	}
 }
 
@@ -217,7 +217,7 @@
 	Places     []job.Placement
 }
 
-func (w *sharedWorld) said(b *Book) map[string]said {
+func (w *sharedWorld) said(b *Replica) map[string]said {
 	out := map[string]said{}
 	for i := range w.jobs {
 		j := b.Job(fmt.Sprintf("j-%d", i))
@@ -241,13 +241,13 @@
 // of each job as the leader knows, in whichever order it reads.
 func TestSharedMeansTheSameToAll(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &sharedWorld{t: t, store: map[string]wire.Item{}, book: New(silent{}), ended: 1}
+		w := &sharedWorld{t: t, store: map[string]wire.Item{}, replica: New(silent{}), ended: 1}
 		w.submit()
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			step := rapid.SampledFrom([]func(){w.submit, w.place, w.place, w.place, w.end, w.end, w.fold, w.tidy, w.rewrite, w.finish}).Draw(t, "step")
 			step()
 		}
-		want := w.said(w.book)
+		want := w.said(w.replica)
 		keys := slices.Sorted(maps.Keys(w.store))
 		for _, order := range [][]string{keys, rapid.Permutation(keys).Draw(t, "order")} {
 			fresh := New(silent{})
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -57,19 +57,19 @@
 	Stale bool  // to be looked at again before the next pass
 	Room  *Room // what it offers; nil: nothing
 
-	Urgent     bool // has commands that should not wait for the next report
-	DirectAt   Micros
-	Releasing  bool
-	Doomed     bool // a deletion without an answer may still be executed
-	ReleasedAt Micros
-	Failed     bool   // the cloud says that it has stopped by itself
-	Unlisted   Micros // since when the cloud's lists lack it; 0: they don't
-	IdleSince  Micros
-	FullUntil  Micros
-	Errors     map[string]Micros // jobs that failed here since the last success
-	Retried    bool              // it is given work though it seems faulty, to see whether it still is
-	Hearing    Hearing
-	Anew       bool // its worker has forgotten sessions: it can't be told what is over there
+	Urgent       bool // has commands that should not wait for the next report
+	DirectAt     Micros
+	Releasing    bool
+	Doomed       bool // a deletion without an answer may still be executed
+	ReleasedAt   Micros
+	Failed       bool   // the cloud says that it has stopped by itself
+	Unlisted     Micros // since when the cloud's lists lack it; 0: they don't
+	IdleSince    Micros
+	FullUntil    Micros
+	Errors       map[string]Micros // jobs that failed here since the last success
+	Retried      bool              // it is given work though it seems faulty, to see whether it still is
+	Hearing      Hearing
+	SessionReset bool // its worker has forgotten sessions: it can't be told what is over there
 	// Mute is since when its worker is known to reach nobody; 0: it does. Calls reach it and are answered,
 	// but its lease has ended and no report of the session after that has come by any way: what runs there
 	// ends with each lease, whatever is called.
