The log of ended attempts waits for more ends while nothing waits for what they give back

Change: up to half a second between pages while no job waits for room or for its team's limit. TestScenarios passes with no expectation changed.

--- a/internal/core/leader/ended.go
+++ b/internal/core/leader/ended.go
@@ -18,8 +18,11 @@
 // next; a page whose every line has been taken over is deleted.
 
 const (
-	// endedShare is the part of all changes that the log may take.
-	endedShare = 0.2
+	// endedShare is the part of all changes that the log may take while any job waits for the room or
+	// the part of a limit that an end gives back, and calmShare the part while none does.
+	endedShare, calmShare = 0.2, 0.03
+	// calmPause is the longest that the log waits for more ends.
+	calmPause = config.Second / 2
 	// pageBits is how many bits of a page's number count the pages of a leader. The
 	// others are its first token: a number that came back after its page was
 	// deleted could be taken for the old page grown longer.
@@ -82,7 +85,7 @@
 			return
 		}
 	}
-	e.writeAt = l.box.Now() + l.form.Pause(endedShare)
+	e.writeAt = l.box.Now() + l.endedPause()
 	key := records.PageKey(e.current)
 	e.txn = &wire.Commit{
 		Guards:  []wire.Guard{l.claim.Guard(), {Key: key, Version: version}},
@@ -91,6 +94,16 @@
 	l.sendEnded(e.txn)
 }
 
+// endedPause is the time between two pages. While nothing waits for what ends give back, they are
+// collected for a moment: each page costs a change, however few ends it holds.
+func (l *Leader) endedPause() Micros {
+	short := l.form.Pause(endedShare)
+	if !l.sharing() || l.survey.pressing {
+		return short
+	}
+	return max(short, min(calmPause, l.form.Pause(calmShare)))
+}
+
 // fitEnded adds as many fresh lines to a page as it has room for; nil: none.
 func (l *Leader) fitEnded(lines []records.Ended) []byte {
 	for n := len(l.ended.fresh); n > 0; n /= 2 {
--- a/internal/core/leader/pass.go
+++ b/internal/core/leader/pass.go
@@ -31,6 +31,7 @@
 	kept    []kept                    // the highest level first
 	victims map[string][]*zone.Victim // by zone; nil: nobody has asked
 	running *running                  // nil: nobody has asked
+	limited bool                      // a job waits for its team's limit
 	budget  float64                   // changes that may still be asked of the state service
 }
 
@@ -74,6 +75,7 @@
 		l.place(s, e)
 	})
 	l.survey.lacked = l.counters.without > 0
+	l.survey.pressing = l.survey.lacked || s.limited
 	l.rent(s)
 	if l.survey.judgeDue {
 		l.survey.judgeDue = false
@@ -268,6 +270,7 @@
 	team := l.teams[spec.Team]
 	gang := spec.Shape == wire.Gang
 	if !gang && !queue.UnderLimit(team, s.used[spec.Team].Plus(taskAmount(spec), 1)) {
+		s.limited = true
 		j.preempted, j.reserved = 0, nil
 		return // as most of a long queue may
 	}
@@ -288,6 +291,7 @@
 	}
 	for n := range tasks {
 		if !queue.UnderLimit(team, s.used[spec.Team].Plus(taskAmount(spec), float64(n+1))) {
+			s.limited = true
 			if gang { // waits for its team's limit
 				if l.drains(j) {
 					s.used[spec.Team] = s.used[spec.Team].Plus(taskAmount(spec), float64(len(tasks)))
--- a/internal/core/leader/survey.go
+++ b/internal/core/leader/survey.go
@@ -33,6 +33,7 @@
 	alike   alike
 
 	lacked   bool   // something found no room in the last pass
+	pressing bool   // so, or for its team's limit
 	barSince Micros // when zones were barred for jobs past the age cap, the last time it was their turn
 
 	lookedAt Looked
