--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -74,8 +74,8 @@
 		if t != nil {
 			l.logEnds(j, t.closes)
 		}
-		if len(j.plan) > 0 && l.shares(j) {
-			l.share(j)
+		if len(j.plan) > 0 && l.placesInPages(j) {
+			l.queuePlacement(j)
 		}
 		if t != nil {
 			return !more
@@ -86,7 +86,7 @@
 	if len(j.plan) == 0 && !j.Rec.Cancel && !j.Doomed() && j.AwaitedBy() == 0 && l.writing >= l.mostWriting() {
 		return false
 	}
-	if !l.shares(j) {
+	if !l.placesInPages(j) {
 		t.placed = j.plan
 	}
 	j.txn = t
@@ -94,12 +94,12 @@
 	return !more
 }
 
-// shares tells whether a job's places go into pages with those of others.
-func (l *Leader) shares(j *Job) bool { return l.sharing() && !j.alone }
+// placesInPages tells whether a job's places go into pages with those of others.
+func (l *Leader) placesInPages(j *Job) bool { return l.pagesInUse() && !j.alone }
 
 // placeCost is what placing a job, or 32 more tasks of it, counts of a pass's changes.
 func (l *Leader) placeCost(j *Job) float64 {
-	if l.shares(j) {
+	if l.placesInPages(j) {
 		return sharedCost
 	}
 	return 1
@@ -218,7 +218,7 @@
 	}
 	l.logEnds(j, inPages)
 	// A service wants its replicas back at once; the log takes its time.
-	t.ends = changed && !j.parting && !j.mergeNow && (len(j.plan) == 0 || l.shares(j)) && (rec.Spec.Shape != wire.Service || rec.Cancel || rec.Final())
+	t.ends = changed && !j.parting && !j.mergeNow && (len(j.plan) == 0 || l.placesInPages(j)) && (rec.Spec.Shape != wire.Service || rec.Cancel || rec.Final())
 	if j.mergeNow {
 		changed = true
 		j.Unmerged(func(task int) {
@@ -227,7 +227,7 @@
 			}
 		})
 	}
-	if !rec.Cancel && !rec.Final() && !l.shares(j) {
+	if !rec.Cancel && !rec.Final() && !l.placesInPages(j) {
 		for _, pl := range j.plan {
 			p := part(pl.Task)
 			if p == nil {
--- a/internal/core/leader/ended.go
+++ b/internal/core/leader/ended.go
@@ -98,7 +98,7 @@
 // collected for a moment: each page costs a change, however few ends it holds.
 func (l *Leader) endedPause() Micros {
 	short := l.form.Pause(endedShare)
-	if !l.sharing() || l.survey.pressing {
+	if !l.pagesInUse() || l.survey.pressing {
 		return short
 	}
 	return max(short, min(calmPause, l.form.Pause(calmShare)))
--- a/internal/core/leader/placing.go
+++ b/internal/core/leader/placing.go
@@ -49,13 +49,13 @@
 	return placing{queued: map[*Job]bool{}, busy: map[uint64]*placement{}, fold: map[uint64]bool{}}
 }
 
-// sharing tells whether placements go into shared parts.
-func (l *Leader) sharing() bool {
+// pagesInUse tells whether placements go into shared parts.
+func (l *Leader) pagesInUse() bool {
 	return l.cfg.Settings.SharedParts && l.form.Format >= job.SharedParts
 }
 
-// share has a job's plan committed with those of others.
-func (l *Leader) share(j *Job) {
+// queuePlacement has a job's plan committed with those of others.
+func (l *Leader) queuePlacement(j *Job) {
 	if p := &l.placing; !p.queued[j] {
 		p.queued[j] = true
 		p.waiting = append(p.waiting, j)
@@ -291,7 +291,7 @@
 	}
 	l.setPlan(j, j.plan[:len(j.plan)/2])
 	if len(j.plan) > 0 {
-		l.share(j)
+		l.queuePlacement(j)
 	}
 }
 
@@ -454,7 +454,7 @@
 	for i, j := range t.jobs {
 		if !slices.Contains(failed, job.RecordKey(j.ID)) {
 			l.setPlan(j, plans[i])
-			l.share(j)
+			l.queuePlacement(j)
 		}
 	}
 }
--- a/internal/core/records/log.go
+++ b/internal/core/records/log.go
@@ -73,17 +73,17 @@
 // Fact is a line of a page as its job knows it.
 type Fact struct {
 	Ended
-	Merged bool   // the job's record or page, as it is stored, says so too
-	share  *share // the part of a page that has the attempt open, as it is stored; nil: none
+	Merged bool      // the job's record or page, as it is stored, says so too
+	in     *pagePart // the part of a page that has the attempt open, as it is stored; nil: none
 }
 
 // SharedPage is the page of shared parts that has to be rewritten for a line to be of no more use;
 // false: none has.
 func (f *Fact) SharedPage() (page uint64, ok bool) {
-	if f.share == nil {
+	if f.in == nil {
 		return 0, false
 	}
-	return f.share.page, true
+	return f.in.page, true
 }
 
 // Page is a page of the log.
@@ -140,7 +140,7 @@
 func (b *Replica) learn(f *Fact) {
 	j := b.job(f.Job)
 	j.facts = append(j.facts, f)
-	if b.learnShared(j, f) {
+	if b.closeInPages(j, f) {
 		return
 	}
 	n := j.Rec.PartOf(f.Task)
@@ -158,9 +158,9 @@
 	b.to.Changed(j)
 }
 
-// learnShared closes what a line says has ended if a page of shared parts has it open.
-func (b *Replica) learnShared(j *Job, f *Fact) bool {
-	for _, s := range j.shares {
+// closeInPages closes what a line says has ended if a page of shared parts has it open.
+func (b *Replica) closeInPages(j *Job, f *Fact) bool {
+	for _, s := range j.pageParts {
 		old := s.Open
 		if !s.close(f) {
 			continue
@@ -176,7 +176,7 @@
 // apply brings a part of the record up to a line; it returns whether that changed anything. A line
 // about what a page has placed is none of the record's business.
 func (f *Fact) apply(j *Job, p *job.Part) bool {
-	if f.share != nil {
+	if f.in != nil {
 		return false
 	}
 	if f.Done && j.pagesSayDone(f.Task) {
@@ -204,7 +204,7 @@
 // Unmerged calls f for the task of each line that the job's record doesn't say yet.
 func (j *Job) Unmerged(f func(task int)) {
 	for _, x := range j.facts {
-		if !x.Merged && x.share == nil {
+		if !x.Merged && x.in == nil {
 			f(x.Task)
 		}
 	}
--- a/internal/core/records/records.go
+++ b/internal/core/records/records.go
@@ -28,9 +28,9 @@
 	Done    int    // done tasks
 	Open    int    // open placements
 
-	facts   []*Fact  // lines of the log that are about it
-	shares  []*share // what pages of shared parts say of it, in the order of pages
-	highest uint64   // attempt that was ever seen
+	facts     []*Fact     // lines of the log that are about it
+	pageParts []*pagePart // what pages of shared parts say of it, in the order of pages
+	highest   uint64      // attempt that was ever seen
 	chain
 }
 
@@ -152,7 +152,7 @@
 	}
 	b.place(j, old, j.Rec.Open)
 	if j.Over() {
-		b.voidShares(j)
+		b.voidPageParts(j)
 	}
 	j.raiseAttempt()
 	b.to.Stored(j)
@@ -280,7 +280,7 @@
 			f(p)
 		}
 	}
-	for _, s := range j.shares {
+	for _, s := range j.pageParts {
 		for _, p := range s.Open {
 			f(p)
 		}
@@ -294,11 +294,11 @@
 		j.Done += j.Parts[i].Count()
 		j.Open += len(j.Parts[i].Open)
 	}
-	if len(j.shares) == 0 {
+	if len(j.pageParts) == 0 {
 		return
 	}
 	said := map[int]string{} // by index of the part: what pages say is done
-	for _, s := range j.shares {
+	for _, s := range j.pageParts {
 		said[s.index] = job.UnionDone(said[s.index], s.Done)
 		j.Open += len(s.Open)
 	}
--- a/internal/core/records/shared.go
+++ b/internal/core/records/shared.go
@@ -164,9 +164,9 @@
 	Parts   []SharedPart
 }
 
-// share is a part in a page as its job knows it: the stored one, brought up to the log of ended
+// pagePart is a part in a page as its job knows it: the stored one, brought up to the log of ended
 // attempts.
-type share struct {
+type pagePart struct {
 	page  uint64
 	index int
 	last  uint64
@@ -221,7 +221,7 @@
 			continue
 		}
 		folded := *p
-		if s := j.share(n, p.Index); s != nil {
+		if s := j.pagePart(n, p.Index); s != nil {
 			folded.Part = s.Clone()
 		}
 		out = append(out, folded)
@@ -229,12 +229,12 @@
 	return out
 }
 
-// share finds a job's part in a page; nil: there is none. The job may be nil.
-func (j *Job) share(page uint64, index int) *share {
+// pagePart finds a job's part in a page; nil: there is none. The job may be nil.
+func (j *Job) pagePart(page uint64, index int) *pagePart {
 	if j == nil {
 		return nil
 	}
-	for _, s := range j.shares {
+	for _, s := range j.pageParts {
 		if s.page == page && s.index == index {
 			return s
 		}
@@ -273,16 +273,16 @@
 		before[p.Job] = true
 	}
 	for _, id := range slices.Sorted(maps.Keys(before)) {
-		b.setShares(b.job(id), n, now[id])
+		b.setPageParts(b.job(id), n, now[id])
 	}
 }
 
-// setShares replaces what a page says of a job.
-func (b *Replica) setShares(j *Job, page uint64, parts []*SharedPart) {
+// setPageParts replaces what a page says of a job.
+func (b *Replica) setPageParts(j *Job, page uint64, parts []*SharedPart) {
 	var old []job.Placement
 	oldDone, oldSpent := j.Done, j.SharedSpent()
-	j.forgetShare(page)
-	j.shares = slices.DeleteFunc(j.shares, func(s *share) bool {
+	j.forgetPage(page)
+	j.pageParts = slices.DeleteFunc(j.pageParts, func(s *pagePart) bool {
 		if s.page == page {
 			old = append(old, s.Open...)
 		}
@@ -291,12 +291,12 @@
 	var now []job.Placement
 	if !j.Over() {
 		for _, p := range parts {
-			s := &share{page: page, index: p.Index, last: p.Last, Part: p.Clone()}
-			j.shares = append(j.shares, s)
+			s := &pagePart{page: page, index: p.Index, last: p.Last, Part: p.Clone()}
+			j.pageParts = append(j.pageParts, s)
 			j.settleFacts(s)
 			now = append(now, s.Open...)
 		}
-		slices.SortStableFunc(j.shares, func(a, b *share) int { return cmp.Or(cmp.Compare(a.page, b.page), cmp.Compare(a.index, b.index)) })
+		slices.SortStableFunc(j.pageParts, func(a, b *pagePart) int { return cmp.Or(cmp.Compare(a.page, b.page), cmp.Compare(a.index, b.index)) })
 	}
 	j.raiseAttempt()
 	j.recount()
@@ -315,50 +315,50 @@
 	return a.Time == b.Time && a.Cheap == b.Cheap && a.Lost == b.Lost
 }
 
-// voidShares drops what pages say of a job that is over.
-func (b *Replica) voidShares(j *Job) {
+// voidPageParts drops what pages say of a job that is over.
+func (b *Replica) voidPageParts(j *Job) {
 	var old []job.Placement
-	for _, s := range j.shares {
+	for _, s := range j.pageParts {
 		old = append(old, s.Open...)
 	}
-	j.shares = nil
+	j.pageParts = nil
 	if len(old) > 0 {
 		b.place(j, old, nil)
 	}
 }
 
 // settleFacts brings a part of a page up to the log of ended attempts.
-func (j *Job) settleFacts(s *share) {
+func (j *Job) settleFacts(s *pagePart) {
 	for _, f := range j.facts {
-		if !s.close(f) && f.share == nil && f.Done && s.says(f.Task) {
+		if !s.close(f) && f.in == nil && f.Done && s.says(f.Task) {
 			f.Merged = true
 		}
 	}
 }
 
 // close closes what a line says has ended, if the part has it open.
-func (s *share) close(f *Fact) bool {
+func (s *pagePart) close(f *Fact) bool {
 	if f.Task/job.PartTasks != s.index || !s.Close(f.Task, f.Attempt, f.Machine, f.Stay) {
 		return false
 	}
 	if f.Done {
 		s.SetDone(f.Task % job.PartTasks)
 	}
-	f.share, f.Merged = s, false
+	f.in, f.Merged = s, false
 	return true
 }
 
 // says tells whether the part says that a task is done.
-func (s *share) says(task int) bool {
+func (s *pagePart) says(task int) bool {
 	return s.index == task/job.PartTasks && s.IsDone(task%job.PartTasks)
 }
 
-// forgetShare has lines that a page's old value had open be taken in by the new one, unless that
+// forgetPage has lines that a page's old value had open be taken in by the new one, unless that
 // has them open, too.
-func (j *Job) forgetShare(page uint64) {
+func (j *Job) forgetPage(page uint64) {
 	for _, f := range j.facts {
-		if f.share != nil && f.share.page == page {
-			f.share, f.Merged = nil, true
+		if f.in != nil && f.in.page == page {
+			f.in, f.Merged = nil, true
 		}
 	}
 }
@@ -366,7 +366,7 @@
 // raiseAttempt has the record in memory name the highest attempt that was ever seen: pages place
 // attempts that the stored record doesn't name.
 func (j *Job) raiseAttempt() {
-	for _, s := range j.shares {
+	for _, s := range j.pageParts {
 		j.highest = max(j.highest, s.last)
 	}
 	j.highest = max(j.highest, j.Rec.Attempt)
@@ -377,12 +377,12 @@
 
 // pagesSayDone tells whether a page says that a task is done.
 func (j *Job) pagesSayDone(task int) bool {
-	return slices.ContainsFunc(j.shares, func(s *share) bool { return s.says(task) })
+	return slices.ContainsFunc(j.pageParts, func(s *pagePart) bool { return s.says(task) })
 }
 
-// sharesOf calls f for what pages say of the tasks from PartTasks*index on.
-func (j *Job) sharesOf(index int, f func(*share)) {
-	for _, s := range j.shares {
+// eachPagePart calls f for what pages say of the tasks from PartTasks*index on.
+func (j *Job) eachPagePart(index int, f func(*pagePart)) {
+	for _, s := range j.pageParts {
 		if s.index == index {
 			f(s)
 		}
@@ -391,7 +391,7 @@
 
 // InPage tells whether the placement of a task's attempt on a machine is open in a page.
 func (j *Job) InPage(task int, attempt uint64, machine string) bool {
-	for _, s := range j.shares {
+	for _, s := range j.pageParts {
 		if s.IsOpen(task, attempt, machine) {
 			return true
 		}
@@ -403,14 +403,14 @@
 func (j *Job) SharedDone(rec *job.Record, n int) string {
 	first, _ := rec.Span(n, wire.MaxTasks)
 	done := ""
-	j.sharesOf(first/job.PartTasks, func(s *share) { done = job.UnionDone(done, s.Done) })
+	j.eachPagePart(first/job.PartTasks, func(s *pagePart) { done = job.UnionDone(done, s.Done) })
 	return done
 }
 
 // LastShared is the last part of a record of whose tasks pages say anything; 0: none is.
 func (j *Job) LastShared(rec *job.Record) int {
 	last := 0
-	for _, s := range j.shares {
+	for _, s := range j.pageParts {
 		last = max(last, rec.PartOf(s.index*job.PartTasks))
 	}
 	return last
@@ -419,7 +419,7 @@
 // SharedOpen counts the placements that are open in pages.
 func (j *Job) SharedOpen() int {
 	open := 0
-	for _, s := range j.shares {
+	for _, s := range j.pageParts {
 		open += len(s.Open)
 	}
 	return open
@@ -428,7 +428,7 @@
 // SharedSpent is what has been spent by tasks in pages.
 func (j *Job) SharedSpent() *job.Spent {
 	var sum *job.Spent
-	for _, s := range j.shares {
+	for _, s := range j.pageParts {
 		sum = sum.Plus(s.Spent)
 	}
 	return sum
@@ -462,12 +462,12 @@
 // placements. It is to be read only.
 func (j *Job) Whole(n int) *job.Part {
 	p, _ := j.Part(n)
-	if len(j.shares) == 0 {
+	if len(j.pageParts) == 0 {
 		return p
 	}
 	first, _ := j.Rec.Span(n, wire.MaxTasks)
 	whole := *p
-	j.sharesOf(first/job.PartTasks, func(s *share) {
+	j.eachPagePart(first/job.PartTasks, func(s *pagePart) {
 		whole.Done = job.UnionDone(whole.Done, s.Done)
 		whole.Open = append(slices.Clip(whole.Open), s.Open...)
 	})
