--- a/internal/scenario/runner_test.go
+++ b/internal/scenario/runner_test.go
@@ -42,7 +42,6 @@
 	announced bool
 	seeds     uint64
 	late      wire.Report // held back by a script
-	unshared  bool        // nodes are set not to place tasks of many jobs by one change
 	effects   hash.Hash64 // of all that nodes have done, if anybody wants to know
 	copies    *copies     // of reports, to come again; nil: none are kept
 	strike    strike
@@ -68,19 +67,20 @@
 }
 
 type node struct {
-	name    string
-	core    *core.Core
-	alive   bool
-	born    standin.Micros
-	held    bool              // to the first format, as during an upgrade
-	cut     map[string]string // link -> "drop" or "hold"
-	rev     uint64
-	answers map[uint64]msg.Answer
-	relist  bool
-	busy    standin.Micros // its loop is at one long step until then
-	backlog []msg.Input    // what has come meanwhile
-	keeper  *keep.Keeper
-	news    *news // the answer to its watch, on its way
+	name     string
+	core     *core.Core
+	alive    bool
+	born     standin.Micros
+	held     bool              // to the first format, as during an upgrade
+	unshared bool              // it is set not to place tasks of many jobs by one change
+	cut      map[string]string // link -> "drop" or "hold"
+	rev      uint64
+	answers  map[uint64]msg.Answer
+	relist   bool
+	busy     standin.Micros // its loop is at one long step until then
+	backlog  []msg.Input    // what has come meanwhile
+	keeper   *keep.Keeper
+	news     *news // the answer to its watch, on its way
 }
 
 type delivery struct {
@@ -136,7 +136,7 @@
 	c := &config.Config{Settings: config.Defaults()}
 	c.Node, c.Location = name, location(name)
 	c.Settings.HoldFormat = s.node(name).held
-	c.Settings.SharedParts = !s.unshared
+	c.Settings.SharedParts = !s.node(name).unshared
 	for _, n := range s.nodes {
 		if n.name != name {
 			c.Peers = append(c.Peers, config.Peer{Node: n.name, Location: location(n.name)})
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -115,9 +115,9 @@
 	s.world.HangKeeps = d.HasArg("hang_keeps")
 	s.copies = &copies{late: 3 * s.world.Lease}
 	s.world.ReportEvery = length(t, d, "report", "1s")
-	s.unshared = d.HasArg("unshared")
-	if d.HasArg("lease") || d.HasArg("cancel") || d.HasArg("report") || s.unshared {
+	if d.HasArg("lease") || d.HasArg("cancel") || d.HasArg("report") || d.HasArg("unshared") {
 		for _, n := range s.nodes {
+			n.unshared = d.HasArg("unshared")
 			s.start(n) // it is told of it
 		}
 	}
@@ -300,6 +300,9 @@
 			s.strike.after = d.HasArg("after")
 		case d.HasArg("kill"):
 			n.alive = false
+		case d.HasArg("unshared"), d.HasArg("shared"): // it is set so, and restarted
+			n.unshared = d.HasArg("unshared")
+			s.start(n)
 		case d.HasArg("upgrade"):
 			n.held = false
 			s.start(n)
