Ends of jobs leave half of a leader's changes on their way to pages of placements

Cause: at 840 starts a second of jobs of 9 tasks (x2.8 of the quota) ends of jobs filled what a leader may have on its way, and pages, one change for up to 46 jobs, waited behind them: urgent tasks started after 4.4 s (p50). Change: an end is sent only while less than half is on its way, where placements go by pages. TestScenarios passes.

--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -83,7 +83,7 @@
 		// A cancellation waits for workers to be heard: look again.
 		return !j.Rec.Cancel || j.Rec.Final()
 	}
-	if len(j.plan) == 0 && !j.Rec.Cancel && !j.Doomed() && j.AwaitedBy() == 0 && l.writing >= l.mostWriting() {
+	if len(j.plan) == 0 && !j.Rec.Cancel && !j.Doomed() && j.AwaitedBy() == 0 && l.writing >= l.mostEnding() {
 		return false
 	}
 	if !l.placesInPages(j) {
@@ -401,6 +401,16 @@
 	return max(l.form.Ops(), int(l.cfg.Cluster.State.LeastWriteRPS()/2))
 }
 
+// mostEnding is how many changes may be on their way for another one to be made for the end of a
+// job. Where a page of placements is one change for many jobs, half is left to pages: ends that wait for their
+// turn would hold up the starts of everybody else.
+func (l *Leader) mostEnding() int {
+	if l.pagesInUse() {
+		return max(1, l.mostWriting()/2)
+	}
+	return l.mostWriting()
+}
+
 func (l *Leader) send(j *Job, t *txn) {
 	reign := l.reigns
 	l.writing += len(t.commit.Changes)
