Test: a refusal after no answer has the page read, whatever it names

Cause: with that reading taken out no test failed: the emulated state service names every guard that has failed, which the protocol doesn't promise. Change: TestRefusalAfterNoAnswerReadsPages; red without the reading.

--- a/internal/core/placing_test.go
+++ b/internal/core/placing_test.go
@@ -233,3 +233,32 @@
 		t.Logf("%d pages of %d KiB", pages, limits.kb)
 	}
 }
+
+// A refusal may name only one of the guards that have failed. After a sending without an answer the page is read
+// whatever the refusal names: the earlier sending may have placed everything.
+func TestRefusalAfterNoAnswerReadsPages(t *testing.T) {
+	p := newPlacer(t)
+	p.submit("j-2", wire.Normal, 2)
+	p.submit("j-3", wire.Normal, 2)
+	p.run(200_000)
+	first := p.only()
+	p.done(first, msg.CommitDone{Outcome: msg.Unknown})
+	p.run(500_000)
+	again := p.only()
+	p.done(again, msg.CommitDone{Outcome: msg.Conflict, Failed: []string{job.RecordKey("j-2")}})
+	p.run(300_000)
+	if len(p.pending) > 0 {
+		t.Fatalf("placed again before the page was read: %v", p.placedBy())
+	}
+	key := again.Txn.Changes[0].Put
+	i := slices.IndexFunc(p.reads, func(r msg.Read) bool { return r.Key == key })
+	if i < 0 {
+		t.Fatalf("reads %v, not %s", p.reads, key)
+	}
+	p.version++
+	p.take(p.step(1, msg.ReadDone{ID: p.reads[i].ID, Outcome: msg.OK, Key: key, Item: wire.Item{Key: key, Value: again.Txn.Changes[0].Value, Version: p.version + 1<<40}}))
+	p.run(300_000)
+	if n := len(p.tasksOnFree()); len(p.pending) > 0 || n != 4 {
+		t.Errorf("%d tasks were started, placed again %v", n, p.placedBy())
+	}
+}
