Hollow workers listen on a loopback address each

Cause: 23,000 workers on 127.0.0.1 run out of ports ('address already in use' at worker 2,831 of one of five regions). Change: each worker has an address of its own, a network a process.

--- a/internal/hollow/host.go
+++ b/internal/hollow/host.go
@@ -32,6 +32,7 @@
 	out   *json.Encoder
 
 	mu      sync.Mutex
+	started int // workers, those that are gone too
 	workers map[string]*worker
 	jobs    map[string]*Job
 }
@@ -146,6 +147,15 @@
 	_ = h.out.Encode(&e)
 }
 
+// nextAddress is where the next worker listens: any port of a loopback address of its own.
+func (h *Host) nextAddress() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.started++
+	const part = 254 // the parts of an address go from 1 to 254
+	return fmt.Sprintf("127.%d.%d.%d:0", h.config.Network, h.started/part%part+1, h.started%part+1)
+}
+
 // pickNode is the node that a machine's worker reports to first.
 func (h *Host) pickNode(machine string) int {
 	sum := fnv.New32a()
--- a/internal/hollow/message.go
+++ b/internal/hollow/message.go
@@ -12,7 +12,10 @@
 
 // Config is what a process of hollow workers reads first, as a line of JSON.
 type Config struct {
-	Nodes []Node `json:"nodes"`
+	// Network is the second part of the loopback addresses that workers listen on, 0 to 255. Each worker has
+	// an address of its own: one address has too few ports for all of a large run.
+	Network int    `json:"network"`
+	Nodes   []Node `json:"nodes"`
 	// Times of the protocol, in seconds.
 	ReportS   float64 `json:"report_s"`
 	LeaseS    float64 `json:"lease_s"`
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -53,7 +53,7 @@
 
 // start begins to listen and to report.
 func (h *Host) start(ctx context.Context, m Machine) (*worker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", h.nextAddress())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scale/region.go
+++ b/internal/scale/region.go
@@ -26,6 +26,7 @@
 	settings *Settings
 	options  *run
 	name     string
+	number   int
 	dir      string
 
 	servers     *standin.Servers
@@ -51,7 +52,7 @@
 
 func newRegion(s *Settings, opt *run, number int) *region {
 	name := "region-" + strconv.Itoa(number)
-	return &region{settings: s, options: opt, name: name, dir: filepath.Join(opt.Dir, name), servers: standin.NewServers(),
+	return &region{settings: s, options: opt, name: name, number: number, dir: filepath.Join(opt.Dir, name), servers: standin.NewServers(),
 		gangs: newGangs(), hostOf: map[string]*host{}}
 }
 
@@ -108,6 +109,9 @@
 	return l.Addr().String(), nil
 }
 
+// firstNetwork is the network of the first process of hollow workers: 127.1 and on.
+const firstNetwork = 1
+
 // startHosts starts the processes of hollow workers.
 func (r *region) startHosts() error {
 	p := &r.settings.Protocol
@@ -116,6 +120,7 @@
 		c.Nodes = append(c.Nodes, hollow.Node{Name: n.name, Address: n.listen})
 	}
 	for i := range r.options.hostsPerRegion {
+		c.Network = firstNetwork + r.number*r.options.hostsPerRegion + i
 		read, write := io.Pipe()
 		p, err := process.Start(process.Options{Program: r.options.Program, Args: r.options.HollowArgs, Output: write,
 			Log: filepath.Join(r.dir, fmt.Sprintf("hollow-%d.log", i))})
