--- a/internal/core/placing_test.go
+++ b/internal/core/placing_test.go
@@ -19,13 +19,14 @@
 type placer struct {
 	*roundTrip
 	t       *testing.T
+	gpus    float64 // of each task that is submitted
 	pending []msg.Commit
 	reads   []msg.Read
 }
 
 func newPlacer(t *testing.T) *placer {
 	t.Helper()
-	p := &placer{roundTrip: newRoundTrip(t, 2, 5, 0, 0), t: t}
+	p := &placer{roundTrip: newRoundTrip(t, 2, 5, 0, 0), t: t, gpus: 1}
 	for range 30 { // the format is raised
 		p.run(100_000)
 	}
@@ -73,7 +74,7 @@
 func (p *placer) submit(id, priority string, tasks int) {
 	p.t.Helper()
 	value, err := job.EncodeRecord(&job.Record{Created: p.now, Spec: &wire.Job{ID: id, Class: "c", Team: "red", Shape: wire.Array, Priority: priority,
-		Tasks: tasks, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 5}}, job.Newest)
+		Tasks: tasks, CPUs: 1, GPUs: p.gpus, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 5}}, job.Newest)
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -262,3 +263,40 @@
 		t.Errorf("%d tasks were started, placed again %v", n, p.placedBy())
 	}
 }
+
+// Pages are begun in the order of their numbers and by one transaction at a time, and no page is in two
+// transactions: who guards all pages there are and the next one guards against any.
+func TestPagesAreBegunInOrder(t *testing.T) {
+	p := newPlacer(t)
+	p.free, p.gpus = 40, 0 // for more than two full batches, and no limit
+	for i := p.machines; i < p.machines+p.free; i++ {
+		p.take(p.step(1, p.reportOf(i)))
+	}
+	p.submit("j-2", wire.Normal, 1)
+	p.run(200_000)
+	first := p.only()
+	for n := range 60 { // more than one transaction can place: the next goes though one is under way
+		p.submit(fmt.Sprintf("j-%d", 100+n), wire.Normal, 1)
+	}
+	p.run(200_000)
+	p.run(200_000)
+	second := p.only()
+	if second.Txn.Changes[0].Put == first.Txn.Changes[0].Put {
+		t.Errorf("two transactions write %s", first.Txn.Changes[0].Put)
+	}
+	if want := records.SharedKey(2); second.Txn.Changes[0].Put != want || len(second.Txn.Changes) != 1 {
+		t.Errorf("%s is begun, not %s", second.Txn.Changes[0].Put, want)
+	}
+	for n := range 60 {
+		p.submit(fmt.Sprintf("j-%d", 200+n), wire.Normal, 1)
+	}
+	p.run(200_000)
+	p.run(200_000)
+	if len(p.pending) > 0 { // page 1 is being written, page 2 begun: page 3 has to wait
+		t.Errorf("%s is begun before page 2 is known to exist", p.pending[0].Txn.Changes[0].Put)
+	}
+	p.ok(second)
+	if len(p.pending) == 0 {
+		t.Error("nothing follows once page 2 exists")
+	}
+}
