--- a/internal/core/leader/placing.go
+++ b/internal/core/leader/placing.go
@@ -22,6 +22,8 @@
 const (
 	// pageFill is how full a page may be, by what it holds open, for more to be put into it.
 	pageFill = 0.75
+	// firstJobs is how many jobs a transaction is to place for it not to give way to others.
+	firstJobs = 8
 	// sharedCost is what placing a job by pages counts of the changes that a pass may ask for.
 	sharedCost = 0.1
 )
@@ -362,7 +364,7 @@
 	if len(t.jobs) == 0 {
 		purpose = msg.ForCleanup
 	}
-	l.box.Transact(t.commit, msg.Later, purpose, func(d msg.CommitDone) {
+	l.box.Transact(t.commit, t.turn(), purpose, func(d msg.CommitDone) {
 		if reign == l.reigns {
 			l.writing -= len(t.commit.Changes)
 		}
@@ -372,6 +374,16 @@
 	})
 }
 
+// turn is whose changes the transaction takes. One that starts urgent work, or the work of many, doesn't
+// wait behind ends of jobs, each of which is a change of its own.
+func (t *placement) turn() msg.Turn {
+	urgent := slices.ContainsFunc(t.jobs, func(j *Job) bool { return j.Rec.Spec != nil && j.Priority() == wire.Production })
+	if urgent || len(t.jobs) >= firstJobs {
+		return msg.First
+	}
+	return msg.Later
+}
+
 // placementDone takes the answer to a transaction.
 func (l *Leader) placementDone(t *placement, d *msg.CommitDone) {
 	switch d.Outcome {
