--- a/internal/core/leader/placing_model_test.go
+++ b/internal/core/leader/placing_model_test.go
@@ -1,9 +1,6 @@
 package leader
 
-import (
-	"fmt"
-	"testing"
-)
+import "testing"
 
 // A model of one job of one task, two pages of shared parts, two leaders and a node that may settle a
 // cancellation alone, with transactions that are sent twice and carried out at any later time. All states
@@ -222,6 +219,6 @@
 		if wrong == "" {
 			t.Errorf("without the guard on %s nothing goes wrong in %d states", name, states)
 		}
-		t.Log(fmt.Sprintf("without the guard on %s: %s", name, wrong))
+		t.Logf("without the guard on %s: %s", name, wrong)
 	}
 }
--- a/internal/rehearse/users.go
+++ b/internal/rehearse/users.go
@@ -20,11 +20,8 @@
 	"coralhub/wire"
 )
 
-// What users do by the protocol.
-const (
-	pollEvery      = 5 * time.Second
-	strangersEvery = 3 * time.Second
-)
+// strangersEvery is how often somebody asks about a job that nobody has submitted.
+const strangersEvery = 3 * time.Second
 
 // planned is a job that comes at a set time.
 type planned struct {
@@ -106,14 +103,10 @@
 	return wire.Array
 }
 
-func wirePriority(s string) string {
-	switch s {
-	case "production":
-		return wire.Production
-	case "high":
-		return wire.High
-	case "low":
-		return wire.Low
+// wirePriority is a class's priority; without one its jobs are of the normal one.
+func wirePriority(name string) string {
+	if priority, ok := wire.ParsePriority(name); ok {
+		return priority
 	}
 	return wire.Normal
 }
@@ -279,33 +272,10 @@
 		s.Accepted++
 		s.waits = append(s.waits, time.Since(due)) // from the plan: a slow answer delays nobody's arrival
 	})
-	var cancelAt <-chan time.Time
-	if p.cancelIn > 0 {
-		t := time.NewTimer(p.cancelIn)
-		defer t.Stop()
-		cancelAt = t.C
-	}
-	poll := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(pollEvery)))
-	defer poll.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-cancelAt:
-			cancelAt = nil
-			u.record(judge.Event{At: u.now(), Kind: judge.Asked, Job: p.job.ID})
-			u.repeat(ctx, p, judge.ByCancel, http.MethodPost, wire.PathJobs+"/"+p.job.ID+"/"+wire.CancelVerb, nil)
-		case <-poll.C:
-			a := u.ask.Poll(ctx, p.job.ID)
-			if ctx.Err() != nil {
-				return
-			}
-			if u.told(p.job.ID, judge.ByPoll, &a); a.Over() {
-				return
-			}
-			poll.Reset(pollEvery)
-		}
-	}
+	u.ask.Follow(ctx, p.job.ID, p.cancelIn, func(a *user.Answer) { u.told(p.job.ID, judge.ByPoll, a) }, func() {
+		u.record(judge.Event{At: u.now(), Kind: judge.Asked, Job: p.job.ID})
+		u.repeat(ctx, p, judge.ByCancel, http.MethodPost, wire.PathJobs+"/"+p.job.ID+"/"+wire.CancelVerb, nil)
+	})
 }
 
 func (u *users) decide(id string, accepted bool) {
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -250,13 +250,8 @@
 
 // priority is the class's on the wire.
 func (c *Class) priority() string {
-	switch c.Priority {
-	case "production":
-		return wire.Production
-	case "high":
-		return wire.High
-	case "low":
-		return wire.Low
+	if priority, ok := wire.ParsePriority(c.Priority); ok {
+		return priority
 	}
 	return wire.Normal
 }
--- a/internal/scale/users.go
+++ b/internal/scale/users.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -18,7 +17,6 @@
 )
 
 const (
-	pollEvery   = 5 * time.Second
 	probeEvery  = time.Second
 	longestWait = 10 * time.Second // until a user who cancels does so
 )
@@ -144,33 +142,10 @@
 
 // poll asks for a job's state until it is over, and cancels it if that is planned.
 func (u *users) poll(ctx context.Context, id string, cancelIn time.Duration) {
-	var cancelAt <-chan time.Time
-	if cancelIn > 0 {
-		t := time.NewTimer(cancelIn)
-		defer t.Stop()
-		cancelAt = t.C
-	}
-	next := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(pollEvery)))
-	defer next.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-cancelAt:
-			cancelAt = nil
-			u.region.record(judge.Event{At: now(), Kind: judge.Asked, Job: id})
-			u.repeat(ctx, id, judge.ByCancel, wire.PathJobs+"/"+id+"/"+wire.CancelVerb, nil)
-		case <-next.C:
-			a := u.ask.Poll(ctx, id)
-			if ctx.Err() != nil {
-				return
-			}
-			if u.told(id, judge.ByPoll, &a); a.Over() {
-				return
-			}
-			next.Reset(pollEvery)
-		}
-	}
+	u.ask.Follow(ctx, id, cancelIn, func(a *user.Answer) { u.told(id, judge.ByPoll, a) }, func() {
+		u.region.record(judge.Event{At: now(), Kind: judge.Asked, Job: id})
+		u.repeat(ctx, id, judge.ByCancel, wire.PathJobs+"/"+id+"/"+wire.CancelVerb, nil)
+	})
 }
 
 // repeat makes a request until it is taken.
@@ -198,7 +173,7 @@
 	return out
 }
 
-// unanswered counts the jobs that were accepted and are not over.
+// unfinished counts the jobs that were accepted and are not over.
 func (u *users) unfinished() int {
 	n := 0
 	for _, s := range u.all() {
@@ -208,15 +183,3 @@
 	}
 	return n
 }
-
-// classesOf lists the classes' names in the order of the settings.
-func (s *Settings) classesOf(urgent bool) []string {
-	var out []string
-	for i := range s.Classes {
-		if s.Classes[i].Urgent == urgent {
-			out = append(out, s.Classes[i].Name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/user/user.go
+++ b/internal/user/user.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +19,7 @@
 	SubmitWait  = 5 * time.Second
 	PollWait    = 2 * time.Second
 	TryFor      = 60 * time.Second
+	PollEvery   = 5 * time.Second
 	leastPause  = time.Second
 	longestWait = 30 * time.Second
 )
@@ -95,6 +97,37 @@
 	return u.Ask(ctx, PollWait, http.MethodGet, wire.PathJobs+"/"+id, nil)
 }
 
+// Follow polls a job until it is over or ctx ends, and has it cancelled once, some time after the call,
+// if cancelIn is above 0. Each answer to a poll is told.
+func (u *Asker) Follow(ctx context.Context, id string, cancelIn time.Duration, told func(*Answer), cancel func()) {
+	var cancelAt <-chan time.Time
+	if cancelIn > 0 {
+		t := time.NewTimer(cancelIn)
+		defer t.Stop()
+		cancelAt = t.C
+	}
+	poll := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(PollEvery)))
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-cancelAt:
+			cancelAt = nil
+			cancel()
+		case <-poll.C:
+			a := u.Poll(ctx, id)
+			if ctx.Err() != nil {
+				return
+			}
+			if told(&a); a.Over() {
+				return
+			}
+			poll.Reset(PollEvery)
+		}
+	}
+}
+
 // Over tells whether an answer says that a job is over.
 func (a *Answer) Over() bool {
 	return a.Status == http.StatusOK && (a.Job.Status == wire.Done || a.Job.Status == wire.Cancelled)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -143,6 +143,12 @@
 	return "", false
 }
 
+// ParsePriority is the priority of a usual name: production, high, normal or low; false if there is none.
+func ParsePriority(name string) (string, bool) {
+	priority, ok := map[string]string{"production": Production, "high": High, "normal": Normal, "low": Low}[name]
+	return priority, ok
+}
+
 // JobStatus answers submissions, polls and cancellations.
 type JobStatus struct {
 	ID      string `msgpack:"ref"`
