--- a/internal/scenario/guards_test.go
+++ b/internal/scenario/guards_test.go
@@ -86,7 +86,7 @@
 
 // placesInPage checks a page of shared parts that is written, and tells whether it places tasks: each
 // job's record has to be guarded, and no task may have a place, by whichever value.
-func (s *Sim) placesInPage(c *wire.Change, t *wire.Commit) (places bool) {
+func (s *Sim) placesInPage(c *wire.Change, t *wire.Commit) (placed bool) {
 	was, err := records.DecodeShared(s.state.Get(c.Put).Value)
 	is, wrong := records.DecodeShared(c.Value)
 	if wrong != nil || err != nil && s.state.Get(c.Put).Version != 0 {
@@ -99,50 +99,74 @@
 			had[o.Key(was[i].Job)] = true
 		}
 	}
+	var stored *places
 	for i := range is {
 		p := &is[i]
 		for _, o := range p.Open {
 			if had[o.Key(p.Job)] {
 				continue
 			}
-			places = true
+			if stored == nil {
+				stored = s.places()
+			}
+			placed = true
 			if !slices.ContainsFunc(t.Guards, func(g wire.Guard) bool { return g.Key == job.RecordKey(p.Job) }) {
 				s.world.Broken = append(s.world.Broken, "placed without a guard on its record: "+p.Job+" in "+c.Put)
 			}
-			if where := s.placed(p.Job, o.Task); where != "" {
+			if where := stored.of(s, p.Job, o.Task); where != "" {
 				s.world.Broken = append(s.world.Broken, fmt.Sprintf("%s/%d placed in %s and is placed in %s", p.Job, o.Task, c.Put, where))
 			}
 		}
 	}
-	return places
+	return placed
+}
+
+// places is what pages and the log of ended attempts say by all that is stored.
+type places struct {
+	ended map[records.Ended]bool
+	pages map[job.Key]string // by job and task: the page that has it open
 }
 
-// placed finds the value that has a task open or done, by all that is stored; "": none has.
-func (s *Sim) placed(id string, task int) string {
-	ended := map[records.Ended]bool{}
+func (s *Sim) places() *places {
+	p := &places{ended: map[records.Ended]bool{}, pages: map[job.Key]string{}}
 	for _, it := range s.state.List(job.Root + "ended/") {
 		lines, _ := records.DecodePage(it.Value) // what can't be read shows elsewhere
 		for _, l := range lines {
-			ended[records.Ended{Job: l.Job, Task: l.Task, Attempt: l.Attempt, Machine: l.Machine}] = true
+			p.ended[records.Ended{Job: l.Job, Task: l.Task, Attempt: l.Attempt, Machine: l.Machine}] = true
 		}
 	}
-	has := func(p *job.Part) bool {
-		return slices.ContainsFunc(p.Open, func(o job.Placement) bool {
-			return o.Task == task && !ended[records.Ended{Job: id, Task: task, Attempt: o.Attempt, Machine: o.Machine}]
-		})
-	}
 	for _, it := range s.state.List(sharedPrefix) {
 		parts, _ := records.DecodeShared(it.Value)
 		for i := range parts {
-			if parts[i].Job == id && has(&parts[i].Part) {
-				return it.Key
+			for _, o := range parts[i].Open {
+				if p.isOpen(parts[i].Job, &o) {
+					p.pages[job.Key{Job: parts[i].Job, Task: o.Task}] = it.Key
+				}
 			}
 		}
 	}
-	for _, it := range append(s.state.List(job.Root+"part/"+id+"/"), s.state.Get(job.RecordKey(id))) {
+	return p
+}
+
+func (p *places) isOpen(id string, o *job.Placement) bool {
+	return !p.ended[records.Ended{Job: id, Task: o.Task, Attempt: o.Attempt, Machine: o.Machine}]
+}
+
+// of finds the value that has a task open; "": none has.
+func (p *places) of(s *Sim, id string, task int) string {
+	if page := p.pages[job.Key{Job: id, Task: task}]; page != "" {
+		return page
+	}
+	n := task / job.PartTasks
+	for _, key := range []string{job.RecordKey(id), job.PartKey(id, n), job.PartKey(id, n+1)} {
 		var rec job.Record
-		if job.DecodeRecord(it.Value, &rec) == nil && has(&rec.Part) {
-			return it.Key
+		if job.DecodeRecord(s.state.Get(key).Value, &rec) != nil {
+			continue // absent
+		}
+		for i := range rec.Open {
+			if rec.Open[i].Task == task && p.isOpen(id, &rec.Open[i]) {
+				return key
+			}
 		}
 	}
 	return ""
