Read once more: a closing looks at its own part; one way to leave a cancellation

Cause: Placement and InPage went through all open placements of a job on each closing, though a task's number says which part or page holds it; marking a job as to be cancelled stood twice in the front; the hollow host's command Over was never sent; the scale run searched for a region's number that the region holds; the branch of flush for ends tested the same value twice.

Change: both look only at that task's part, by Part.Placement; mark and settle share leaveToLeader; Over, indexOf and a useless count in a test are gone; flush says each case once. No behaviour is meant to change.

How much time closings save wasn't measured.

--- a/internal/core/front/front.go
+++ b/internal/core/front/front.go
@@ -515,6 +515,11 @@
 		f.settle(req, j, guards)
 		return
 	}
+	f.leaveToLeader(req, j)
+}
+
+// leaveToLeader marks a job as to be cancelled.
+func (f *Front) leaveToLeader(req uint64, j *records.Job) {
 	rec := j.Rec.Clone()
 	rec.Cancel = true
 	f.writeMark(req, j, &rec, []wire.Guard{{Key: job.RecordKey(j.ID), Version: j.Version}}, func() { f.box.Later(req, "try again") })
@@ -528,15 +533,11 @@
 	if f.form.Format >= job.Standing {
 		rec.Account = job.AccountOf(j.Rec.Spec, j.Rec.Spent.Plus(j.SharedSpent()), 0)
 	}
-	f.writeMark(req, j, &rec, guards, func() {
-		marked := j.Rec.Clone()
-		marked.Cancel = true
-		f.writeMark(req, j, &marked, []wire.Guard{{Key: job.RecordKey(j.ID), Version: j.Version}}, func() { f.box.Later(req, "try again") })
-	})
+	f.writeMark(req, j, &rec, guards, func() { f.leaveToLeader(req, j) })
 }
 
 // writeMark commits a record that says that a job is cancelled, or is to be. If the guards fail
-// although it is not, refused is called, with the job as it is now.
+// although it is not, refused is called once the replica has the job as it is now.
 func (f *Front) writeMark(req uint64, j *records.Job, rec *job.Record, guards []wire.Guard, refused func()) {
 	value, err := job.EncodeRecord(rec, f.form.Format)
 	if err == nil && !f.form.Fits(value) && rec.Spec != nil {
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -131,6 +131,14 @@
 	return p.find(task, attempt, machine) >= 0
 }
 
+// Placement returns the open placement of a task's attempt on a machine.
+func (p *Part) Placement(task int, attempt uint64, machine string) (Placement, bool) {
+	if i := p.find(task, attempt, machine); i >= 0 {
+		return p.Open[i], true
+	}
+	return Placement{}, false
+}
+
 func (p *Part) find(task int, attempt uint64, machine string) int {
 	return slices.IndexFunc(p.Open, func(o Placement) bool {
 		return o.Task == task && o.Attempt == attempt && o.Machine == machine
--- a/internal/core/leader/commits.go
+++ b/internal/core/leader/commits.go
@@ -71,17 +71,14 @@
 	l.confirmCancellation(j)
 	t, more := l.fitting(j)
 	if t == nil || t.ends {
-		if t != nil {
-			l.logEnds(j, t.closes)
-		}
 		if len(j.plan) > 0 && l.placesInPages(j) {
 			l.queuePlacement(j)
 		}
-		if t != nil {
-			return !more
+		if t == nil { // a cancellation waits for workers to be heard: look again
+			return !j.Rec.Cancel || j.Rec.Final()
 		}
-		// A cancellation waits for workers to be heard: look again.
-		return !j.Rec.Cancel || j.Rec.Final()
+		l.logEnds(j, t.closes)
+		return !more
 	}
 	if len(j.plan) == 0 && !j.Rec.Cancel && !j.Doomed() && j.AwaitedBy() == 0 && l.writing >= l.mostEnding() {
 		return false
--- a/internal/core/placing_test.go
+++ b/internal/core/placing_test.go
@@ -44,7 +44,6 @@
 // run lets time pass.
 func (p *placer) run(d config.Micros) {
 	p.t.Helper()
-	p.seq++
 	for i := range p.machines + p.free { // nobody falls silent
 		in := p.reportOf(i)
 		if i < p.machines {
--- a/internal/core/records/shared.go
+++ b/internal/core/records/shared.go
@@ -391,12 +391,9 @@
 
 // InPage tells whether the placement of a task's attempt on a machine is open in a page.
 func (j *Job) InPage(task int, attempt uint64, machine string) bool {
-	for _, s := range j.pageParts {
-		if s.IsOpen(task, attempt, machine) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(j.pageParts, func(s *pagePart) bool {
+		return s.index == task/job.PartTasks && s.IsOpen(task, attempt, machine)
+	})
 }
 
 // SharedDone is what pages say is done of the tasks that part n of a record holds.
@@ -450,9 +447,13 @@
 
 // Placement finds the open placement of a task's attempt on a machine.
 func (j *Job) Placement(task int, attempt uint64, machine string) (found job.Placement, ok bool) {
-	j.EachOpen(func(p job.Placement) {
-		if p.Task == task && p.Attempt == attempt && p.Machine == machine {
-			found, ok = p, true
+	p, _ := j.Part(j.Rec.PartOf(task))
+	if found, ok = p.Placement(task, attempt, machine); ok {
+		return found, true
+	}
+	j.eachPagePart(task/job.PartTasks, func(s *pagePart) {
+		if !ok {
+			found, ok = s.Placement(task, attempt, machine)
 		}
 	})
 	return found, ok
--- a/internal/core/units_test.go
+++ b/internal/core/units_test.go
@@ -169,7 +169,7 @@
 	}
 }
 
-// follower is a node whose leader is elsewhere.
+// newFollower returns a node whose leader is elsewhere.
 func newFollower(tb testing.TB, machines int) *fleet {
 	f := newFleet(tb, machines)
 	raw, err := job.Encode(leaderclaim.Value{Node: "n2", Nonce: 7})
--- a/internal/hollow/host.go
+++ b/internal/hollow/host.go
@@ -85,10 +85,6 @@
 		h.mu.Lock()
 		h.jobs[c.Job.ID] = c.Job
 		h.mu.Unlock()
-	case c.Over != "":
-		h.mu.Lock()
-		delete(h.jobs, c.Over)
-		h.mu.Unlock()
 	case c.Run != nil:
 		h.each(func(w *worker) { w.run(c.Run) })
 	case c.Break != nil:
--- a/internal/hollow/message.go
+++ b/internal/hollow/message.go
@@ -35,7 +35,6 @@
 	Remove  string   `json:"remove,omitempty"`  // a machine is gone
 	Restart *Restart `json:"restart,omitempty"` // a machine loses what is on it and comes back
 	Job     *Job     `json:"job,omitempty"`     // a job's description has been uploaded
-	Over    string   `json:"over,omitempty"`    // a job that needs to be known no more
 	Run     *Attempt `json:"run,omitempty"`     // all tasks of a gang are there
 	Break   *Attempt `json:"break,omitempty"`   // a task of a gang is gone
 	Usage   bool     `json:"usage,omitempty"`   // tell what was sent and received
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -135,10 +135,9 @@
 	go o.watchMemory(ctx, regions)
 	results := make([]RegionResult, len(regions))
 	err := each(regions, func(r *region) error {
-		i := indexOf(regions, r)
-		res, err := r.measure(ctx, s.Seed+uint64(i))
+		res, err := r.measure(ctx, s.Seed+uint64(r.number))
 		if err == nil {
-			results[i] = *res
+			results[r.number] = *res
 		}
 		return err
 	})
@@ -156,15 +155,6 @@
 	return err
 }
 
-func indexOf(regions []*region, r *region) int {
-	for i := range regions {
-		if regions[i] == r {
-			return i
-		}
-	}
-	return -1
-}
-
 // each calls f for all regions at once and returns the errors.
 func each(regions []*region, f func(*region) error) error {
 	errs := make([]error, len(regions))
