--- a/review/standin/case1.go
+++ b/review/standin/case1.go
@@ -179,7 +179,7 @@
 		j := job("clip-slicer", "archive-desk", wire.Low, arrayTasks, 0.5, 6)
 		fleet.upload(j, func(task int) float64 {
 			if task == 0 {
-				return 30
+				return 400
 			}
 			return 3 + 5*rand.Float64()
 		})
