review: case 2, one failing job makes every leader panic in turn

A job with bookmark_s 0.0000002 is accepted. When one of its tasks exits with error, the leader divides by an interval of 0 microseconds and ends; its successors do the same. The case of the 64 KiB limit is now case 3.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -32,6 +32,7 @@
 	jobs  map[string]*wire.Job // what users have uploaded
 	run   map[string]float64   // run time of a task by name, in seconds
 	done  map[string]bool      // tasks that have completed
+	fails map[string]bool      // jobs that were submitted with a mistake: every task fails on every machine
 	start map[string]time.Time // first start of a task by job
 	Lost  []string             // tasks that ended because a lease expired
 
@@ -75,7 +76,7 @@
 
 func newFleet(rec *Record, t wire.MachineType, reportS, leaseS float64) *Fleet {
 	return &Fleet{rec: rec, Type: t, reportS: reportS, leaseS: leaseS, jobs: map[string]*wire.Job{}, run: map[string]float64{},
-		done: map[string]bool{}, start: map[string]time.Time{},
+		done: map[string]bool{}, fails: map[string]bool{}, start: map[string]time.Time{},
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4096, IdleConnTimeout: time.Minute},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
 	}
@@ -213,9 +214,13 @@
 				t.State, t.Cause = wire.Exited, wire.Done
 				m.changed = true
 				m.f.mu.Lock()
-				m.f.done[t.Task] = true
+				if m.f.fails[t.job.ID] {
+					t.Cause = wire.CauseError
+				} else {
+					m.f.done[t.Task] = true
+				}
 				m.f.mu.Unlock()
-				m.f.rec.Printf("done %s try %d on %s", t.Task, t.Attempt, m.name)
+				m.f.rec.Printf("%s %s try %d on %s", t.Cause, t.Task, t.Attempt, m.name)
 			}
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,7 +36,7 @@
 	return l.Addr().String()
 }
 
-var cases = map[string]func(*Env) (int, error){"1": case1, "2": case2}
+var cases = map[string]func(*Env) (int, error){"1": outgrownPage, "2": shortCheckpoints, "3": swarm}
 
 func main() {
 	name := flag.String("case", "", "the case")
--- a/review/standin/nodes.go
+++ b/review/standin/nodes.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -236,3 +237,42 @@
 	}
 	return m
 }
+
+// pollAny is like poll, but reports no answer if no node is up.
+func (u *Users) pollAny(id string) (int, wire.JobStatus) {
+	u.mu.Lock()
+	down := len(u.down)
+	for _, d := range u.down {
+		if !d {
+			down--
+		}
+	}
+	all := len(u.nodes.all)
+	u.mu.Unlock()
+	if down >= all {
+		u.rec.Printf("poll %s: no controller is up", id)
+		return 0, wire.JobStatus{}
+	}
+	return u.poll(id)
+}
+
+// lastPanic returns the line of a node's log that tells of its panic, and the first place in this project.
+func (ns *Nodes) lastPanic(n *Node) string {
+	raw, err := os.ReadFile(filepath.Join(ns.dir, n.name+".log"))
+	if err != nil {
+		return ""
+	}
+	lines := strings.Split(string(raw), "\n")
+	for i := len(lines) - 1; i >= 0; i-- {
+		if !strings.HasPrefix(lines[i], "panic:") && !strings.HasPrefix(lines[i], "fatal error:") {
+			continue
+		}
+		for _, l := range lines[i:] {
+			if strings.HasPrefix(l, "coralhub/") {
+				return lines[i] + " in " + strings.SplitN(l, "(0x", 2)[0]
+			}
+		}
+		return lines[i]
+	}
+	return ""
+}
--- a/review/standin/case1.go
+++ b/review/standin/page.go
@@ -64,9 +64,9 @@
 max_connections = 3695
 `
 
-// case1: the leader is killed. Until another leads, arrays of three tiny tasks are accepted, which its successor places
+// outgrownPage: the leader is killed. Until another leads, arrays of three tiny tasks are accepted, which its successor places
 // together. Two tasks of each end after seconds, the third takes long. Then wide arrays run, whose tasks end one by one.
-func case1(e *Env) (int, error) {
+func outgrownPage(e *Env) (int, error) {
 	rec := e.rec
 	const (
 		machines   = 103 // three of them in zone b, cheap ones
--- a/review/standin/case2.go
+++ b/review/standin/swarm.go
@@ -56,8 +56,8 @@
 max_connections = 1800
 `
 
-// case2: while a bureau's services run, a guest submits one array of many tiny tasks.
-func case2(e *Env) (int, error) {
+// swarm: while a bureau's services run, a guest submits one array of many tiny tasks.
+func swarm(e *Env) (int, error) {
 	rec := e.rec
 	const (
 		machines   = 6
