--- a/review/standin/nodes.go
+++ b/review/standin/nodes.go
@@ -42,13 +42,15 @@
 	OnEnd func(n *Node, state string)
 }
 
+// freeAddress returns a loopback address that is free, with a port below those that the system hands out by itself.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000)))
+		if err == nil {
+			_ = l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // settings writes the settings files; cluster is the text of [cluster] and below, the same for all nodes.
--- a/review/standin/page.go
+++ b/review/standin/page.go
@@ -69,9 +69,9 @@
 func outgrownPage(e *Env) (int, error) {
 	rec := e.rec
 	const (
-		machines   = 103 // three of them in zone b, cheap ones
-		tinyJobs   = 46
-		tinyTasks  = 64
+		machines   = 108 // eight of them in zone b, cheap ones
+		tinyJobs   = 92
+		tinyTasks  = 32
 		arrays     = 14
 		arrayTasks = 160
 		limit      = 90 * time.Second // a job may wait that long while a machine that fits has room
@@ -95,7 +95,7 @@
 	fleet := newFleet(rec, wire.MachineType{Name: "studio-gpu-24", CPUs: 24, GPUs: 4, MemoryGB: 192, CacheGB: 150, FetchGBPerS: 0.4,
 		Price: 8.77, SpotPrice: 3.76, BootS: 50, Zones: []string{"a", "b"}}, 5, 26.5)
 	for i := range machines {
-		if err := fleet.add([]string{"b", "a"}[min(i/3, 1)], i < 3); err != nil {
+		if err := fleet.add([]string{"b", "a"}[min(i/8, 1)], i < 8); err != nil {
 			return 2, err
 		}
 	}
@@ -164,9 +164,9 @@
 	var tiny []string
 	for range tinyJobs {
 		j := job("snippet-probes", "harbor-college-lab", wire.Low, tinyTasks, 0.5, 8)
-		j.CPUs, j.MemoryGB, j.Zone, j.Spot = 0.024, 0.1, "b", true
+		j.CPUs, j.MemoryGB, j.Zone, j.Spot = 0.06, 0.2, "b", true
 		fleet.upload(j, func(task int) float64 {
-			if task%32 >= 29 {
+			if task%32 >= 24 {
 				return 400
 			}
 			return 2 + rand.Float64()
