leader: a checkpoint interval below a microsecond no longer ends it

What callers saw: a job with bookmark_s 0.0000002 is accepted. When one of its running tasks ends other than by "done", the leader panics ("integer divide by zero") and ends with status 2; each successor starts the task again and ends in the same way, and nothing is scheduled in between.

Cause: config.FromSeconds rounded the interval to 0 microseconds. The guard in front of the division compared the unconverted number with 0.

Change: a duration above 0 is converted to at least a microsecond, so that no caller can mistake it for "none", and the leader decides and divides by the same converted value. This works for stored records too, since the conversion happens when a task ends and not when the job is submitted. Submissions are accepted as before: the protocol has no least value.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,11 +9,20 @@
 // Second is a second in Micros.
 const Second Micros = 1_000_000
 
-// FromSeconds converts seconds to Micros, rounded to the nearest microsecond.
-func FromSeconds(s float64) Micros { return Micros(math.Round(s * 1e6)) }
+// FromSeconds converts seconds to Micros, rounded to the nearest microsecond. A duration above 0 is at least a
+// microsecond: 0 often means that there is none.
+func FromSeconds(s float64) Micros { return roundMicros(s * 1e6) }
 
-// FromMillis converts milliseconds to Micros, rounded to the nearest microsecond.
-func FromMillis(ms float64) Micros { return Micros(math.Round(ms * 1e3)) }
+// FromMillis converts milliseconds to Micros, rounded in the same way as by FromSeconds.
+func FromMillis(ms float64) Micros { return roundMicros(ms * 1e3) }
+
+func roundMicros(micros float64) Micros {
+	rounded := Micros(math.Round(micros))
+	if micros > 0 {
+		return max(rounded, 1)
+	}
+	return rounded
+}
 
 // Config is the configuration with which a node starts.
 type Config struct {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -120,3 +120,18 @@
 		t.Errorf("invalid TOML: error %v, want a *ParseError with the row and the cause", err)
 	}
 }
+
+// Guards against a duration above 0 that becomes 0, which callers divide by or take for "none".
+func TestPositiveDurationIsNeverZero(t *testing.T) {
+	for seconds, want := range map[float64]Micros{
+		0: 0, 5e-324: 1, 1e-300: 1, 2e-7: 1, 1.4e-6: 1, 1.5e-6: 2, 30: 30 * Second, 1e9: 1e9 * Second,
+		-2e-7: 0, -1: -Second,
+	} {
+		if got := FromSeconds(seconds); got != want {
+			t.Errorf("%v s are %d us, want %d us", seconds, got, want)
+		}
+		if got := FromMillis(seconds * 1e3); got != want {
+			t.Errorf("%v ms are %d us, want %d us", seconds*1e3, got, want)
+		}
+	}
+}
--- a/internal/core/leader/observed_runs.go
+++ b/internal/core/leader/observed_runs.go
@@ -68,23 +68,28 @@
 		}
 	}
 	worked := j.savedProgress[task] + es.outbox.Now() - startedAt
-	observedWhole := done && j.ownAttempts[key.Task] == key.Attempt && (!j.placedByPredecessor || spec.CheckpointS == 0)
+	interval := checkpointInterval(spec)
+	observedWhole := done && j.ownAttempts[key.Task] == key.Attempt && (!j.placedByPredecessor || interval == 0)
 	es.model.Observe(&estimate.Observation{
 		Features: es.features(j, observedMachine), Elapsed: worked, Done: observedWhole,
 	})
 	es.recordRun(j, key, observedMachine, startedAt, done)
-	if !done && spec.CheckpointS != 0 {
-		es.recordSavedProgress(j, key, task, machine, worked)
+	if !done && interval > 0 {
+		es.recordSavedProgress(j, key, task, machine, worked, interval)
 	}
 }
 
+// checkpointInterval returns the progress after which a task of a job saves a checkpoint, 0 if it never does.
+func checkpointInterval(spec *wire.Job) Micros { return max(0, config.FromSeconds(spec.CheckpointS)) }
+
 // recordSavedProgress records which part of the work of an unfinished task is saved: up to the last
-// checkpoint or, if its worker had it save its progress, all of it.
-func (es *runTimeEstimates) recordSavedProgress(j *Job, key job.AttemptKey, task int, machine string, worked Micros) {
+// checkpoint or, if its worker had it save its progress, all of it. interval is the time between its checkpoints.
+func (es *runTimeEstimates) recordSavedProgress(
+	j *Job, key job.AttemptKey, task int, machine string, worked, interval Micros,
+) {
 	if j.savedProgress == nil {
 		j.savedProgress = map[int]Micros{}
 	}
-	interval := config.FromSeconds(j.Record.Spec.CheckpointS)
 	j.savedProgress[task] = max(j.savedProgress[task], worked/interval*interval)
 	if m := es.reconciler.Registry().Get(machine); m != nil && m.Tasks[key].Saved {
 		j.savedProgress[task] = worked
