zone: tasks that need very little are counted as fitting

With 0.001 cores it rents at most 2. Preemption and defragmentation found no room for them.

Resources.Count converted the quotient of free and needed resources to an int before it was bounded; beyond 2^63 the result is the lowest int, which was taken for 0 tasks.

Evidence: TestTinyTasksShareMachines on the code before: 16 machines rented in each of its three cases; with amounts of 0.001 in their place it passed.

Change: the quotient is bounded as a float and converted after that, so every value is in the range of an int. Results of other amounts are the same, since truncation and the minimum commute there.

--- a/internal/core/zone/resources.go
+++ b/internal/core/zone/resources.go
@@ -26,9 +26,9 @@
 	return r.CPUs <= free.CPUs+tolerance && r.GPUs <= free.GPUs+tolerance && r.MemoryGB <= free.MemoryGB+tolerance
 }
 
-// Count returns how many tasks that need r each fit into the free resources.
+// Count returns how many tasks that need r each fit into the free resources, at most math.MaxInt32.
 func (r Resources) Count(free Resources) int {
-	n := math.MaxInt32
+	n := float64(math.MaxInt32)
 	quantities := [...]struct{ needed, free float64 }{
 		{r.CPUs, free.CPUs},
 		{r.GPUs, free.GPUs},
@@ -36,12 +36,12 @@
 	}
 	for _, x := range quantities {
 		if x.needed > 0 {
-			n = min(n, max(0, int((x.free+tolerance)/x.needed)))
+			n = min(n, max(0, (x.free+tolerance)/x.needed)) // infinite or beyond an int if little is needed
 		} else if x.free < -tolerance {
 			return 0
 		}
 	}
-	return n
+	return int(n)
 }
 
 // Plus returns r with n times b added.
--- a/internal/scenario/amounts_test.go
+++ b/internal/scenario/amounts_test.go
@@ -33,3 +33,32 @@
 	}
 	s.checkInvariants()
 }
+
+// Guards against a machine rented for each task of a job whose tasks need so little of a resource that the number of
+// them that fit on a machine overflows.
+func TestTinyTasksShareMachines(t *testing.T) {
+	for name, needs := range map[string]wire.Job{
+		"cores":  {CPUs: 1e-300, MemoryGB: 1},
+		"GPUs":   {CPUs: 0.1, GPUs: 1e-20, MemoryGB: 1},
+		"memory": {CPUs: 0.1, MemoryGB: 5e-324},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(3)
+			s.run(3 * emulator.Second)
+			j := &emulator.SubmittedJob{RunTime: 3 * emulator.Second, Job: needs}
+			j.ID, j.Class, j.Team, j.Shape, j.Priority = "j-1", "c", "red", wire.Array, wire.Normal
+			j.Tasks, j.Image, j.ImageGB, j.EstimateS = 24, "i", 1, 3
+			if a := s.submit(s.nodes[0], j); a.Status != 201 {
+				t.Fatalf("submission: %s, want 201", formatResponse(a))
+			}
+			s.run(60 * emulator.Second)
+			if done := s.env.DoneTasks("j-1"); done != j.Tasks {
+				t.Errorf("%d tasks done after 60 s, want %d", done, j.Tasks)
+			}
+			if s.env.Rented > 2 {
+				t.Errorf("%d machines rented, want at most 2: all tasks fit on one, and operators allow a surplus", s.env.Rented)
+			}
+			s.checkInvariants()
+		})
+	}
+}
