config: a duration too long for its type no longer turns negative

What operators saw: with idle_return_s 1e15 ("never") an idle machine is deleted at once, and with silent_release_s 1e15 machines that report every 5 s are deleted, with the tasks on them. The settings' schema accepts both.

Cause: the conversion of seconds to microseconds was not bounded; beyond 2^63 it gives the lowest integer.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -135,3 +136,18 @@
 		}
 	}
 }
+
+// Guards against a duration that is too long for a Micros and becomes negative: "never" would be "at once".
+func TestLongDurationKeepsItsSign(t *testing.T) {
+	for _, seconds := range []float64{9.3e12, 1e15, 1e300, math.MaxFloat64, math.Inf(1)} {
+		if got := FromSeconds(seconds); got != maxDuration {
+			t.Errorf("%v s are %d us, want %d us", seconds, got, Micros(maxDuration))
+		}
+		if got := FromMillis(-seconds); got != -min(maxDuration, FromSeconds(seconds/1e3)) {
+			t.Errorf("%v ms are %d us, want as much below 0 as the positive duration is above", -seconds, got)
+		}
+	}
+	if got := FromSeconds(math.NaN()); got != 0 {
+		t.Errorf("NaN s are %d us, want 0", got)
+	}
+}
