records: task numbers of stored values are checked before use

What callers would see: with one damaged value in the state service each controller ends, or stops serving, as soon as it has read it, and again after each restart.

Cause: numbers of tasks and shards in stored values were used as indexes and sizes unchecked, unlike those of submissions and workers' reports.

Change: the decoders return an error for a task that no job can have, and for a job with a number of tasks that is never accepted; such a value is logged and not applied, like any other that can't be decoded. Shard keys beyond the last task's are not shard keys.

--- a/internal/core/job/format.go
+++ b/internal/core/job/format.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"errors"
+	"fmt"
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -162,18 +164,29 @@
 	return Encode(&packed)
 }
 
+// ErrTaskOutOfRange is the error for a stored value that names a task which no job can have, or a job with a number of
+// tasks that is not allowed. No version writes such a value.
+var ErrTaskOutOfRange = errors.New("task out of range")
+
 // DecodeRecord decodes a record of any format.
 func DecodeRecord(value []byte, record *Record) error {
-	err := Decode(value, record)
+	if err := Decode(value, record); err != nil {
+		return err
+	}
+	if spec := record.Spec; spec != nil && !wire.ValidTask(spec.Tasks-1) {
+		return fmt.Errorf("%w: a job of %d tasks", ErrTaskOutOfRange, spec.Tasks)
+	}
 	record.unpack()
-	return err
+	return record.checkTasks()
 }
 
 // DecodeShard decodes a shard of any format.
 func DecodeShard(value []byte, shard *Shard) error {
-	err := Decode(value, shard)
+	if err := Decode(value, shard); err != nil {
+		return err
+	}
 	shard.unpack()
-	return err
+	return shard.checkTasks()
 }
 
 // Encode encodes a stored value. Records and shards are encoded by EncodeRecord and EncodeShard.
--- a/internal/core/job/shard.go
+++ b/internal/core/job/shard.go
@@ -1,9 +1,12 @@
 package job
 
 import (
+	"fmt"
 	"math/bits"
 	"slices"
 	"strconv"
+
+	"coralhub/wire"
 )
 
 // TasksPerShard is the number of tasks that share one value of the state service: the open
@@ -94,6 +97,16 @@
 	})
 }
 
+// checkTasks returns an error that wraps ErrTaskOutOfRange if there is a placement of a task that no job can have.
+func (s *Shard) checkTasks() error {
+	for i := range s.Open {
+		if p := &s.Open[i]; !wire.ValidTask(p.Task) {
+			return fmt.Errorf("%w: placement of task %d on %s", ErrTaskOutOfRange, p.Task, p.Machine)
+		}
+	}
+	return nil
+}
+
 func (s *Shard) doneMask() uint64 { return parseTaskSet(s.DoneSet) }
 
 // UnionDoneSets returns the bit set of the tasks that are done in either set.
--- a/internal/core/records/completion_encoding.go
+++ b/internal/core/records/completion_encoding.go
@@ -1,9 +1,11 @@
 package records
 
 import (
+	"fmt"
 	"strconv"
 
 	"coralhub/internal/core/job"
+	"coralhub/wire"
 )
 
 const completionPrefix = job.KeyRoot + "ended/"
@@ -56,6 +58,20 @@
 
 // DecodeCompletionPage decodes a page of any format.
 func DecodeCompletionPage(value []byte) ([]CompletionEntry, error) {
+	entries, err := decodeCompletionEntries(value)
+	if err != nil {
+		return nil, err
+	}
+	for i := range entries {
+		if entry := &entries[i]; !wire.ValidTask(entry.Task) {
+			return nil, fmt.Errorf("%w: completion of task %d of %s", job.ErrTaskOutOfRange, entry.Task, entry.Job)
+		}
+	}
+	return entries, nil
+}
+
+// decodeCompletionEntries decodes the entries of a page of any format.
+func decodeCompletionEntries(value []byte) ([]CompletionEntry, error) {
 	var entries []CompletionEntry
 	err := job.Decode(value, &entries)
 	if err == nil {
--- a/internal/core/records/job.go
+++ b/internal/core/records/job.go
@@ -38,7 +38,7 @@
 	if n == 0 {
 		return &j.Record.Shard, j.Version
 	}
-	if n <= len(j.Shards) {
+	if n > 0 && n <= len(j.Shards) {
 		return &j.Shards[n-1].Shard, j.Shards[n-1].Version
 	}
 	return &job.Shard{}, 0
--- a/internal/core/records/placement_encoding.go
+++ b/internal/core/records/placement_encoding.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"coralhub/internal/core/job"
+	"coralhub/wire"
 )
 
 const placementPagePrefix = job.KeyRoot + "placed/"
@@ -152,6 +153,9 @@
 	entries := make([]PlacementEntry, 0, len(page.Entries))
 	for i := range page.Entries {
 		stored := &page.Entries[i]
+		if stored.Index < 0 || stored.Index > (wire.MaxTasksPerJob-1)/job.TasksPerShard {
+			return nil, fmt.Errorf("%w: entry %d of %s", job.ErrTaskOutOfRange, stored.Index, stored.Job)
+		}
 		entry := PlacementEntry{
 			Job:         stored.Job,
 			Index:       stored.Index,
--- a/wire/names.go
+++ b/wire/names.go
@@ -29,8 +29,11 @@
 		return "", 0, false
 	}
 	task, err := strconv.Atoi(n)
-	if err != nil || task < 0 || task >= MaxTasksPerJob || strconv.Itoa(task) != n {
+	if err != nil || !ValidTask(task) || strconv.Itoa(task) != n {
 		return "", 0, false
 	}
 	return job, task, true
 }
+
+// ValidTask reports whether a number can be that of a task: from 0 on, and below MaxTasksPerJob.
+func ValidTask(task int) bool { return task >= 0 && task < MaxTasksPerJob }
