leader: cycles go on however low the CPU limit is

Cause: cycleInterval divides the time of a cycle by the CPU limit of the platform file, with no bound on the quotient; with 51 waiting jobs and 0.000001 cores it is 255 s. Beyond 2^63 the conversion made it the lowest integer, and so the shortest interval.

Change: the interval is a scan period at most, which the design names for a pass.

The test failed before the change and passes with it.

--- a/internal/core/leader/cycle.go
+++ b/internal/core/leader/cycle.go
@@ -178,12 +178,16 @@
 
 // cycleInterval returns the minimum time between two cycles. It grows with the length of the queue,
 // so that a long queue leaves the leader time to handle its workers: a node limited to a fifth of a
-// core runs a cycle over a queue of 100,000 jobs every 2.5 s.
+// core runs a cycle over a queue of 100,000 jobs every 2.5 s. However long the queue and however low
+// the CPU limit, it is no longer than a scan period, after which a cycle is due in any case.
 func (sc *scheduler) cycleInterval() Micros {
 	least := config.FromMillis(sc.cfg.Settings.CycleIntervalMS)
 	cores := sc.cfg.Cluster.Limits.Cores
 	if cores <= 0 || cores > 1 {
 		cores = 1 // a single event loop uses no more than one core
 	}
-	return max(least, Micros(float64(len(sc.snapshot.lackingPlacements))*cycleMicrosPerJob/(cores*maxCycleCPUShare)))
+	cycleMicros := float64(len(sc.snapshot.lackingPlacements)) * cycleMicrosPerJob
+	interval := cycleMicros / max(cores*maxCycleCPUShare, math.SmallestNonzeroFloat64)
+	longest := config.FromSeconds(sc.cfg.Settings.ScanPeriodS)
+	return max(least, Micros(min(interval, float64(longest))))
 }
--- /dev/null
+++ b/internal/core/tiny_limits_test.go
@@ -0,0 +1,53 @@
+package core_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"coralhub/internal/config"
+	"coralhub/internal/core/job"
+	"coralhub/internal/core/msg"
+	"coralhub/internal/core/records"
+	"coralhub/wire"
+)
+
+// runWithLimits runs a leader with the given configuration for half a minute. A job that fits beside the tasks on its
+// machines is in the state service. It returns the effects.
+func runWithLimits(t *testing.T, change func(*config.Config)) []msg.Effect {
+	t.Helper()
+	f := newFleet(t, 2)
+	f.put(t, "j-7", &job.Record{CreatedAt: 1, Spec: &wire.Job{ID: "j-7", Class: "c", Team: "red", Shape: wire.Array,
+		Priority: wire.Normal, Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 20}})
+	cfg := fleetConfig(2)
+	change(cfg)
+	f.takeOverWithConfig(t, cfg)
+	var effects []msg.Effect
+	for range 30 {
+		for _, in := range []msg.Input{f.heartbeat(0, nil), f.heartbeat(1, nil)} {
+			effects = append(effects, f.step(1, in)...)
+		}
+		f.step(1, msg.LeaseDone{Outcome: msg.OK, Lease: 9, IsRenewal: true})
+		effects = append(effects, f.step(config.Second, msg.Tick{WallClock: f.now})...)
+	}
+	return effects
+}
+
+// placesJob reports whether an effect commits a placement of the job of runWithLimits.
+func placesJob(e msg.Effect) bool {
+	commit, ok := e.(msg.Commit)
+	return ok && slices.ContainsFunc(commit.Transaction.Changes, func(c wire.Change) bool {
+		return c.Put == job.RecordKey("j-7") || strings.HasPrefix(c.Put, strings.TrimSuffix(records.PlacementPageKey(0), "0"))
+	})
+}
+
+// Guards against a leader that schedules nothing any more, because the time between its scheduling cycles has no upper
+// bound when the platform allows it little CPU time.
+func TestCyclesContinueWithLittleCPU(t *testing.T) {
+	for _, cores := range []float64{0, 0.06, 1e-6, 1e-300} {
+		effects := runWithLimits(t, func(c *config.Config) { c.Cluster.Limits.Cores = cores })
+		if !slices.ContainsFunc(effects, placesJob) {
+			t.Errorf("no placement within 30 s with %v cores, want one in a scan period of 10 s", cores)
+		}
+	}
+}
