machinecache: a value limit below any page no longer blocks the leader

What callers would see: with state.value_kb 0.03, which the platform file's check accepts, the leader stops in the middle of a step and answers nobody, though its process runs on.

Cause: fitPage drops machines until the page fits, and went on without any machines left; the limit less the margin is below 0.

Evidence: TestLeaderContinuesWithTinyValueLimit on the code before: the step had not ended after a minute. The other loops that shorten a value (pages of decisions, relayed heartbeats, run-time estimates, tally) were read and end at one entry or none.

Change: an empty page that does not fit is not written.

The test failed before the change and passes with it.

--- a/internal/core/machinecache/machinecache.go
+++ b/internal/core/machinecache/machinecache.go
@@ -138,7 +138,7 @@
 
 // fitPage encodes machines so that they fit the size limit of a value: images are dropped first, then
 // machines from the end of the list, which is sorted by name, so that they are the youngest ones if the
-// cloud numbers its machines. It returns nil if they can't be encoded.
+// cloud numbers its machines. It returns nil if they can't be encoded, or if not even an empty list fits.
 func (c *Cache) fitPage(machines []Machine) []byte {
 	for imageLimit := maxImages; ; imageLimit /= 2 {
 		for i := range machines {
@@ -150,6 +150,8 @@
 			return nil
 		case c.encoding.Fits(value):
 			return value
+		case len(machines) == 0:
+			return nil
 		case imageLimit == 0:
 			machines = machines[:len(machines)*7/8]
 		}
--- a/internal/core/tiny_limits_test.go
+++ b/internal/core/tiny_limits_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
@@ -51,3 +52,17 @@
 		}
 	}
 }
+
+// Guards against a leader that is stuck in a step, because no value is small enough for the limit of the platform.
+func TestLeaderContinuesWithTinyValueLimit(t *testing.T) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		runWithLimits(t, func(c *config.Config) { c.Cluster.State.ValueKB = 0.03 })
+	}()
+	select {
+	case <-ended:
+	case <-time.After(time.Minute):
+		t.Fatal("the leader did not end a step within a minute")
+	}
+}
