zone, core: amounts of machine types are checked before use

What callers would see: with a machine type of very many GPUs in the catalog, which is stored and read by each node, every leader ends for lack of memory as soon as such a machine reports. Jobs for types with amounts that are no numbers are accepted and never run.

Cause: the index of a zone's free capacity had an entry for each whole GPU of the largest machine, and amounts of machine types were used unchecked, unlike those of submissions.

Change: the index ends at 1,024 GPUs, and machines with more are summed up there. Machine types are checked by the bounds of submissions (now wire.MaxAmount) when a catalog is read; invalid ones are logged and ignored, and a catalog without a valid type leaves the last one in force.

--- a/internal/core/catalog.go
+++ b/internal/core/catalog.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
@@ -40,6 +42,7 @@
 // catalogDone applies the machine types received from the cloud. The leader stores them in the state
 // service, so that nodes that start during an outage of the cloud can read them.
 func (c *Core) catalogDone(done msg.CatalogDone) {
+	c.dropInvalidTypes(&done.Catalog)
 	if done.Outcome != msg.OK || len(done.Catalog.Types) == 0 {
 		return
 	}
@@ -50,6 +53,17 @@
 	}
 }
 
+// dropInvalidTypes removes the machine types from a catalog that can't be computed with, and logs them.
+func (c *Core) dropInvalidTypes(catalog *wire.Catalog) {
+	catalog.Types = slices.DeleteFunc(catalog.Types, func(t wire.MachineType) bool {
+		if t.Valid() {
+			return false
+		}
+		c.outbox.Log("machine type ignored: an amount is out of range", "type", t.Name)
+		return true
+	})
+}
+
 // sameMachineTypes reports whether a catalog has the same machine types with the same resources as the current one.
 func (c *Core) sameMachineTypes(catalog *wire.Catalog) bool {
 	if len(c.catalog.Types) != len(catalog.Types) {
@@ -79,8 +93,8 @@
 	})
 }
 
-// applyCatalog applies a change of the stored machine types. Deletions, versions that are not newer and values that
-// can't be decoded are ignored.
+// applyCatalog applies a change of the stored machine types. Deletions, versions that are not newer, values that can't be
+// decoded and values without a valid machine type are ignored.
 func (c *Core) applyCatalog(change *wire.Change) {
 	if change.Put == "" || change.Version <= c.catalogVersion {
 		return
@@ -90,7 +104,10 @@
 		return
 	}
 	c.catalogVersion = change.Version
-	c.setCatalog(&catalog)
+	c.dropInvalidTypes(&catalog)
+	if len(catalog.Types) > 0 {
+		c.setCatalog(&catalog)
+	}
 }
 
 func (c *Core) setCatalog(catalog *wire.Catalog) {
--- a/internal/core/damaged_values_test.go
+++ b/internal/core/damaged_values_test.go
@@ -82,8 +82,7 @@
 			for range 3 {
 				f.step(1, f.heartbeat(0, nil))
 				f.step(1, f.heartbeat(1, nil))
-				empty, _ := f.heartbeat(0, nil).(msg.HeartbeatIn)
-				empty.Heartbeat.Tasks = nil
+				empty := f.idleHeartbeat(t, 0)
 				empty.Heartbeat.Incarnation = 2
 				f.step(1, empty)
 				f.step(config.Second, msg.Tick{WallClock: f.now})
--- a/internal/core/long_durations_test.go
+++ b/internal/core/long_durations_test.go
@@ -18,12 +18,7 @@
 	f.takeOverWithConfig(t, cfg)
 	var effects []msg.Effect
 	for range 12 {
-		idle, ok := f.heartbeat(2, nil).(msg.HeartbeatIn)
-		if !ok {
-			t.Fatal("not a heartbeat")
-		}
-		idle.Heartbeat.Tasks = nil
-		for _, in := range []msg.Input{f.heartbeat(0, nil), f.heartbeat(1, nil), idle} {
+		for _, in := range []msg.Input{f.heartbeat(0, nil), f.heartbeat(1, nil), f.idleHeartbeat(t, 2)} {
 			effects = append(effects, f.step(1, in)...)
 		}
 		for range 5 {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -150,6 +150,28 @@
 	return msg.HeartbeatIn{RequestID: 1, Heartbeat: hb, Forwarded: true}
 }
 
+// idleHeartbeat returns the heartbeat of the worker of a machine without tasks.
+func (f *fleet) idleHeartbeat(tb testing.TB, i int) msg.HeartbeatIn {
+	tb.Helper()
+	in, ok := f.heartbeat(i, nil).(msg.HeartbeatIn)
+	if !ok {
+		tb.Fatal("not a heartbeat")
+	}
+	in.Heartbeat.Tasks = nil
+	return in
+}
+
+// submit submits a job of one task for machines of the given type to the leader.
+func (f *fleet) submit(tb testing.TB, id, machineType string) []msg.Effect {
+	tb.Helper()
+	body, err := wire.Marshal(&wire.Job{ID: id, Class: "c", Team: "red", Shape: wire.Array, Priority: wire.Normal, Tasks: 1,
+		CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 20, Types: []string{machineType}})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return f.step(1, msg.SubmitIn{RequestID: 2, WallClock: f.now, Body: body})
+}
+
 // toggleNotices sets the termination notice of every hundredth machine in even rounds, and removes it in odd ones. It
 // returns the number of these machines.
 func (f *fleet) toggleNotices(round int) (changed int) {
--- a/internal/core/zone/capacity_index.go
+++ b/internal/core/zone/capacity_index.go
@@ -14,6 +14,10 @@
 // weightScale is the factor by which weights are scaled in sums, which are integers to avoid rounding errors.
 const weightScale = 1e6
 
+// maxIndexedGPUs bounds the sums of a bucket: machines with more whole free GPUs are summed up with those that have as
+// many.
+const maxIndexedGPUs = 1024
+
 // bucketKey is the key shared by the offers of a bucket: the properties that a request requires, or
 // prefers before it compares free capacity.
 type bucketKey struct {
@@ -42,7 +46,7 @@
 type bucket struct {
 	bucketKey
 	offers     *btree.BTreeG[*Offer]
-	freeByGPUs []int64 // sums of the scaled weights of free capacity, by whole free GPUs of a machine
+	freeByGPUs []int64 // sums of the scaled weights of free capacity, by Offer.wholeGPUs
 }
 
 // moreFree orders the offers of a bucket. It compares only values that do not change while an offer is in a bucket.
@@ -66,7 +70,11 @@
 	b.freeByGPUs[gpus] += n * int64(math.Round(o.Free.Weight()*weightScale))
 }
 
-func (o *Offer) wholeGPUs() int { return max(0, int(o.Free.GPUs+tolerance)) }
+// wholeGPUs returns the number of whole free GPUs of the machine, at most maxIndexedGPUs.
+func (o *Offer) wholeGPUs() int { return indexedGPUs(o.Free.GPUs + tolerance) }
+
+// indexedGPUs returns the whole GPUs of an amount, at least 0 and at most maxIndexedGPUs.
+func indexedGPUs(gpus float64) int { return int(min(max(gpus, 0), maxIndexedGPUs)) }
 
 // insert inserts an offer into its bucket, and creates the bucket if it does not exist.
 func (z *Zone) insert(o *Offer) {
@@ -136,9 +144,9 @@
 }
 
 // freeFor returns the weight of the free capacity on the machines that suit a request and have enough
-// whole GPUs free for one of its tasks.
+// whole GPUs free for one of its tasks, or maxIndexedGPUs.
 func (z *Zone) freeFor(q *Request) float64 {
-	return z.freeWeight(int(q.Needs.GPUs), func(b *bucket) bool { return b.suits(q) })
+	return z.freeWeight(indexedGPUs(q.Needs.GPUs), func(b *bucket) bool { return b.suits(q) })
 }
 
 // freeWeight returns the weight of the free capacity on the machines with at least the given number of whole
--- a/wire/cloud.go
+++ b/wire/cloud.go
@@ -20,6 +20,18 @@
 	Zones       []string `msgpack:"yards"`
 }
 
+// Valid reports whether the resources, the boot time and the prices are numbers from 0 to MaxAmount.
+func (t *MachineType) Valid() bool {
+	for _, amount := range [...]float64{
+		t.CPUs, t.GPUs, t.MemoryGB, t.CacheGB, t.FetchGBPerS, t.Price, t.SpotPrice, t.BootS,
+	} {
+		if !validAmount(amount) {
+			return false
+		}
+	}
+	return true
+}
+
 // Catalog lists the machine types.
 type Catalog struct {
 	Types []MachineType `msgpack:"rigs"`
--- a/wire/submission_fields.go
+++ b/wire/submission_fields.go
@@ -204,7 +204,7 @@
 		if err != nil || !ok {
 			return ok, err
 		}
-		if math.IsNaN(f) || f < 0 || f > 1e9 {
+		if !validAmount(f) {
 			return true, errors.New("out of range")
 		}
 		*field(j) = f
@@ -212,6 +212,9 @@
 	}
 }
 
+// validAmount reports whether a number is from 0 to MaxAmount.
+func validAmount(f float64) bool { return f >= 0 && f <= MaxAmount }
+
 func boolField(field func(*Job) *bool) func(*Job, []byte) (bool, error) {
 	return func(j *Job, b []byte) (bool, error) {
 		switch b[0] {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -31,7 +31,8 @@
 	MaxMachinesPerPage     = 500      // in a MachineList
 	MaxKeysPerPage         = 1000     // in a KeyValuePage
 	MaxTasksPerJob         = 100000
-	MaxConditionsPerChange = 4 // conditions allowed in a transaction, per change that the state service allows in it
+	MaxAmount              = 1e9 // of resources, durations and prices in messages
+	MaxConditionsPerChange = 4   // conditions allowed in a transaction, per change that the state service allows in it
 )
 
 // Error is the body of a response that rejects a request.
