leader: the deadline of a job of tiny tasks is estimated by its limit

What operators saw: "lost" or "at risk" for the deadline of an array whose tasks need very little of a GPU, though its team's limit allows all of them at once; the same for every array of a team with an infinite limit.

Cause: the quotient of the limit and a task's GPUs was converted to an int before it was bounded. Beyond 2^63 that is the lowest int, and was raised to one task at a time.

Change: zone.Resources.Count divides, which bounds the quotient first and has the tolerance of the limits.

--- a/internal/core/leader/deadline_outlook.go
+++ b/internal/core/leader/deadline_outlook.go
@@ -3,7 +3,9 @@
 import (
 	"math"
 
+	"coralhub/internal/config"
 	"coralhub/internal/core/job"
+	"coralhub/internal/core/zone"
 	"coralhub/internal/estimate"
 	"coralhub/wire"
 )
@@ -62,11 +64,17 @@
 		wait = estimate.RandomDuration{Mean: ws.mean, Variance: ws.mean * ws.mean}
 	}
 	missing := spec.Tasks - j.DoneTasks
-	concurrent := missing
-	if team := es.teams[spec.Team]; team != nil && team.GPUsMax > 0 && spec.GPUs > 0 {
-		concurrent = min(concurrent, max(1, int(team.GPUsMax/spec.GPUs)))
-	}
-	return wait.Plus(durationOfTasks(perTask, missing, concurrent, spec.Shape))
+	return wait.Plus(durationOfTasks(perTask, missing, concurrentTasks(es.teams[spec.Team], spec, missing), spec.Shape))
+}
+
+// concurrentTasks returns how many of n tasks of a job may run at the same time by the limit of its team on GPUs, at
+// least one. The team may be nil.
+func concurrentTasks(team *config.Team, spec *wire.Job, n int) int {
+	if team == nil || team.GPUsMax <= 0 || spec.GPUs <= 0 {
+		return n
+	}
+	limit := zone.Resources{GPUs: team.GPUsMax}
+	return min(n, max(1, zone.Resources{GPUs: spec.GPUs}.Count(limit)))
 }
 
 // runningDuration returns how long a job with placed tasks takes: until the longest of these is
