--- a/internal/node/fairshare/fairshare_test.go
+++ b/internal/node/fairshare/fairshare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -43,3 +44,16 @@
 		}
 	})
 }
+
+// Guards against a node whose share of the quota is lost for good, because a peer has reported a demand that is no
+// number: all later sums would not be numbers either.
+func TestInvalidDemandCountsAsEqualShare(t *testing.T) {
+	for _, demand := range []float64{math.NaN(), -5, math.Inf(-1)} {
+		if got, want := Allocate(30, 20, []float64{demand, 1}), Allocate(30, 20, []float64{10, 1}); got != want {
+			t.Errorf("share %v beside a demand of %v, want %v as beside an equal share", got, demand, want)
+		}
+	}
+	if got := Allocate(30, 20, []float64{math.Inf(1), 1}); got != 14.5 {
+		t.Errorf("share %v beside an infinite demand, want 14.5", got)
+	}
+}
