emulator: a checkpoint interval below a microsecond no longer ends it

What users saw: `coralhub up`, a fault test or a scenario ends with "integer divide by zero" when a machine is lost on which a task with bookmark_s 0.0000002 runs.

Change: the converted interval is at least a microsecond.

The test failed before the change and passes with it.

--- a/internal/emulator/tasks.go
+++ b/internal/emulator/tasks.go
@@ -121,7 +121,8 @@
 	for _, t := range m.tasks {
 		id, n, _ := wire.ParseTaskName(t.Task)
 		if j := r.jobs.Jobs[id]; j != nil && t.State == wire.Running && j.CheckpointS > 0 {
-			interval := Micros(j.CheckpointS * float64(Second))
+			// A shorter interval would be rounded to 0.
+			interval := max(1, Micros(j.CheckpointS*float64(Second)))
 			r.progress.save(j, n, r.progress.current(now, m, t)/interval*interval)
 		}
 		r.markStopped(now, m, t)
--- a/internal/scenario/amounts_test.go
+++ b/internal/scenario/amounts_test.go
@@ -34,6 +34,28 @@
 	s.checkInvariants()
 }
 
+// Guards against emulators that end with a division by zero when a machine is lost whose tasks have a checkpoint
+// interval below a microsecond.
+func TestMachineWithTinyCheckpointIntervalIsLost(t *testing.T) {
+	s := newSim(3)
+	s.run(3 * emulator.Second)
+	j := &emulator.SubmittedJob{RunTime: 20 * emulator.Second}
+	j.Job = wire.Job{ID: "j-1", Class: "c", Team: "red", Shape: wire.Array, Priority: wire.High, Tasks: 2,
+		CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 20, CheckpointS: 2e-7, SaveS: 1}
+	if a := s.submit(s.nodes[0], j); a.Status != 201 {
+		t.Fatalf("submission: %s, want 201", formatResponse(a))
+	}
+	s.run(10 * emulator.Second)
+	for _, name := range s.env.MachineNames() {
+		s.env.Restart(s.now, emulator.Second/2, s.env.Machines[name], false)
+	}
+	s.run(60 * emulator.Second)
+	if done := s.env.DoneTasks("j-1"); done != j.Tasks {
+		t.Errorf("%d tasks done after the restart of their machines, want %d", done, j.Tasks)
+	}
+	s.checkInvariants()
+}
+
 // Guards against a machine rented for each task of a job whose tasks need so little of a resource that the number of
 // them that fit on a machine overflows.
 func TestTinyTasksShareMachines(t *testing.T) {
