--- a/internal/core/leader/start_order_test.go
+++ b/internal/core/leader/start_order_test.go
@@ -64,3 +64,27 @@
 		t.Errorf("drain time of an estimate beyond the bound: got %d us, want %d us", got, config.FromSeconds(maxEstimateS))
 	}
 }
+
+// Guards against a class that counts as free of waiting work, because the sum of the work that its users have submitted
+// overflows.
+func TestDrainTimeOfVeryMuchWork(t *testing.T) {
+	for name, needs := range map[string]wire.Job{
+		"cores":             {CPUs: 64},
+		"GPUs":              {GPUs: 8},
+		"memory":            {MemoryGB: 256},
+		"memory of one job": {MemoryGB: wire.MaxAmount},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var work pendingWork
+			for n := range 100_000 {
+				waiting := needs
+				waiting.Shape, waiting.Tasks, waiting.EstimateS = wire.Array, wire.MaxTasksPerJob, wire.MaxAmount
+				work.add(&waiting)
+				got := work.drainTime(zone.Resources{CPUs: 10, GPUs: 10, MemoryGB: 10})
+				if want := config.FromSeconds(maxEstimateS); got != want {
+					t.Fatalf("drain time of %d jobs is %d us, want %d us", n+1, got, want)
+				}
+			}
+		})
+	}
+}
