leader: a low rate of moves no longer rounds to none

What operators saw: with gather_per_s below 1/12, for example 0.05, replicas are never moved for a waiting gang, as if the setting were 0.

Cause: the burst of the limiter is the rate times 12 s, rounded down, and 0 moves allow no plan. The check for "none" compares the setting with 0, the limiter uses the rounded product.

Change: at least one move may be made at once.

--- a/internal/core/leader/defragmentation.go
+++ b/internal/core/leader/defragmentation.go
@@ -57,8 +57,7 @@
 	}
 	df.nextSearchAt = df.outbox.Now() + defragInterval
 	if df.moveLimiter == nil {
-		perSecond := df.cfg.Settings.DefragMovesPerS
-		df.moveLimiter = rate.NewLimiter(rate.Limit(perSecond), int(perSecond*defragBurstSeconds))
+		df.moveLimiter = newMoveLimiter(df.cfg.Settings.DefragMovesPerS)
 	}
 	now := time.UnixMicro(df.outbox.Now())
 	plan := df.bestDefragPlan(c, j, q, demand, int(df.moveLimiter.TokensAt(now)))
@@ -74,6 +73,11 @@
 		"whole", len(plan.WithCapacity), "replicas", plan.MovedReplicas)
 }
 
+// newMoveLimiter returns the limiter of moves per second. At least one may be made at once.
+func newMoveLimiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*defragBurstSeconds)))
+}
+
 // mayDefragment reports whether machines may be cleared now for a job that could not be placed.
 func (df *defragmenter) mayDefragment(j *Job, q *zone.Request, demand *autoscaler.Demand) bool {
 	if df.cfg.Settings.DefragMovesPerS <= 0 || !q.AllOrNothing {
