leader: machines' sums keep amounts below a millionth

What callers would see: the room that the leader counts on a machine is wrong by up to half a millionth of a core, a GPU or a GB for each task on it, so that a start may be refused by its worker.

Cause: the amounts of the tasks on a machine were rounded to millionths one by one, to be added as integers: 0.00000049 became 0.

Change: the sums are in billionths. Amounts with up to six decimals give the same sums.

The test failed before the change and passes with it. Tests of amounts now fail on violated invariants, which they only collected.

--- a/internal/core/leader/snapshot_machines.go
+++ b/internal/core/leader/snapshot_machines.go
@@ -134,13 +134,13 @@
 
 // sumAllocated sets the allocated resources of a machine to the sum over its open and planned
 // placements. Every open placement counts, whatever the worker last reported. Amounts are added as
-// integer millionths: their sum doesn't depend on the order, so nothing has to be sorted.
+// integer billionths: their sum doesn't depend on the order, so nothing has to be sorted.
 func (ss *clusterSnapshot) sumAllocated(m *zone.Machine, open map[job.AttemptKey]job.Placement, plans map[*Job]int) {
 	var cpus, gpus, memory int64
 	add := func(s *wire.Job, n int) {
-		cpus += toMillionths(s.CPUs) * int64(n)
-		gpus += toMillionths(s.GPUs) * int64(n)
-		memory += toMillionths(s.MemoryGB) * int64(n)
+		cpus += toBillionths(s.CPUs) * int64(n)
+		gpus += toBillionths(s.GPUs) * int64(n)
+		memory += toBillionths(s.MemoryGB) * int64(n)
 	}
 	for key := range open {
 		if j := ss.jobs[key.Job]; j != nil && j.Record.Spec != nil {
@@ -152,9 +152,9 @@
 			add(j.Record.Spec, n)
 		}
 	}
-	m.Allocated = zone.Resources{CPUs: fromMillionths(cpus), GPUs: fromMillionths(gpus), MemoryGB: fromMillionths(memory)}
+	m.Allocated = zone.Resources{CPUs: fromBillionths(cpus), GPUs: fromBillionths(gpus), MemoryGB: fromBillionths(memory)}
 }
 
-func toMillionths(amount float64) int64 { return int64(math.Round(amount * 1e6)) }
+func toBillionths(amount float64) int64 { return int64(math.Round(amount * 1e9)) }
 
-func fromMillionths(n int64) float64 { return float64(n) / 1e6 }
+func fromBillionths(n int64) float64 { return float64(n) / 1e9 }
--- a/internal/scenario/amounts_test.go
+++ b/internal/scenario/amounts_test.go
@@ -1,12 +1,23 @@
 package scenario
 
 import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"coralhub/internal/emulator"
 	"coralhub/wire"
 )
 
+// requireNoViolations fails the test if an invariant was violated.
+func (s *Sim) requireNoViolations(t *testing.T) {
+	t.Helper()
+	if n := len(s.env.Violations); n > 0 {
+		t.Errorf("%d violations: %v", n, s.env.Violations[:min(n, maxProblems)])
+	}
+}
+
 // Guards against controllers that end one after the other while a job whose tasks fail has a checkpoint interval below
 // a microsecond, and against such a job that can no longer be polled or cancelled.
 func TestFailingJobWithTinyCheckpointInterval(t *testing.T) {
@@ -31,7 +42,7 @@
 	if got := s.lastStatus["j-1"]; got != wire.Cancelled {
 		t.Errorf("status %q after the cancellation, want %q", got, wire.Cancelled)
 	}
-	s.checkInvariants()
+	s.requireNoViolations(t)
 }
 
 // Guards against emulators that end with a division by zero when a machine is lost whose tasks have a checkpoint
@@ -53,7 +64,7 @@
 	if done := s.env.DoneTasks("j-1"); done != j.Tasks {
 		t.Errorf("%d tasks done after the restart of their machines, want %d", done, j.Tasks)
 	}
-	s.checkInvariants()
+	s.requireNoViolations(t)
 }
 
 // Guards against a machine rented for each task of a job whose tasks need so little of a resource that the number of
@@ -80,7 +91,89 @@
 			if s.env.Rented > 2 {
 				t.Errorf("%d machines rented, want at most 2: all tasks fit on one, and operators allow a surplus", s.env.Rented)
 			}
-			s.checkInvariants()
+			s.requireNoViolations(t)
+		})
+	}
+}
+
+// extremeDays is the number of drawn days of TestExtremeAmounts. The default takes a few seconds.
+var extremeDays = flag.Int("extreme-days", 20, "number of days of TestExtremeAmounts")
+
+// extremeAmounts are amounts that the protocol allows, from the smallest to the largest number.
+var extremeAmounts = []float64{0, 5e-324, 1e-300, 1e-18, 1e-9, 2e-7, 4.9e-7, 5e-7, 1e-6, 0.01, 1, 30, 1e6, wire.MaxAmount}
+
+// Guards against controllers that end, and against jobs that nobody answers for or that can't be cancelled, because an
+// accepted amount is converted and then divides, indexes, sizes or times something.
+func TestExtremeAmounts(t *testing.T) {
+	for seed := range uint64(*extremeDays) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runExtremeDay(t, rand.New(rand.NewPCG(seed, 55)))
 		})
 	}
 }
+
+// runExtremeDay submits jobs with extreme amounts while machines and nodes restart, and cancels those that are left.
+func runExtremeDay(t *testing.T, rnd *rand.Rand) {
+	t.Helper()
+	s := newSim(3 + 2*rnd.IntN(2))
+	s.run(3 * emulator.Second)
+	var accepted []string
+	for n := range 30 {
+		j := extremeJob(rnd, fmt.Sprint("j-", n+1))
+		if a := s.submit(s.nodes[rnd.IntN(len(s.nodes))], j); a.Status == 201 {
+			accepted = append(accepted, j.ID)
+			s.pollUntilFinal(j.ID)
+		}
+		s.run(emulator.Micros(rnd.IntN(20)) * tick)
+		switch names := s.env.MachineNames(); rnd.IntN(6) {
+		case 0:
+			s.start(s.nodes[rnd.IntN(len(s.nodes))])
+		case 1, 2:
+			if len(names) > 0 {
+				s.env.Restart(s.now, emulator.Second/2, s.env.Machines[names[rnd.IntN(len(names))]], false)
+			}
+		case 3:
+			if len(accepted) > 0 {
+				s.cancelUntilFinal(accepted[rnd.IntN(len(accepted))])
+			}
+		}
+	}
+	if len(accepted) == 0 {
+		t.Fatal("no job was accepted: the test shows nothing")
+	}
+	s.run(30 * emulator.Second)
+	for _, id := range accepted {
+		s.cancelUntilFinal(id)
+	}
+	s.run(60 * emulator.Second)
+	for _, id := range accepted {
+		if status := s.lastStatus[id]; status != wire.Done && status != wire.Cancelled {
+			t.Errorf("%s is %q a minute after its cancellation, want it done or cancelled", id, status)
+		}
+	}
+	s.requireNoViolations(t)
+}
+
+// extremeJob returns a job whose amounts are drawn from extremeAmounts, or are usual ones.
+func extremeJob(rnd *rand.Rand, id string) *emulator.SubmittedJob {
+	amount := func(usual float64) float64 {
+		if rnd.IntN(2) == 0 {
+			return usual
+		}
+		return extremeAmounts[rnd.IntN(len(extremeAmounts))]
+	}
+	small := func(usual float64) float64 { return min(amount(usual), usual) } // fits on a machine
+	// GPUs stay out of the tolerance of sums.
+	gpus := []float64{0, 5e-324, 1e-300, 1e-18, 0.01, 1, 1, 1}
+	shapes := []string{wire.Array, wire.Array, wire.Gang, wire.Service}
+	j := &emulator.SubmittedJob{RunTime: emulator.Micros(1+rnd.IntN(8)) * emulator.Second, AlwaysFails: rnd.IntN(4) == 0}
+	j.Job = wire.Job{ID: id, Class: "c", Team: "red", Shape: shapes[rnd.IntN(len(shapes))],
+		Priority: []string{wire.Production, wire.High, wire.Normal, wire.Low}[rnd.IntN(4)], Tasks: 1 + rnd.IntN(4),
+		CPUs: small(1), GPUs: gpus[rnd.IntN(len(gpus))], MemoryGB: small(1), Image: "i", ImageGB: amount(1), Spot: rnd.IntN(2) == 0,
+		EstimateS: amount(3), CheckpointS: amount(2), SaveS: amount(1)}
+	if due := amount(60); rnd.IntN(2) == 0 {
+		j.DeadlineS = &due
+	}
+	return j
+}
