queue: limits and guarantees are exact to a billionth

What callers would see: a team uses up to 0.000001 GPUs or cores more than its limit, when jobs with very small or finely divided amounts are placed beside others that use all of it.

Cause: amounts were summed as floats, and every comparison with a limit or a guarantee allowed a tolerance of 0.000001 for their rounding.

Change: queue.Amount holds whole numbers of billionths, so that sums are exact, whatever their order and whatever was subtracted, and comparisons have no tolerance. An amount above 0 counts as a billionth at least. With whole GPUs and cores each decision is the same as before.

The tests of limits build their amounts by NewAmount, with the same bounds.

TestTinyAmountsCountTowardsLimit failed before the change; TestLimitsAreExact is new with the type. Both pass with it.

--- a/internal/core/frontend/submissions.go
+++ b/internal/core/frontend/submissions.go
@@ -83,11 +83,11 @@
 	if team == nil {
 		return "unknown team"
 	}
-	tasksAtOnce := 1.0
+	tasksAtOnce := 1
 	if spec.Shape != wire.Array {
-		tasksAtOnce = float64(spec.Tasks)
+		tasksAtOnce = spec.Tasks
 	}
-	amount := queue.Amount{}.Plus(queue.Amount{CPUs: spec.CPUs, GPUs: spec.GPUs}, tasksAtOnce)
+	amount := queue.Amount{}.Plus(queue.NewAmount(spec.CPUs, spec.GPUs), tasksAtOnce)
 	if !queue.WithinLimit(team, amount) {
 		return "needs more than the team's limit"
 	}
--- a/internal/core/leader/audit.go
+++ b/internal/core/leader/audit.go
@@ -82,12 +82,10 @@
 	used := map[string]queue.Amount{}
 	for _, j := range au.unfinished {
 		spec := j.Record.Spec
-		used[spec.Team] = used[spec.Team].Plus(taskAmount(spec), float64(j.OpenTasks+len(j.plan)))
+		used[spec.Team] = used[spec.Team].Plus(taskAmount(spec), j.OpenTasks+len(j.plan))
 	}
 	for _, team := range au.cfg.Cluster.Teams {
-		fromRecords, inSnapshot := used[team.Name], au.snapshot.used[team.Name]
-		difference := fromRecords.Plus(inSnapshot, -1)
-		if math.Abs(difference.GPUs)+math.Abs(difference.CPUs) > auditTolerance {
+		if fromRecords, inSnapshot := used[team.Name], au.snapshot.used[team.Name]; fromRecords != inSnapshot {
 			return fmt.Errorf("team %s uses %v by the records, %v in the snapshot", team.Name, fromRecords, inSnapshot)
 		}
 	}
@@ -104,7 +102,7 @@
 		if j.Record.Final() || team == nil || j.Blocked() || j.queuedLast || !queue.HasGuarantee(team) {
 			continue
 		}
-		sum := sums[spec.Team].Plus(taskAmount(spec), float64(spec.Tasks-j.DoneTasks))
+		sum := sums[spec.Team].Plus(taskAmount(spec), spec.Tasks-j.DoneTasks)
 		sums[spec.Team] = sum
 		if queue.WithinGuarantee(team, sum) != au.snapshot.withinGuarantee(j) {
 			return fmt.Errorf("job %s is within its team's guarantee: %v by the records, %v in the snapshot",
--- a/internal/core/leader/equivalence.go
+++ b/internal/core/leader/equivalence.go
@@ -96,7 +96,7 @@
 	}
 	spec := j.Record.Spec
 	missing := min(spec.Tasks-j.DoneTasks-j.OpenTasks, sc.maxTasksAtOnce(j))
-	if !queue.WithinLimit(sc.teams[spec.Team], c.used[spec.Team].Plus(taskAmount(spec), float64(missing))) {
+	if !queue.WithinLimit(sc.teams[spec.Team], c.used[spec.Team].Plus(taskAmount(spec), missing)) {
 		return false // the team's limit may also prevent the placement
 	}
 	j.reservedMachines = nil
--- a/internal/core/leader/placement_attempt.go
+++ b/internal/core/leader/placement_attempt.go
@@ -135,7 +135,7 @@
 	spec := j.Record.Spec
 	team := sc.teams[spec.Team]
 	for n := range tasks {
-		if queue.WithinLimit(team, c.used[spec.Team].Plus(taskAmount(spec), float64(n+1))) {
+		if queue.WithinLimit(team, c.used[spec.Team].Plus(taskAmount(spec), n+1)) {
 			continue
 		}
 		c.teamLimited = true
@@ -143,7 +143,7 @@
 			return tasks[:n], true
 		}
 		if sc.startOrder.mayReserveFreedMachines(j) {
-			c.used[spec.Team] = c.used[spec.Team].Plus(taskAmount(spec), float64(len(tasks)))
+			c.used[spec.Team] = c.used[spec.Team].Plus(taskAmount(spec), len(tasks))
 		}
 		return nil, false
 	}
@@ -216,7 +216,7 @@
 	} else {
 		sc.diagnostics.counters.deferred++
 	}
-	a.cycle.used[spec.Team] = a.cycle.used[spec.Team].Plus(taskAmount(spec), float64(len(bid.Offers)))
+	a.cycle.used[spec.Team] = a.cycle.used[spec.Team].Plus(taskAmount(spec), len(bid.Offers))
 	a.tasks = a.tasks[len(bid.Offers):]
 }
 
--- a/internal/core/leader/snapshot_jobs.go
+++ b/internal/core/leader/snapshot_jobs.go
@@ -72,7 +72,7 @@
 	allocated, team := queue.Amount{}, ""
 	if spec != nil && j.unfinished {
 		team = spec.Team
-		allocated = queue.Amount{}.Plus(taskAmount(spec), float64(j.OpenTasks+len(j.plan)))
+		allocated = queue.Amount{}.Plus(taskAmount(spec), j.OpenTasks+len(j.plan))
 	}
 	if j.allocated != allocated || j.team != team {
 		if j.team != "" {
@@ -129,7 +129,7 @@
 		j.queued.Created = position
 	}
 	j.queued.ID = j.ID
-	teamQueue.Update(&j.queued, queue.Amount{}.Plus(taskAmount(spec), float64(spec.Tasks-j.DoneTasks)))
+	teamQueue.Update(&j.queued, queue.Amount{}.Plus(taskAmount(spec), spec.Tasks-j.DoneTasks))
 }
 
 // withinGuarantee reports whether a job fits into its team's guarantee together with the team's
@@ -163,10 +163,10 @@
 // the amount of one task, or of a whole gang.
 func startAmount(s *wire.Job) queue.Amount {
 	if s.Shape == wire.Gang {
-		return queue.Amount{}.Plus(taskAmount(s), float64(s.Tasks))
+		return queue.Amount{}.Plus(taskAmount(s), s.Tasks)
 	}
 	return taskAmount(s)
 }
 
 // taskAmount returns what one task of a job counts against its team's limit and guarantee.
-func taskAmount(s *wire.Job) queue.Amount { return queue.Amount{CPUs: s.CPUs, GPUs: s.GPUs} }
+func taskAmount(s *wire.Job) queue.Amount { return queue.NewAmount(s.CPUs, s.GPUs) }
--- a/internal/core/leader/usage.go
+++ b/internal/core/leader/usage.go
@@ -52,10 +52,10 @@
 		switch rec := &j.Record; {
 		case rec.Account != nil:
 			total := rec.Account.Usage
-			charge := queue.GPUEquivalents(queue.Amount{CPUs: float64(total.CPU), GPUs: float64(total.GPU)})
+			charge := queue.GPUEquivalents(float64(total.CPU), float64(total.GPU))
 			used[rec.Account.Team] += accounting.RecentUse(charge, wall-rec.Account.End*config.Second, window)
 		case rec.Spec != nil:
-			weight := queue.GPUEquivalents(taskAmount(rec.Spec))
+			weight := queue.GPUEquivalents(rec.Spec.CPUs, rec.Spec.GPUs)
 			if ended := j.usage(false); ended != nil {
 				used[rec.Spec.Team] += accounting.RecentUse(weight*float64(ended.Time), 0, window)
 			}
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -12,21 +12,36 @@
 	"coralhub/wire"
 )
 
-// Amount is a quantity of the resources to which quotas apply.
-type Amount struct{ CPUs, GPUs float64 }
+// unitsPerCore is the number of units of an Amount in a core or a GPU.
+const unitsPerCore = 1e9
 
-// Plus returns the sum of a and n times b.
-func (a Amount) Plus(b Amount, n float64) Amount { return Amount{a.CPUs + n*b.CPUs, a.GPUs + n*b.GPUs} }
+// Amount is a quantity of the resources to which quotas apply, in billionths of a core and of a GPU. Both are whole
+// numbers, so that sums are exact and don't depend on the order: up to nine million cores, as many GPUs.
+type Amount struct{ cpus, gpus float64 }
 
-// tolerance absorbs the rounding of sums of amounts.
-const tolerance = 1e-6
+// NewAmount returns an amount of cores and GPUs, rounded to the nearest billionth. An amount above 0 is at least a
+// billionth: a task that needs little still counts.
+func NewAmount(cpus, gpus float64) Amount { return Amount{units(cpus), units(gpus)} }
 
-// within reports whether an amount is within a limit. A limit of 0 means that there is none.
-func within(a, limit float64) bool { return limit <= 0 || a <= limit+tolerance }
+func units(amount float64) float64 {
+	rounded := math.Round(amount * unitsPerCore)
+	if amount > 0 {
+		return max(rounded, 1)
+	}
+	return rounded
+}
+
+// Plus returns the sum of a and n times b.
+func (a Amount) Plus(b Amount, n int) Amount {
+	return Amount{a.cpus + float64(n)*b.cpus, a.gpus + float64(n)*b.gpus}
+}
+
+// within reports whether a number of units is within a limit in cores or GPUs. A limit of 0 means that there is none.
+func within(a, limit float64) bool { return limit <= 0 || a <= units(limit) }
 
 // WithinLimit reports whether a team's limit allows it to use an amount.
 func WithinLimit(t *config.Team, a Amount) bool {
-	return within(a.CPUs, t.CPUsMax) && within(a.GPUs, t.GPUsMax)
+	return within(a.cpus, t.CPUsMax) && within(a.gpus, t.GPUsMax)
 }
 
 // HasGuarantee reports whether a team has a guarantee. The jobs of a team without one are never beyond the
@@ -36,7 +51,7 @@
 // WithinGuarantee reports whether an amount is within a team's guarantee. A resource without a guarantee is not
 // bounded.
 func WithinGuarantee(t *config.Team, a Amount) bool {
-	return within(a.CPUs, t.CPUs) && within(a.GPUs, t.GPUs)
+	return within(a.cpus, t.CPUs) && within(a.gpus, t.GPUs)
 }
 
 // guaranteeLevelOffset is the number of levels by which jobs beyond their team's guarantee rank lower. It is the number
@@ -81,15 +96,20 @@
 		u.average[team] *= decay
 	}
 	for team, a := range used {
-		u.average[team] += (1 - decay) * GPUEquivalents(a)
+		u.average[team] += (1 - decay) * a.gpuEquivalents()
 	}
 }
 
 // cpusPerGPU is the number of CPUs that have the weight of one GPU.
 const cpusPerGPU = 64
 
-// GPUEquivalents returns an amount as a number of GPUs, with CPUs converted by cpusPerGPU.
-func GPUEquivalents(a Amount) float64 { return a.GPUs + a.CPUs/cpusPerGPU }
+// GPUEquivalents returns cores and GPUs as a number of GPUs, with cores converted by cpusPerGPU.
+func GPUEquivalents(cpus, gpus float64) float64 { return gpus + cpus/cpusPerGPU }
+
+// gpuEquivalents returns an amount as a number of GPUs, see GPUEquivalents.
+func (a Amount) gpuEquivalents() float64 {
+	return GPUEquivalents(a.cpus/unitsPerCore, a.gpus/unitsPerCore)
+}
 
 // Restore sets the average use of a team before the first Observe, as computed from the accounts.
 func (u *Usage) Restore(now config.Micros, team string, used float64) {
@@ -124,7 +144,7 @@
 func Weights(teams []config.Team) map[string]float64 {
 	out, sum := make(map[string]float64, len(teams)), 0.0
 	for i := range teams {
-		w := GPUEquivalents(Amount{teams[i].CPUs, teams[i].GPUs})
+		w := GPUEquivalents(teams[i].CPUs, teams[i].GPUs)
 		if w <= 0 {
 			return nil
 		}
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"math/rand/v2"
 	"reflect"
 	"strings"
@@ -68,7 +69,7 @@
 func TestUsageSharesOfTeams(t *testing.T) {
 	u := NewUsage(60 * config.Second)
 	for i := range config.Micros(120) {
-		u.Observe((i+1)*config.Second, map[string]Amount{"a": {GPUs: 3}, "b": {GPUs: 1}})
+		u.Observe((i+1)*config.Second, map[string]Amount{"a": NewAmount(0, 3), "b": NewAmount(0, 1)})
 	}
 	if s := u.Shares(nil)["a"]; s < 0.74 || s > 0.76 {
 		t.Errorf("share of a = %v, want 0.75", s)
@@ -80,13 +81,40 @@
 
 func TestLimitsAndGuarantees(t *testing.T) {
 	team := &config.Team{GPUs: 4, GPUsMax: 8}
-	if !WithinLimit(team, Amount{CPUs: 1e6, GPUs: 8}) || WithinLimit(team, Amount{GPUs: 8.1}) {
+	if !WithinLimit(team, NewAmount(1e6, 8)) || WithinLimit(team, NewAmount(0, 8.1)) {
 		t.Error("want a limit on GPUs, and none on CPUs, whose limit is 0")
 	}
-	if !WithinGuarantee(team, Amount{GPUs: 4}) || WithinGuarantee(team, Amount{GPUs: 4.5}) {
+	if !WithinGuarantee(team, NewAmount(0, 4)) || WithinGuarantee(team, NewAmount(0, 4.5)) {
 		t.Error("want a guarantee of exactly 4 GPUs")
 	}
 	if HasGuarantee(&config.Team{GPUsMax: 8}) {
 		t.Error("HasGuarantee() = true for a team with only a limit")
 	}
 }
+
+// Guards against a limit that is exceeded by less than a tolerance, and against one that is not reached because sums of
+// decimal numbers are rounded.
+func TestLimitsAreExact(t *testing.T) {
+	limit := &config.Team{GPUsMax: 24, CPUsMax: 0.7}
+	for _, tiny := range []float64{5e-324, 1e-300, 1e-18, 1e-9, 5e-7, 1e-6} {
+		if WithinLimit(limit, NewAmount(0, 24).Plus(NewAmount(0, tiny), 1)) {
+			t.Errorf("24 and %v GPUs are within a limit of 24", tiny)
+		}
+	}
+	sum := Amount{}
+	for n := range 7 {
+		sum = sum.Plus(NewAmount(0.1, 0), 1)
+		if sum != (Amount{}.Plus(NewAmount(0.1, 0), n+1)) || !WithinLimit(limit, sum) {
+			t.Errorf("%d times 0.1 cores are %v, want the product, and within a limit of 0.7", n+1, sum)
+		}
+	}
+	if WithinLimit(limit, sum.Plus(NewAmount(0.1, 0), 1)) {
+		t.Error("0.8 cores are within a limit of 0.7")
+	}
+	if got := sum.Plus(NewAmount(0.1, 0), -7); got != (Amount{}) {
+		t.Errorf("%v is left after all amounts were subtracted, want nothing", got)
+	}
+	if !WithinLimit(&config.Team{GPUsMax: math.Inf(1)}, NewAmount(0, 1e9)) {
+		t.Error("1e9 GPUs are beyond an infinite limit")
+	}
+}
--- a/internal/core/queue/team_queue_test.go
+++ b/internal/core/queue/team_queue_test.go
@@ -33,8 +33,8 @@
 				teamQueue.Remove(m)
 				delete(need, m)
 			} else {
-				need[m] = Amount{GPUs: float64(rapid.IntRange(0, 9).Draw(t, "need")),
-					CPUs: float64(rapid.IntRange(0, 3).Draw(t, "cpus"))}
+				gpus := float64(rapid.IntRange(0, 9).Draw(t, "need"))
+				need[m] = NewAmount(float64(rapid.IntRange(0, 3).Draw(t, "cpus")), gpus)
 				teamQueue.Update(m, need[m])
 			}
 			for _, m := range all {
--- a/internal/scenario/amounts_test.go
+++ b/internal/scenario/amounts_test.go
@@ -164,16 +164,34 @@
 		return extremeAmounts[rnd.IntN(len(extremeAmounts))]
 	}
 	small := func(usual float64) float64 { return min(amount(usual), usual) } // fits on a machine
-	// GPUs stay out of the tolerance of sums.
-	gpus := []float64{0, 5e-324, 1e-300, 1e-18, 0.01, 1, 1, 1}
 	shapes := []string{wire.Array, wire.Array, wire.Gang, wire.Service}
 	j := &emulator.SubmittedJob{RunTime: emulator.Micros(1+rnd.IntN(8)) * emulator.Second, AlwaysFails: rnd.IntN(4) == 0}
 	j.Job = wire.Job{ID: id, Class: "c", Team: "red", Shape: shapes[rnd.IntN(len(shapes))],
 		Priority: []string{wire.Production, wire.High, wire.Normal, wire.Low}[rnd.IntN(4)], Tasks: 1 + rnd.IntN(4),
-		CPUs: small(1), GPUs: gpus[rnd.IntN(len(gpus))], MemoryGB: small(1), Image: "i", ImageGB: amount(1), Spot: rnd.IntN(2) == 0,
+		CPUs: small(1), GPUs: small(1), MemoryGB: small(1), Image: "i", ImageGB: amount(1), Spot: rnd.IntN(2) == 0,
 		EstimateS: amount(3), CheckpointS: amount(2), SaveS: amount(1)}
 	if due := amount(60); rnd.IntN(2) == 0 {
 		j.DeadlineS = &due
 	}
 	return j
 }
+
+// Guards against a team whose tasks use more than its limit, because a job that needs less than the tolerance of sums
+// is placed beside tasks that use all of the limit.
+func TestTinyAmountsCountTowardsLimit(t *testing.T) {
+	s := newSim(3)
+	s.run(3 * emulator.Second)
+	large := wire.Job{ID: "j-1", Tasks: 12, CPUs: 9, GPUs: s.teamLimits["red"] / 12} // one on each machine, with room left
+	tiny := wire.Job{ID: "j-2", Tasks: 1, CPUs: 1, GPUs: 5e-7}
+	for _, spec := range []wire.Job{large, tiny} {
+		spec.Class, spec.Team, spec.Shape, spec.Priority = "c", "red", wire.Service, wire.Normal
+		spec.MemoryGB, spec.Image, spec.ImageGB = 1, "i", 1
+		if a := s.submit(s.nodes[0], &emulator.SubmittedJob{Job: spec}); a.Status != 201 {
+			t.Fatalf("submission of %s: %s, want 201", spec.ID, formatResponse(a))
+		}
+		s.run(30 * emulator.Second)
+	}
+	if used, limit := s.env.UsedGPUs("red"), s.teamLimits["red"]; used > limit {
+		t.Errorf("team red uses %v GPUs, want at most its limit of %v", used, limit)
+	}
+}
