queue: amounts are rounded down, so that fractions still fill a limit

Evidence: TestLimitsAreExact, extended to n tasks of 1/n for n up to 1,000: 6, 7, 11 and further n were beyond a limit of 1 before this change.

Change: amounts are rounded down to billionths, with a thousandth of one for the rounding of the product, so that decimal numbers with up to nine digits are exact. Only amounts with more digits are counted lower than they are, by less than a billionth a task.

--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -12,19 +12,23 @@
 	"coralhub/wire"
 )
 
-// unitsPerCore is the number of units of an Amount in a core or a GPU.
-const unitsPerCore = 1e9
+const (
+	// unitsPerCore is the number of units of an Amount in a core or a GPU.
+	unitsPerCore = 1e9
+	// unitTolerance is the part of a unit by which the product of a decimal number and unitsPerCore may be too low.
+	unitTolerance = 1e-3
+)
 
 // Amount is a quantity of the resources to which quotas apply, in billionths of a core and of a GPU. Both are whole
 // numbers, so that sums are exact and don't depend on the order: up to nine million cores, as many GPUs.
 type Amount struct{ cpus, gpus float64 }
 
-// NewAmount returns an amount of cores and GPUs, rounded to the nearest billionth. An amount above 0 is at least a
-// billionth: a task that needs little still counts.
+// NewAmount returns an amount of cores and GPUs, rounded down to billionths, so that six tasks of a sixth fit into one.
+// An amount above 0 is at least a billionth: a task that needs little still counts.
 func NewAmount(cpus, gpus float64) Amount { return Amount{units(cpus), units(gpus)} }
 
 func units(amount float64) float64 {
-	rounded := math.Round(amount * unitsPerCore)
+	rounded := math.Floor(amount*unitsPerCore + unitTolerance)
 	if amount > 0 {
 		return max(rounded, 1)
 	}
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -114,6 +114,16 @@
 	if got := sum.Plus(NewAmount(0.1, 0), -7); got != (Amount{}) {
 		t.Errorf("%v is left after all amounts were subtracted, want nothing", got)
 	}
+	for n := 1; n <= 1000; n++ {
+		whole := &config.Team{CPUsMax: 1}
+		if !WithinLimit(whole, Amount{}.Plus(NewAmount(1/float64(n), 0), n)) {
+			t.Errorf("%d times 1/%d cores are beyond a limit of 1", n, n)
+		}
+		hundredths := float64(n) / 100
+		if sum := (Amount{}).Plus(NewAmount(0.01, 0), n); sum != NewAmount(hundredths, 0) {
+			t.Errorf("%d times 0.01 cores are %v, want %v", n, sum, NewAmount(hundredths, 0))
+		}
+	}
 	if !WithinLimit(&config.Team{GPUsMax: math.Inf(1)}, NewAmount(0, 1e9)) {
 		t.Error("1e9 GPUs are beyond an infinite limit")
 	}
