--- a/internal/core/leader/audit.go
+++ b/internal/core/leader/audit.go
@@ -104,9 +104,10 @@
 		}
 		sum := sums[spec.Team].Plus(taskAmount(spec), spec.Tasks-j.DoneTasks)
 		sums[spec.Team] = sum
-		if queue.WithinGuarantee(team, sum) != au.snapshot.withinGuarantee(j) {
+		fromRecords, inSnapshot := queue.WithinGuarantee(team, sum), au.snapshot.withinGuarantee(j)
+		if fromRecords != inSnapshot {
 			return fmt.Errorf("job %s is within its team's guarantee: %v by the records, %v in the snapshot",
-				j.ID, !au.snapshot.withinGuarantee(j), au.snapshot.withinGuarantee(j))
+				j.ID, fromRecords, inSnapshot)
 		}
 	}
 	return nil
