leader: decisions to preempt slow savers survive a failover

What callers saw: with stash_s 45 and more, a new leader stops more tasks than the waiting gangs of higher priority need, since it doesn't take up what its predecessor had decided.

Cause: the submitted stash_s went unbounded into the time for which a stored decision reserves machines. A decision of more than 60 s counts as made with a wrong clock; a successor reckons from 15 s earlier, so that a decision was lost with stash_s above 37.

Change: a stored decision reserves machines for 40 s at most. The leader that has decided waits for its victims as long as before.

Its scenario is that of the test before, with stash_s as an argument; that test's calls pass the value that it had.

--- a/internal/core/leader/preemption.go
+++ b/internal/core/leader/preemption.go
@@ -22,6 +22,9 @@
 	// resumeGrace is how long after the end of a decision a successor still resumes it: while there
 	// was no leader, the machines that it reserved could not be used.
 	resumeGrace = 15 * config.Second
+	// maxReservation bounds the time for which a stored decision reserves machines, so that a successor
+	// whose clock is up to 5 s behind takes it for one in force.
+	maxReservation = preemption.MaxDuration - resumeGrace - 5*config.Second
 )
 
 // preemptionState is the reservation for a job for which others are preempted.
@@ -108,7 +111,7 @@
 		return
 	}
 	j.preemptingUntil += commitAllowance
-	decision.Until = pd.wallClock() + wait + commitAllowance
+	decision.Until = pd.wallClock() + min(wait+commitAllowance, maxReservation)
 	for i := range victims {
 		pd.addPendingVictim(&victims[i])
 	}
--- a/internal/scenario/preemption_test.go
+++ b/internal/scenario/preemption_test.go
@@ -16,14 +16,14 @@
 func TestNoUnnecessaryPreemptions(t *testing.T) {
 	unnecessary := 0
 	for seed := range uint64(60) {
-		unnecessary += unnecessaryPreemptions(t, seed, nil)
+		unnecessary += unnecessaryPreemptions(t, seed, nil, 3)
 	}
 	if unnecessary > 0 {
 		t.Errorf("%d unnecessary preemptions, want none", unnecessary)
 	}
 	uncommitted := 0
 	for seed := range uint64(60) {
-		uncommitted += unnecessaryPreemptions(t, seed, []string{"n1", "n2", "n3", "n4", "n5"})
+		uncommitted += unnecessaryPreemptions(t, seed, []string{"n1", "n2", "n3", "n4", "n5"}, 3)
 	}
 	t.Logf("%d unnecessary preemptions in the first format, in which decisions aren't committed", uncommitted)
 	if uncommitted == 0 {
@@ -31,10 +31,25 @@
 	}
 }
 
+// Guards against decisions to preempt tasks that are lost in a failover, because the time that the tasks need to save
+// makes them last longer than any decision is in force.
+func TestNoUnnecessaryPreemptionsOfSlowSavers(t *testing.T) {
+	for _, saveS := range []float64{45, 90, wire.MaxAmount} {
+		unnecessary := 0
+		for seed := range uint64(30) {
+			unnecessary += unnecessaryPreemptions(t, seed, nil, saveS)
+		}
+		if unnecessary > 0 {
+			t.Errorf("%d unnecessary preemptions of tasks that save within %v s, want none", unnecessary, saveS)
+		}
+	}
+}
+
 // unnecessaryPreemptions runs the simulation of TestNoUnnecessaryPreemptions with a seed and returns the
 // number of tasks that were preempted beyond those that the gangs need. Nodes that are held to the first
-// format don't commit their decisions.
-func unnecessaryPreemptions(t *testing.T, seed uint64, held []string) int {
+// format don't commit their decisions. saveS is the time that the users of the tasks give for saving a
+// checkpoint, in seconds; the simulated workers take less.
+func unnecessaryPreemptions(t *testing.T, seed uint64, held []string, saveS float64) int {
 	t.Helper()
 	rnd := rand.New(rand.NewPCG(seed, 5))
 	s := newSimWithUpgrade(5, 1, 0, held)
@@ -46,7 +61,7 @@
 	s.run(3 * emulator.Second)
 	filler := &emulator.SubmittedJob{RunTime: 900 * emulator.Second}
 	filler.Job = wire.Job{ID: "j-1", Class: "idle", Team: "red", Shape: wire.Array, Priority: wire.Low, Tasks: 16,
-		CPUs: 16, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 900, CheckpointS: 3, SaveS: 3}
+		CPUs: 16, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 900, CheckpointS: 3, SaveS: saveS}
 	s.submit(s.nodes[0], filler)
 	for try := 0; len(s.env.TasksOf("j-1", true)) < 16; try++ {
 		if try > 200 {
