--- a/internal/core/catalog.go
+++ b/internal/core/catalog.go
@@ -93,8 +93,8 @@
 	})
 }
 
-// applyCatalog applies a change of the stored machine types. Deletions, versions that are not newer, values that can't be
-// decoded and values without a valid machine type are ignored.
+// applyCatalog applies a change of the stored machine types. Deletions, versions that are not newer, values that can't
+// be decoded and values without a valid machine type are ignored.
 func (c *Core) applyCatalog(change *wire.Change) {
 	if change.Put == "" || change.Version <= c.catalogVersion {
 		return
--- a/internal/core/tiny_limits_test.go
+++ b/internal/core/tiny_limits_test.go
@@ -42,7 +42,7 @@
 	})
 }
 
-// Guards against a leader that schedules nothing any more, because the time between its scheduling cycles has no upper
+// Guards against a leader that stops scheduling, because the time between its scheduling cycles has no upper
 // bound when the platform allows it little CPU time.
 func TestCyclesContinueWithLittleCPU(t *testing.T) {
 	for _, cores := range []float64{0, 0.06, 1e-6, 1e-300} {
--- a/internal/node/fairshare/fairshare_test.go
+++ b/internal/node/fairshare/fairshare_test.go
@@ -45,7 +45,7 @@
 	})
 }
 
-// Guards against a node whose share of the quota is lost for good, because a peer has reported a demand that is no
+// Guards against a node whose share of the quota is lost permanently, because a peer has reported a demand that is no
 // number: all later sums would not be numbers either.
 func TestInvalidDemandCountsAsEqualShare(t *testing.T) {
 	for _, demand := range []float64{math.NaN(), -5, math.Inf(-1)} {
--- a/internal/scenario/amounts_test.go
+++ b/internal/scenario/amounts_test.go
@@ -100,9 +100,11 @@
 var extremeDays = flag.Int("extreme-days", 20, "number of days of TestExtremeAmounts")
 
 // extremeAmounts are amounts that the protocol allows, from the smallest to the largest number.
-var extremeAmounts = []float64{0, 5e-324, 1e-300, 1e-18, 1e-9, 2e-7, 4.9e-7, 5e-7, 1e-6, 0.01, 1, 30, 1e6, wire.MaxAmount}
+var extremeAmounts = []float64{
+	0, 5e-324, 1e-300, 1e-18, 1e-9, 2e-7, 4.9e-7, 5e-7, 1e-6, 0.01, 1, 30, 1e6, wire.MaxAmount,
+}
 
-// Guards against controllers that end, and against jobs that nobody answers for or that can't be cancelled, because an
+// Guards against controllers that end, and against jobs that can be neither polled nor cancelled, because an
 // accepted amount is converted and then divides, indexes, sizes or times something.
 func TestExtremeAmounts(t *testing.T) {
 	for seed := range uint64(*extremeDays) {
@@ -181,7 +183,8 @@
 func TestTinyAmountsCountTowardsLimit(t *testing.T) {
 	s := newSim(3)
 	s.run(3 * emulator.Second)
-	large := wire.Job{ID: "j-1", Tasks: 12, CPUs: 9, GPUs: s.teamLimits["red"] / 12} // one on each machine, with room left
+	// Each of the large tasks has a machine of its own, part of which stays free.
+	large := wire.Job{ID: "j-1", Tasks: 12, CPUs: 9, GPUs: s.teamLimits["red"] / 12}
 	tiny := wire.Job{ID: "j-2", Tasks: 1, CPUs: 1, GPUs: 5e-7}
 	for _, spec := range []wire.Job{large, tiny} {
 		spec.Class, spec.Team, spec.Shape, spec.Priority = "c", "red", wire.Service, wire.Normal
