Tests of amounts: what stood twice in the fleet's tests stands once

The new core tests looked for a committed key in three copies of one loop, made a worker's heartbeat in two ways, renewed the lease beside a tick in two places, and wrote out the fleet's machine type a second time; a subtest for NaN was called "memory is no NaN".

Change: commitsKey, workerHeartbeat, renewAndTick and storeCatalog in scale_test.go serve them. Only test files: the program is the same.

--- a/internal/core/catalog_test.go
+++ b/internal/core/catalog_test.go
@@ -3,36 +3,16 @@
 import (
 	"math"
 	"runtime"
-	"slices"
 	"testing"
 
 	"coralhub/internal/core/job"
-	"coralhub/internal/core/msg"
 	"coralhub/wire"
 )
 
-// storeCatalog replaces the stored catalog of a fleet by one with the given machine types beside "t4".
-func (f *fleet) storeCatalog(t *testing.T, types ...wire.MachineType) {
-	t.Helper()
-	types = append(types, wire.MachineType{Name: "t4", CPUs: 16, GPUs: 4, MemoryGB: 64, CacheGB: 100, FetchGBPerS: 1,
-		Price: 4, SpotPrice: 2, BootS: 50, Zones: []string{"a", "b"}})
-	value, err := job.Encode(&wire.Catalog{Types: types})
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.version++
-	f.records = append(f.records, wire.KeyValue{Key: job.KeyRoot + "catalog", Value: value, Version: f.version})
-}
-
 // acceptsJobFor reports whether the leader creates the record of a job for machines of the given type.
 func (f *fleet) acceptsJobFor(t *testing.T, machineType string) bool {
 	t.Helper()
-	return slices.ContainsFunc(f.submit(t, "j-7", machineType), func(e msg.Effect) bool {
-		commit, ok := e.(msg.Commit)
-		return ok && slices.ContainsFunc(commit.Transaction.Changes, func(c wire.Change) bool {
-			return c.Put == job.RecordKey("j-7")
-		})
-	})
+	return commitsKey(f.submit(t, "j-7", machineType), func(key string) bool { return key == job.RecordKey("j-7") })
 }
 
 // Guards against a leader that ends for lack of memory, because it keeps a number for each GPU of a machine type.
@@ -60,12 +40,12 @@
 	valid := wire.MachineType{CPUs: 16, GPUs: 4, MemoryGB: 64, Price: 4, SpotPrice: 2, BootS: 50, Zones: []string{"a"}}
 	var types []wire.MachineType
 	for name, change := range map[string]func(*wire.MachineType){
-		"infinite cores":   func(m *wire.MachineType) { m.CPUs = math.Inf(1) },
-		"negative GPUs":    func(m *wire.MachineType) { m.GPUs = -4 },
-		"too many GPUs":    func(m *wire.MachineType) { m.GPUs = 1e12 },
-		"memory is no NaN": func(m *wire.MachineType) { m.MemoryGB = math.NaN() },
-		"boot time":        func(m *wire.MachineType) { m.BootS = math.Inf(1) },
-		"price":            func(m *wire.MachineType) { m.Price = math.NaN() },
+		"infinite cores": func(m *wire.MachineType) { m.CPUs = math.Inf(1) },
+		"negative GPUs":  func(m *wire.MachineType) { m.GPUs = -4 },
+		"too many GPUs":  func(m *wire.MachineType) { m.GPUs = 1e12 },
+		"memory is NaN":  func(m *wire.MachineType) { m.MemoryGB = math.NaN() },
+		"boot time":      func(m *wire.MachineType) { m.BootS = math.Inf(1) },
+		"price":          func(m *wire.MachineType) { m.Price = math.NaN() },
 	} {
 		invalid := valid
 		invalid.Name = name
--- a/internal/core/checkpoint_interval_test.go
+++ b/internal/core/checkpoint_interval_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 
@@ -34,11 +33,9 @@
 }
 
 // reportTask sends a heartbeat of the second machine with a state of the task of checkpointingJob.
-func (f *fleet) reportTask(incarnation uint64, status wire.TaskStatus) []msg.Effect {
-	in, ok := f.heartbeat(1, nil).(msg.HeartbeatIn)
-	if !ok {
-		panic("not a heartbeat")
-	}
+func (f *fleet) reportTask(tb testing.TB, incarnation uint64, status wire.TaskStatus) []msg.Effect {
+	tb.Helper()
+	in := f.workerHeartbeat(tb, 1)
 	in.Heartbeat.Incarnation = incarnation
 	if status.State != "" {
 		status.Task, status.Attempt = wire.TaskName(checkpointingJob, 0), 1
@@ -47,12 +44,9 @@
 	return f.step(3*config.Second, in)
 }
 
-// closesCheckpointingJob reports whether an effect commits the end of a task of checkpointingJob.
-func closesCheckpointingJob(e msg.Effect) bool {
-	commit, ok := e.(msg.Commit)
-	return ok && slices.ContainsFunc(commit.Transaction.Changes, func(c wire.Change) bool {
-		return c.Put == job.RecordKey(checkpointingJob) || strings.HasPrefix(c.Put, job.KeyRoot+"ended/")
-	})
+// closesCheckpointingJob reports whether a put of a key may commit the end of a task of checkpointingJob.
+func closesCheckpointingJob(key string) bool {
+	return key == job.RecordKey(checkpointingJob) || strings.HasPrefix(key, job.KeyRoot+"ended/")
 }
 
 // Guards against a leader that ends with a division by zero when a task ends whose job has a checkpoint interval
@@ -72,12 +66,12 @@
 		for name, end := range ends {
 			t.Run(fmt.Sprint(checkpointS, " s, ", name), func(t *testing.T) {
 				f := newFleetWithCheckpointingJob(t, checkpointS)
-				f.reportTask(1, wire.TaskStatus{State: wire.Running})
-				effects := f.reportTask(end.incarnation, end.status)
+				f.reportTask(t, 1, wire.TaskStatus{State: wire.Running})
+				effects := f.reportTask(t, end.incarnation, end.status)
 				for range 3 {
 					effects = append(effects, f.step(config.Second, msg.Tick{WallClock: f.now})...)
 				}
-				if !slices.ContainsFunc(effects, closesCheckpointingJob) {
+				if !commitsKey(effects, closesCheckpointingJob) {
 					t.Error("the leader did not commit the end of the task")
 				}
 				if got := responseStatus(f.step(1, f.heartbeat(0, nil))); got != http.StatusOK {
--- a/internal/core/long_durations_test.go
+++ b/internal/core/long_durations_test.go
@@ -22,8 +22,7 @@
 			effects = append(effects, f.step(1, in)...)
 		}
 		for range 5 {
-			f.step(1, msg.LeaseDone{Outcome: msg.OK, Lease: 9, IsRenewal: true})
-			effects = append(effects, f.step(config.Second, msg.Tick{WallClock: f.now})...)
+			effects = append(effects, f.renewAndTick()...)
 		}
 	}
 	return slices.ContainsFunc(effects, func(e msg.Effect) bool {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -78,13 +78,7 @@
 	for i := range pending {
 		f.put(tb, pendingName(i), &job.Record{Spec: spec(pendingName(i), "blue", 2), CreatedAt: int64(i + 1)})
 	}
-	catalog, err := job.Encode(&wire.Catalog{Types: []wire.MachineType{{Name: "t4", CPUs: 16, GPUs: 4, MemoryGB: 64,
-		CacheGB: 100, FetchGBPerS: 1, Price: 4, SpotPrice: 2, BootS: 50, Zones: []string{"a", "b"}}}})
-	if err != nil {
-		tb.Fatal(err)
-	}
-	f.version++
-	f.records = append(f.records, wire.KeyValue{Key: job.KeyRoot + "catalog", Value: catalog, Version: f.version})
+	f.storeCatalog(tb)
 	f.takeOver(tb)
 	for i := range machines {
 		f.step(1, f.heartbeat(i, nil))
@@ -104,6 +98,19 @@
 	f.records = append(f.records, wire.KeyValue{Key: job.RecordKey(id), Value: value, Version: f.version})
 }
 
+// storeCatalog adds a catalog to the stored records: the machine type of the fleet, and the given ones.
+func (f *fleet) storeCatalog(tb testing.TB, others ...wire.MachineType) {
+	tb.Helper()
+	types := append(others, wire.MachineType{Name: "t4", CPUs: 16, GPUs: 4, MemoryGB: 64, CacheGB: 100, FetchGBPerS: 1,
+		Price: 4, SpotPrice: 2, BootS: 50, Zones: []string{"a", "b"}})
+	value, err := job.Encode(&wire.Catalog{Types: types})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	f.version++
+	f.records = append(f.records, wire.KeyValue{Key: job.KeyRoot + "catalog", Value: value, Version: f.version})
+}
+
 func jobName(i int) string { return fmt.Sprintf("j-%06d", i) }
 
 // takeOver replaces the core with one that reads all records, becomes the leader and reads them again.
@@ -150,17 +157,39 @@
 	return msg.HeartbeatIn{RequestID: 1, Heartbeat: hb, Forwarded: true}
 }
 
-// idleHeartbeat returns the heartbeat of the worker of a machine without tasks.
-func (f *fleet) idleHeartbeat(tb testing.TB, i int) msg.HeartbeatIn {
+// workerHeartbeat returns the heartbeat of a machine's worker, to be changed before it is passed to the core.
+func (f *fleet) workerHeartbeat(tb testing.TB, i int) msg.HeartbeatIn {
 	tb.Helper()
 	in, ok := f.heartbeat(i, nil).(msg.HeartbeatIn)
 	if !ok {
 		tb.Fatal("not a heartbeat")
 	}
+	return in
+}
+
+// idleHeartbeat returns the heartbeat of the worker of a machine without tasks.
+func (f *fleet) idleHeartbeat(tb testing.TB, i int) msg.HeartbeatIn {
+	tb.Helper()
+	in := f.workerHeartbeat(tb, i)
 	in.Heartbeat.Tasks = nil
 	return in
 }
 
+// renewAndTick renews the lease of the leader and passes a tick to it a second later. It returns the effects of the
+// tick.
+func (f *fleet) renewAndTick() []msg.Effect {
+	f.step(1, msg.LeaseDone{Outcome: msg.OK, Lease: 9, IsRenewal: true})
+	return f.step(config.Second, msg.Tick{WallClock: f.now})
+}
+
+// commitsKey reports whether any of the effects commits a put of a key that matches.
+func commitsKey(effects []msg.Effect, matches func(key string) bool) bool {
+	return slices.ContainsFunc(effects, func(e msg.Effect) bool {
+		commit, ok := e.(msg.Commit)
+		return ok && slices.ContainsFunc(commit.Transaction.Changes, func(c wire.Change) bool { return matches(c.Put) })
+	})
+}
+
 // submit submits a job of one task for machines of the given type to the leader.
 func (f *fleet) submit(tb testing.TB, id, machineType string) []msg.Effect {
 	tb.Helper()
--- a/internal/core/tiny_limits_test.go
+++ b/internal/core/tiny_limits_test.go
@@ -1,7 +1,6 @@
 package core_test
 
 import (
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -9,7 +8,6 @@
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/msg"
-	"coralhub/internal/core/records"
 	"coralhub/wire"
 )
 
@@ -28,18 +26,14 @@
 		for _, in := range []msg.Input{f.heartbeat(0, nil), f.heartbeat(1, nil)} {
 			effects = append(effects, f.step(1, in)...)
 		}
-		f.step(1, msg.LeaseDone{Outcome: msg.OK, Lease: 9, IsRenewal: true})
-		effects = append(effects, f.step(config.Second, msg.Tick{WallClock: f.now})...)
+		effects = append(effects, f.renewAndTick()...)
 	}
 	return effects
 }
 
-// placesJob reports whether an effect commits a placement of the job of runWithLimits.
-func placesJob(e msg.Effect) bool {
-	commit, ok := e.(msg.Commit)
-	return ok && slices.ContainsFunc(commit.Transaction.Changes, func(c wire.Change) bool {
-		return c.Put == job.RecordKey("j-7") || strings.HasPrefix(c.Put, strings.TrimSuffix(records.PlacementPageKey(0), "0"))
-	})
+// placesJob reports whether a put of a key may commit a placement of the job of runWithLimits.
+func placesJob(key string) bool {
+	return key == job.RecordKey("j-7") || strings.HasPrefix(key, job.KeyRoot+"placed/")
 }
 
 // Guards against a leader that stops scheduling, because the time between its scheduling cycles has no upper
@@ -47,7 +41,7 @@
 func TestCyclesContinueWithLittleCPU(t *testing.T) {
 	for _, cores := range []float64{0, 0.06, 1e-6, 1e-300} {
 		effects := runWithLimits(t, func(c *config.Config) { c.Cluster.Limits.Cores = cores })
-		if !slices.ContainsFunc(effects, placesJob) {
+		if !commitsKey(effects, placesJob) {
 			t.Errorf("no placement within 30 s with %v cores, want one in a scan period of 10 s", cores)
 		}
 	}
