capacity, core: products are rounded before they are added, on every machine

Symptom: on arm64 TestPageIsUpToDate fails on untouched code: the page's intercept of leader.files reads 241 in place of 240.

Cause: arm64 has an instruction that multiplies and adds with one rounding, and the compiler uses it; x86-64 rounds twice. 240.5 lies between the two results. With -gcflags=all=-d=fmahash=n, which forbids the instruction, the test passes on arm64.

Change: where a product is added, it is converted with float64 first; the language then forbids fusing. capacity adds up its regression itself, in the order of gonum's stat, since gonum's own sums are fused. The same in internal/core and internal/estimate, so that controllers on machines of two kinds rank, fit and estimate alike. What the disassembly still shows fused there divides by a power of two, which is exact.

Figures: the page is byte for byte as committed; TestPageIsUpToDate passes on arm64 with the flag and without (before: without it, it fails). The test is unchanged. Exponentials and logarithms are the library's, which may differ in the last place between kinds of machine; no record depends on them.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -11,7 +11,6 @@
 	"slices"
 
 	"github.com/pelletier/go-toml/v2"
-	"gonum.org/v1/gonum/stat"
 )
 
 //go:embed slopes.toml
@@ -175,21 +174,31 @@
 	return nil
 }
 
-// Fit returns the least-squares regression line through the points.
+// Fit returns the least-squares regression line through the points. Products are converted before they are added, so
+// that compilers that fuse the two give the same line.
 func (s *Slope) Fit() Fit {
-	var xs, ys []float64
+	n := float64(len(s.Points))
 	f := Fit{}
+	var sumX, sumY float64
 	for _, p := range s.Points {
-		xs = append(xs, p[0])
-		ys = append(ys, p[1])
+		sumX += p[0]
+		sumY += p[1]
 		f.MaxAmount = max(f.MaxAmount, p[0])
 	}
-	f.Intercept, f.PerUnit = stat.LinearRegression(xs, ys, nil, false)
-	for i := range xs {
-		residual := ys[i] - f.Intercept - f.PerUnit*xs[i]
-		f.ResidualRMS += residual * residual / float64(len(xs))
+	meanX, meanY := sumX/n, sumY/n
+	var variance, covariance float64
+	for _, p := range s.Points {
+		variance += float64((p[0] - meanX) * (p[0] - meanX))
+		covariance += float64((p[0] - meanX) * (p[1] - meanY))
+	}
+	f.PerUnit = covariance / variance
+	f.Intercept = meanY - float64(f.PerUnit*meanX)
+	var squares float64
+	for _, p := range s.Points {
+		residual := p[1] - f.Intercept - float64(f.PerUnit*p[0])
+		squares += float64(residual * residual)
 	}
-	f.ResidualRMS = math.Sqrt(f.ResidualRMS)
+	f.ResidualRMS = math.Sqrt(squares / n)
 	return f
 }
 
@@ -239,14 +248,14 @@
 	}
 	switch {
 	case t.InterceptOf != "":
-		return factor * amount * d.slope(t.InterceptOf).Fit().Intercept, 0
+		return float64(factor * amount * d.slope(t.InterceptOf).Fit().Intercept), 0
 	case t.Slope == "":
-		return factor * amount, 0
+		return float64(factor * amount), 0
 	}
 	f := d.slope(t.Slope).Fit()
-	value = factor * amount * f.PerUnit
+	value = float64(factor * amount * f.PerUnit)
 	if t.Intercept {
-		value += factor * f.Intercept
+		value += float64(factor * f.Intercept)
 	}
 	if denominator := s.Drivers[t.Denominator]; denominator > 0 {
 		amount /= denominator
--- a/internal/core/accounting/ledger.go
+++ b/internal/core/accounting/ledger.go
@@ -78,10 +78,10 @@
 // RecentUse returns the contribution of a charge, made some time ago, to an exponentially decaying average over a
 // window. Fair share is based on the average use, not on the total of all time.
 func RecentUse(charge float64, ago, window Micros) float64 {
-	return charge / float64(window) * math.Exp(-float64(max(ago, 0))/float64(window))
+	return float64(charge / float64(window) * math.Exp(-float64(max(ago, 0))/float64(window)))
 }
 
 // RunningUse returns the contribution to that average of a running task that has used an amount for the given duration.
 func RunningUse(amount float64, duration, window Micros) float64 {
-	return amount * (1 - math.Exp(-float64(max(duration, 0))/float64(window)))
+	return float64(amount * (1 - math.Exp(-float64(max(duration, 0))/float64(window))))
 }
--- a/internal/core/autoscaler/scale_in.go
+++ b/internal/core/autoscaler/scale_in.go
@@ -171,7 +171,7 @@
 	}
 	keepS := idleBaseS
 	if t := a.catalog.Types[m.Type]; t != nil {
-		keepS += idleBootFactor * t.BootS
+		keepS += float64(idleBootFactor * t.BootS)
 	}
 	return config.FromSeconds(keepS)
 }
--- a/internal/core/leader/estimates.go
+++ b/internal/core/leader/estimates.go
@@ -194,7 +194,7 @@
 		demand := &c.demands[i]
 		fit := min(demand.Count, int(free/max(demand.Task.Weight(), 1e-9)))
 		demand.Count -= fit
-		free -= float64(fit) * demand.Task.Weight()
+		free -= float64(float64(fit) * demand.Task.Weight())
 	}
 	c.demands = slices.DeleteFunc(c.demands, func(d autoscaler.Demand) bool { return d.Count == 0 })
 }
@@ -220,7 +220,7 @@
 		}
 		j.EachPlacement(func(p job.Placement) {
 			if remaining, ok := es.remainingTime(j, &p); ok {
-				free += expectedFreeShare * remaining.ProbabilityWithin(within) * taskResources(j.Record.Spec).Weight()
+				free += float64(expectedFreeShare * remaining.ProbabilityWithin(within) * taskResources(j.Record.Spec).Weight())
 			}
 		})
 	}
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -28,7 +28,7 @@
 func NewAmount(cpus, gpus float64) Amount { return Amount{units(cpus), units(gpus)} }
 
 func units(amount float64) float64 {
-	rounded := math.Floor(amount*unitsPerCore + unitTolerance)
+	rounded := math.Floor(float64(amount*unitsPerCore) + unitTolerance)
 	if amount > 0 {
 		return max(rounded, 1)
 	}
@@ -37,7 +37,7 @@
 
 // Plus returns the sum of a and n times b.
 func (a Amount) Plus(b Amount, n int) Amount {
-	return Amount{a.cpus + float64(n)*b.cpus, a.gpus + float64(n)*b.gpus}
+	return Amount{a.cpus + float64(float64(n)*b.cpus), a.gpus + float64(float64(n)*b.gpus)}
 }
 
 // within reports whether a number of units is within a limit in cores or GPUs. A limit of 0 means that there is none.
@@ -100,7 +100,7 @@
 		u.average[team] *= decay
 	}
 	for team, a := range used {
-		u.average[team] += (1 - decay) * a.gpuEquivalents()
+		u.average[team] += float64((1 - decay) * a.gpuEquivalents())
 	}
 }
 
@@ -165,7 +165,7 @@
 // to a cap, and of the part of the total use that is not its team's. share is its team's part, 0 to 1.
 func Credit(s *config.Settings, age config.Micros, share float64) float64 {
 	seconds := math.Min(float64(age)/1e6, s.AgeCapS)
-	return s.AgeWeight*math.Max(seconds, 0) + s.ShareWeight*(1-share)
+	return float64(s.AgeWeight*math.Max(seconds, 0)) + float64(s.ShareWeight*(1-share))
 }
 
 // Entry is a job in the queue.
--- a/internal/core/zone/resources.go
+++ b/internal/core/zone/resources.go
@@ -46,8 +46,8 @@
 
 // Plus returns r with n times b added.
 func (r Resources) Plus(b Resources, n float64) Resources {
-	return Resources{r.CPUs + n*b.CPUs, r.GPUs + n*b.GPUs, r.MemoryGB + n*b.MemoryGB}
+	return Resources{r.CPUs + float64(n*b.CPUs), r.GPUs + float64(n*b.GPUs), r.MemoryGB + float64(n*b.MemoryGB)}
 }
 
 // Weight returns r as one number, in CPUs. Memory has no weight.
-func (r Resources) Weight() float64 { return r.GPUs*gpuWeight + r.CPUs }
+func (r Resources) Weight() float64 { return float64(r.GPUs*gpuWeight) + r.CPUs }
--- a/internal/estimate/answer.go
+++ b/internal/estimate/answer.go
@@ -60,7 +60,7 @@
 	remaining := *a
 	elapsedProbability := a.distribution.probabilityBelow(logSeconds(ran))
 	for i, p := range probabilities {
-		total := a.distribution.quantile(elapsedProbability + p*(1-elapsedProbability))
+		total := a.distribution.quantile(elapsedProbability + float64(p*(1-elapsedProbability)))
 		remaining.distribution[i] = logSeconds(max(fromLogSeconds(total)-ran, minimumRemainingMicros))
 	}
 	for i := 1; i < len(remaining.distribution); i++ {
--- a/internal/estimate/change.go
+++ b/internal/estimate/change.go
@@ -67,7 +67,7 @@
 
 // addLikelihood adds the log-likelihood ratio of a rank to a cumulative sum, which is at least 0.
 func addLikelihood(sum, rank float64) float64 {
-	return math.Max(0, sum+math.Log(rankExponent)+(rankExponent-1)*math.Log(rank))
+	return math.Max(0, sum+math.Log(rankExponent)+float64((rankExponent-1)*math.Log(rank)))
 }
 
 // newest returns the i-th newest recent run, counted from 1.
--- a/internal/estimate/distribution.go
+++ b/internal/estimate/distribution.go
@@ -42,9 +42,9 @@
 	last := len(probabilities) - 1
 	switch {
 	case p <= probabilities[0]:
-		return d[0] + d.lowerTail()*math.Log2(p/probabilities[0])
+		return d[0] + float64(d.lowerTail()*math.Log2(p/probabilities[0]))
 	case p >= probabilities[last]:
-		return d[last] + d.upperTail()*math.Log2((1-probabilities[last])/(1-p))
+		return d[last] + float64(d.upperTail()*math.Log2((1-probabilities[last])/(1-p)))
 	}
 	i := 1
 	for probabilities[i] < p {
@@ -60,7 +60,7 @@
 	case y <= d[0]:
 		return probabilities[0] * math.Exp2((y-d[0])/d.lowerTail())
 	case y >= d[last]:
-		return 1 - (1-probabilities[last])*math.Exp2(-(y-d[last])/d.upperTail())
+		return 1 - float64((1-probabilities[last])*math.Exp2(-(y-d[last])/d.upperTail()))
 	}
 	i := 1
 	for d[i] < y {
--- a/internal/estimate/duration.go
+++ b/internal/estimate/duration.go
@@ -56,5 +56,6 @@
 	concurrency = max(min(n, concurrency), 1)
 	one := a.Longest(1)
 	earlierWaves := float64((n+concurrency-1)/concurrency - 1)
-	return RandomDuration{one.Mean * earlierWaves, one.Variance * earlierWaves}.Plus(a.Longest(concurrency))
+	earlier := RandomDuration{float64(one.Mean * earlierWaves), float64(one.Variance * earlierWaves)}
+	return earlier.Plus(a.Longest(concurrency))
 }
--- a/internal/estimate/group.go
+++ b/internal/estimate/group.go
@@ -64,7 +64,7 @@
 	if g.generation == 0 {
 		return 1
 	}
-	return 1 + 1.5*math.Max(0, 1-g.rebuiltErrors/minimumErrors)
+	return 1 + float64(1.5*math.Max(0, 1-g.rebuiltErrors/minimumErrors))
 }
 
 func toSumUnits(y float64) int64 { return int64(math.Round(y / sumUnit)) }
@@ -139,11 +139,11 @@
 	}
 	n := float64(g.Nx)
 	meanX, meanY := float64(g.X)*sumUnit/n, float64(g.Yx)*sumUnit/n
-	sxx := math.Max(float64(g.XX)*sumUnit-n*meanX*meanX, 0)
-	sxy := float64(g.XY)*sumUnit - n*meanX*meanY
+	sxx := math.Max(float64(float64(g.XX)*sumUnit)-float64(n*meanX*meanX), 0)
+	sxy := float64(float64(g.XY)*sumUnit) - float64(n*meanX*meanY)
 	slope := (sxy + slopePriorRuns*slopePriorVariance) / (sxx + slopePriorRuns*slopePriorVariance)
 	slope = math.Min(math.Max(slope, 0), maxSlope)
-	return meanY + slope*(user.logSeconds-meanX)
+	return meanY + float64(slope*(user.logSeconds-meanX))
 }
 
 // errorBin returns the bin of an error. Errors out of range are counted in the outermost bins, NaN in the middle one.
@@ -192,7 +192,7 @@
 	// Part of the median error is already corrected by the location, which is estimated from the same runs.
 	shift := median * float64(g.Errors) / (float64(g.Errors) + 20)
 	for i := range g.errorDistribution {
-		g.errorDistribution[i] = shift + (g.errorDistribution[i]-median)*widening
+		g.errorDistribution[i] = shift + float64((g.errorDistribution[i]-median)*widening)
 	}
 }
 
@@ -223,7 +223,7 @@
 		before = below
 	}
 	for ; p < len(probabilities); p++ { // beyond the last completed run there are only censored ones
-		g.errorDistribution[p] = lastEnd + 0.3*float64(p-medianIndex)
+		g.errorDistribution[p] = lastEnd + float64(0.3*float64(p-medianIndex))
 		if p > 0 {
 			g.errorDistribution[p] = math.Max(g.errorDistribution[p], g.errorDistribution[p-1])
 		}
--- a/internal/estimate/learn.go
+++ b/internal/estimate/learn.go
@@ -65,19 +65,19 @@
 	errors := defaultUserErrors
 	if above.known {
 		w := g.runs() / (g.runs() + g.priorWeight())
-		location = w*location + (1-w)*above.location
+		location = float64(w*location) + float64((1-w)*above.location)
 		errors = above.errors
 	}
 	if g.rebuiltErrors > 0 {
 		w := g.rebuiltErrors / (g.rebuiltErrors + errorsPriorWeight)
 		for i := range errors {
-			errors[i] = w*g.errorDistribution[i] + (1-w)*errors[i]
+			errors[i] = float64(w*g.errorDistribution[i]) + float64((1-w)*errors[i])
 		}
 	}
 	if factor := g.widening(); factor > 1 {
 		median := errors[medianIndex]
 		for i := range errors {
-			errors[i] = median + (errors[i]-median)*factor
+			errors[i] = median + float64((errors[i]-median)*factor)
 		}
 	}
 	return levelEstimate{location, errors, true}
