--- a/internal/scenario/direct_calls_test.go
+++ b/internal/scenario/direct_calls_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"net/http"
 	"time"
 
 	"coralhub/internal/core/msg"
@@ -147,6 +148,9 @@
 		}
 		status, a := s.state.Commit(x.Transaction)
 		d.Outcome, d.Revision, d.Failed = outcome(status, a.Error), a.Revision, a.FailedKeys
+		if d.Outcome == msg.OK {
+			s.scheduleRepeatedCommits(x.Transaction)
+		}
 		if n.cutLinks["answer"] != "" && placesTasks { // only this response is lost
 			d = msg.CommitDone{ID: x.ID, Outcome: msg.Unknown}
 			delete(n.cutLinks, "answer")
@@ -220,7 +224,11 @@
 		if m = s.env.Machines[x.Addr]; m == nil || s.now < m.StartsAt {
 			return 0, wire.Heartbeat{}
 		}
-		return s.env.Commands(s.now, m, x.Commands)
+		status, heartbeat := s.env.Commands(s.now, m, x.Commands)
+		if status == http.StatusOK {
+			s.noteExecutedCall(executedCall{m.Name, x.Commands})
+		}
+		return status, heartbeat
 	}
 	switch {
 	case m != nil && !s.reaches(n, m):
--- a/internal/scenario/message_faults_test.go
+++ b/internal/scenario/message_faults_test.go
@@ -29,8 +29,13 @@
 	// same fraction is executed at once with a response up to 2 s late.
 	lateCommands float64
 	lostCommands float64 // direct commands executed at once, without a response
+
+	repeats messageRepeats
 }
 
+// repeatStream separates the random numbers of messageRepeats from those of the other message faults.
+const repeatStream = 4712
+
 // messageFaultsArg returns the message faults that a message_faults command sets.
 func messageFaultsArg(t *testing.T, d *datadriven.TestData) *messageFaults {
 	t.Helper()
@@ -38,6 +43,7 @@
 	f := &messageFaults{}
 	d.MaybeScanArgs(t, "seed", &seed)
 	f.rnd = rand.New(rand.NewPCG(seed, 4711))
+	f.repeats.rnd = rand.New(rand.NewPCG(seed, repeatStream))
 	for name, fraction := range map[string]*float64{
 		"late_writes":  &f.lateWrites,
 		"lost_writes":  &f.lostWrites,
@@ -49,6 +55,9 @@
 		"slow_beats":   &f.slowBatches,
 		"held_calls":   &f.lateCommands,
 		"lost_calls":   &f.lostCommands,
+
+		"repeated_calls":  &f.repeats.calls,
+		"repeated_writes": &f.repeats.writes,
 	} {
 		*fraction = fractionArg(t, d, name)
 	}
--- /dev/null
+++ b/internal/scenario/repeated_messages_test.go
@@ -0,0 +1,105 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"coralhub/internal/emulator"
+	"coralhub/wire"
+)
+
+// Messages that are delivered again after they were answered: the network may deliver a copy of a direct call or of a
+// transaction once more, within milliseconds or minutes.
+
+// messageRepeats determines which messages are delivered again. It has a random source of its own, so that the other
+// message faults of a seed do not depend on it.
+type messageRepeats struct {
+	rnd    *rand.Rand
+	calls  float64 // fraction of the executed direct calls of which copies arrive
+	writes float64 // fraction of the executed transactions of which a copy arrives
+}
+
+// maxRepeats is the maximum number of copies of a message.
+const maxRepeats = 3
+
+// repeatDelays are the ranges from which the delay of a copy is drawn.
+var repeatDelays = [][2]emulator.Micros{
+	{tick, emulator.Second},
+	{emulator.Second, 10 * emulator.Second},
+	{10 * emulator.Second, 120 * emulator.Second},
+}
+
+// draw draws the delays of the copies of a message; there are none for most messages.
+func (r *messageRepeats) draw(fraction float64) []emulator.Micros {
+	if fraction == 0 || r.rnd.Float64() >= fraction {
+		return nil
+	}
+	delays := make([]emulator.Micros, 1+r.rnd.IntN(maxRepeats))
+	for i := range delays {
+		between := repeatDelays[r.rnd.IntN(len(repeatDelays))]
+		delays[i] = between[0] + r.rnd.Int64N((between[1]-between[0])/tick+1)*tick
+	}
+	return delays
+}
+
+// executedCall is a direct call that its worker has executed.
+type executedCall struct {
+	machine string
+	request wire.CommandRequest
+}
+
+// noteExecutedCall keeps a call for repeatCalls, and schedules the copies of it that the message faults draw.
+func (s *Sim) noteExecutedCall(call executedCall) {
+	s.executedCalls = append(s.executedCalls, call)
+	if drop := len(s.executedCalls) - maxCopies; drop > 0 {
+		s.executedCalls = slices.Delete(s.executedCalls, 0, drop)
+	}
+	if s.messageFaults == nil {
+		return
+	}
+	repeats := &s.messageFaults.repeats
+	for _, after := range repeats.draw(repeats.calls) {
+		s.schedule(after, func() { s.repeatCall(call) })
+	}
+}
+
+// repeatCall delivers a copy of a call, which must start no task. The worker's answer is discarded.
+func (s *Sim) repeatCall(call executedCall) {
+	s.commandLate(call.machine, func() (int, wire.Heartbeat) {
+		before := s.starts()
+		status, heartbeat := s.env.Commands(s.now, s.env.Machines[call.machine], call.request)
+		if s.starts() > before {
+			s.env.Violations = append(s.env.Violations,
+				fmt.Sprintf("%.1fs copy_started %v on %s", float64(s.now)/1e6, call.request.Commands, call.machine))
+		}
+		return status, heartbeat
+	})
+}
+
+// starts returns how often tasks have been started.
+func (s *Sim) starts() int {
+	n := 0
+	for _, j := range s.env.Jobs {
+		n += j.Starts
+	}
+	return n
+}
+
+// repeatCalls delivers a copy of every call that was executed so far.
+func (s *Sim) repeatCalls() {
+	for _, call := range s.executedCalls {
+		s.repeatCall(call)
+	}
+}
+
+// scheduleRepeatedCommits schedules the copies of an executed transaction that the message faults draw.
+func (s *Sim) scheduleRepeatedCommits(t wire.Transaction) {
+	if s.messageFaults == nil || len(t.Changes) == 0 {
+		return
+	}
+	repeats := &s.messageFaults.repeats
+	for _, after := range repeats.draw(repeats.writes) {
+		s.schedule(after, func() { s.commitLate(t) })
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -42,6 +42,7 @@
 //	start_all                       starts all nodes that are down
 //	duplicate_heartbeats node=n1 count=5
 //	                                copies of heartbeats arrive again at a node, or at all
+//	repeat_calls                    copies of all direct calls that were executed so far arrive again
 //	announce_limits                 the coming limits are announced to nodes that start from now on
 //	limits next                     the state service enforces the coming limits
 //	keys under=ch/part/             prints the number of keys with a prefix
--- a/internal/scenario/script_commands_test.go
+++ b/internal/scenario/script_commands_test.go
@@ -44,6 +44,7 @@
 	"node":                 nodeCommand,
 	"start_all":            startAllCommand,
 	"duplicate_heartbeats": duplicateHeartbeatsCommand,
+	"repeat_calls":         repeatCallsCommand,
 	"cut":                  cutCommand,
 	"heal":                 healCommand,
 	"zone":                 zoneCommand,
@@ -319,6 +320,11 @@
 	return ""
 }
 
+func repeatCallsCommand(_ *testing.T, s *Sim, _ *datadriven.TestData, _ string) string {
+	s.repeatCalls()
+	return ""
+}
+
 func cutCommand(t *testing.T, s *Sim, d *datadriven.TestData, _ string) string {
 	t.Helper()
 	n, link, mode := nodeArg(t, s, d), "state", "drop"
