reconciler: an attempt is forgotten only when copies of its start are void

Cause: a message's answer was taken for its end. The leader asked for a proof (a higher fencing token, a later incarnation) only against calls without an answer; after an answered call it forgot the attempt, and forget ends what makes a repeated start harmless. A check in one path and not in the other.

Change: a Machine keeps the fencing tokens of the direct calls that carried a start, by attempt, until its worker has reported a higher token or a later incarnation. Until then an exited attempt is not forgotten. The token of a single worker is raised in the response to its heartbeat, when it reports such an attempt, to a revision that the replica has held for half a second. Nothing is written: any revision at which the leader key is known to be unchanged lies above all tokens of earlier leaders and below that of any later one. Relays answer with the token that the leader gave the worker, if their replica shows that it is the present leader's. A successor knows of no calls; its own token voids all of its predecessors'.

Conclusion: forget follows a proof against every copy, at no change of the state service.

--- a/internal/core/delegation/delegation.go
+++ b/internal/core/delegation/delegation.go
@@ -117,7 +117,7 @@
 	for i := range heartbeats {
 		relayed := &heartbeats[i]
 		m := d.reconciler.Registry().Get(relayed.Machine)
-		if m == nil || relayed.FencingToken > d.elector.FencingToken() {
+		if m == nil || relayed.FencingToken > d.reconciler.HighestToken() {
 			continue
 		}
 		if !m.Relayed {
--- a/internal/core/heartbeats.go
+++ b/internal/core/heartbeats.go
@@ -20,7 +20,7 @@
 		c.handleHeartbeatUnready(in)
 		return
 	}
-	if hb.FencingToken > c.elector.FencingToken() && !c.elector.TokenChangePending() {
+	if c.reconciler.OfLaterLeader(hb.FencingToken) {
 		c.outbox.Respond(in.RequestID, http.StatusMisdirectedRequest, wire.Redirect{})
 		c.elector.Resign("a worker has seen a higher fencing token")
 		return
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -296,6 +296,7 @@
 	l.slo.Log(l.wallClock())
 	l.usageAccounts.logUsage()
 	l.estimates.writeEstimates()
+	l.reconciler.SettleRevision()
 	l.reconciler.AnnounceToken()
 	l.reconciler.CallWorkersWithoutContact()
 	l.reconciler.ProbeUnreachable()
--- a/internal/core/reconciler/calls.go
+++ b/internal/core/reconciler/calls.go
@@ -55,8 +55,8 @@
 // call makes a direct call to a machine. No other call to it may be in flight.
 func (r *Reconciler) call(m *zone.Machine, commands []wire.Command) {
 	id := r.outbox.NextID()
-	token := r.elector.FencingToken()
-	m.NoteCall(r.outbox.Now(), id, token, containsStart(commands))
+	token := r.token(m)
+	m.NoteCall(r.outbox.Now(), id, token, commands)
 	request := wire.CommandRequest{FencingToken: token, Incarnation: max(m.Incarnation, 1), Commands: commands}
 	r.outbox.Emit(msg.Command{ID: id, Machine: m.Name, Addr: m.Addr, Commands: request})
 }
@@ -77,7 +77,7 @@
 		return
 	}
 	r.markReachable(m)
-	if h.FencingToken > r.elector.FencingToken() && !r.elector.TokenChangePending() {
+	if r.OfLaterLeader(h.FencingToken) {
 		r.elector.Resign("a worker has seen a higher fencing token")
 		return
 	}
--- a/internal/core/reconciler/commands.go
+++ b/internal/core/reconciler/commands.go
@@ -1,8 +1,6 @@
 package reconciler
 
 import (
-	"slices"
-
 	"coralhub/internal/config"
 	"coralhub/internal/core/job"
 	"coralhub/internal/core/zone"
@@ -19,8 +17,8 @@
 		_, open := expected[key]
 		if t.State == wire.Exited {
 			// After a forget command, a repeated start of the attempt would take effect again. So the attempt is
-			// forgotten only once its end is committed and no start can be in flight.
-			if !open && inResponse && m.StartsResolved() {
+			// forgotten only once its end is committed and no start, nor a copy of one, can take effect.
+			if !open && inResponse && m.StartsResolved() && !m.StartMayRepeat(key) {
 				commands = append(commands, newCommand(wire.CommandForget, key, nil))
 			}
 			continue
@@ -83,8 +81,3 @@
 	gangDone := j.Record.Phase == job.Done && j.Record.Spec != nil && j.Record.Spec.Shape == wire.Gang
 	return 0, t != nil && gangDone
 }
-
-// containsStart reports whether any of the commands is a start.
-func containsStart(commands []wire.Command) bool {
-	return slices.ContainsFunc(commands, func(c wire.Command) bool { return c.Verb == wire.CommandStart })
-}
--- a/internal/core/reconciler/heartbeats.go
+++ b/internal/core/reconciler/heartbeats.go
@@ -17,13 +17,14 @@
 		r.outbox.RetryLater(x.RequestID, "older than another report")
 		return
 	}
+	r.raiseTokenForExited(m)
 	commands := r.commands(m, true)
 	r.checkStartsExecuted(m, commands)
-	if containsStart(commands) {
+	if zone.ContainsStart(commands) {
 		m.NoteReply(commands)
 	}
 	m.Reachability.NoteAnswered(r.outbox.Now())
-	response := wire.HeartbeatResponse{FencingToken: r.elector.FencingToken(), Commands: commands}
+	response := wire.HeartbeatResponse{FencingToken: r.token(m), Commands: commands}
 	r.outbox.Respond(x.RequestID, http.StatusOK, response)
 }
 
--- a/internal/core/reconciler/reconciler.go
+++ b/internal/core/reconciler/reconciler.go
@@ -42,6 +42,8 @@
 	unreachable  map[*zone.Machine]bool                    // seem to receive no messages
 	urgent       []*zone.Machine                           // have commands that should not wait for a heartbeat
 	terminations map[string]map[job.AttemptKey]termination // pending, by job
+
+	settledRevision
 }
 
 // New returns an inactive reconciler.
@@ -62,6 +64,7 @@
 	r.unreachable = map[*zone.Machine]bool{}
 	r.urgent = nil
 	r.terminations = map[string]map[job.AttemptKey]termination{}
+	r.settledRevision = settledRevision{}
 	if previous == nil {
 		return
 	}
--- a/internal/core/relay/acknowledgement.go
+++ b/internal/core/relay/acknowledgement.go
@@ -22,10 +22,11 @@
 
 // ackedHeartbeat is the content of a heartbeat that a leader has answered without any commands.
 type ackedHeartbeat struct {
-	fencingToken uint64 // of the leader
-	incarnation  uint64
-	ackedAt      Micros
-	tasks        []wire.TaskStatus
+	leaderVersion uint64 // version of the leader key
+	fencingToken  uint64 // of the answer
+	incarnation   uint64
+	ackedAt       Micros
+	tasks         []wire.TaskStatus
 }
 
 // ForwardDone handles the result of a forwarded heartbeat: it passes on the leader's response, or acts
@@ -34,23 +35,30 @@
 	hb := &done.Heartbeat
 	leader := r.elector.Holder()
 	if done.Response != nil {
-		fromLeader := done.Response.FencingToken == leader.Version
+		token := done.Response.FencingToken
+		fromLeader := leader.Version != 0 && token >= leader.Version && r.knowsToken(token)
 		if fromLeader {
 			r.leaderResponded = true
 		}
 		if fromLeader && len(done.Response.Commands) == 0 {
-			r.acked[hb.Machine] = ackedHeartbeat{leader.Version, hb.Incarnation, r.outbox.Now(), hb.Tasks}
+			r.acked[hb.Machine] = ackedHeartbeat{leader.Version, token, hb.Incarnation, r.outbox.Now(), hb.Tasks}
 		}
 		r.outbox.Respond(done.RequestID, http.StatusOK, *done.Response)
 		return
 	}
-	if r.elector.IsLeader() || r.elector.OtherHolder() == "" || hb.FencingToken > leader.Version {
+	if r.elector.IsLeader() || r.elector.OtherHolder() == "" || !r.knowsToken(hb.FencingToken) {
 		r.outbox.RetryLater(done.RequestID, "no leader")
 		return
 	}
 	r.actAsDelegate(msg.HeartbeatIn{RequestID: done.RequestID, Heartbeat: done.Heartbeat}, !done.Busy)
 }
 
+// knowsToken reports whether a token is of the current leader or an earlier one. A later leader's token is above every
+// revision up to which the replica shows who leads.
+func (r *Relay) knowsToken(token uint64) bool {
+	return token <= max(r.elector.Holder().Version, r.replica.Revision())
+}
+
 // unchanged reports whether a heartbeat repeats what the leader has acknowledged before, and the
 // records require nothing of the worker.
 func (r *Relay) unchanged(hb *wire.Heartbeat) bool {
@@ -64,8 +72,7 @@
 	if !ok || r.outbox.Now()-ack.ackedAt > ackLifetime {
 		return false
 	}
-	leaderVersion := r.elector.Holder().Version
-	return ack.fencingToken == leaderVersion && hb.FencingToken == leaderVersion &&
+	return ack.leaderVersion == r.elector.Holder().Version && ack.fencingToken == hb.FencingToken &&
 		ack.incarnation == hb.Incarnation && slices.Equal(ack.tasks, hb.Tasks)
 }
 
--- a/internal/core/relay/delegation.go
+++ b/internal/core/relay/delegation.go
@@ -64,7 +64,8 @@
 		r.outbox.RetryLater(in.RequestID, "not the leader")
 		return
 	}
-	if r.respond(in, r.elector.Holder().Version) && enqueue {
+	// The leader may have raised the token of this worker alone.
+	if r.respond(in, max(r.elector.Holder().Version, in.Heartbeat.FencingToken)) && enqueue {
 		r.enqueue(&in.Heartbeat)
 	}
 }
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -118,12 +118,12 @@
 	leader := r.elector.Holder()
 	switch {
 	case r.Redirect(in):
-	case !r.alive(leader.Node) && hb.FencingToken <= leader.Version:
+	case !r.alive(leader.Node) && r.knowsToken(hb.FencingToken):
 		r.actAsDelegate(in, true)
 	case r.unchanged(hb):
 		ack := msg.HeartbeatAck{Machine: hb.Machine, Incarnation: hb.Incarnation, Sequence: hb.Sequence}
 		r.pendingAcks = append(r.pendingAcks, ack)
-		response := wire.HeartbeatResponse{FencingToken: leader.Version, Commands: []wire.Command{}}
+		response := wire.HeartbeatResponse{FencingToken: hb.FencingToken, Commands: []wire.Command{}}
 		r.outbox.Respond(in.RequestID, http.StatusOK, response)
 	default:
 		delete(r.acked, hb.Machine)
--- a/internal/core/zone/machine.go
+++ b/internal/core/zone/machine.go
@@ -77,7 +77,11 @@
 	StartsInReply       map[string]uint64 // the starts in that response, as attempts by task
 	Urgent              bool              // there are commands that should not wait for the next heartbeat
 	NextCallAt          Micros
+	// RaisedToken is the fencing token of messages to the worker if it is higher than that of the leader's election:
+	// a later revision, of the same term, that makes the worker drop copies of earlier calls. 0 if there is none.
+	RaisedToken uint64
 
+	startCalls     startCalls
 	replyAt        Micros // when that heartbeat arrived, 0 after the next heartbeat or in a new incarnation
 	callToken      uint64 // fencing token of the newest direct call
 	callID         uint64
@@ -167,6 +171,7 @@
 	if h.Incarnation > m.Incarnation {
 		m.ReplySequence = 0
 		m.replyAt = 0
+		clear(m.startCalls)
 	}
 	if isHeartbeat {
 		m.replyAt = 0
@@ -178,6 +183,7 @@
 	m.Incarnation = h.Incarnation
 	m.Sequence = h.Sequence
 	m.FencingToken = max(m.FencingToken, h.FencingToken)
+	m.startCalls.discardBelow(m.FencingToken)
 	m.Addr, m.Type, m.Zone, m.Spot = h.Addr, h.Type, h.Zone, h.Spot
 	m.ReclaimedAt = 0
 	if h.NoticeS != nil {
@@ -249,15 +255,15 @@
 	return m.StartInFlight || m.StartUncertain() || replyMayArrive
 }
 
-// NoteCall records that a direct call was sent under a fencing token. start is true if the call contains
-// a start.
-func (m *Machine) NoteCall(now Micros, id, token uint64, start bool) {
+// NoteCall records that a direct call with commands was sent under a fencing token.
+func (m *Machine) NoteCall(now Micros, id, token uint64, commands []wire.Command) {
 	m.CallInFlight = true
-	m.StartInFlight = start
+	m.StartInFlight = ContainsStart(commands)
 	m.NextCallAt = now
 	m.callID = id
 	m.callToken = token
-	if start {
+	m.startCalls.note(token, commands)
+	if m.StartInFlight {
 		m.startsResolved = false
 	}
 }
--- a/internal/core/zone/machine_test.go
+++ b/internal/core/zone/machine_test.go
@@ -22,7 +22,7 @@
 	if !m.StartsResolved() {
 		t.Fatal("starts not resolved with nothing in flight")
 	}
-	m.NoteCall(3, 1, 10, true)
+	m.NoteCall(3, 1, 10, []wire.Command{{Verb: wire.CommandStart, Task: "j-1/0", Attempt: 1}})
 	m.NoteCallDone(1, true)
 	m.ApplyHeartbeat(4, heartbeat(2, 6, 10), true)
 	if m.StartsResolved() {
--- a/internal/core/zone/model_test.go
+++ b/internal/core/zone/model_test.go
@@ -286,7 +286,7 @@
 				}
 				t := s
 				m := n.machine()
-				m.NoteCall(0, uint64(i+1), uint64(n.token), start)
+				m.NoteCall(0, uint64(i+1), uint64(n.token), modelCommands(start))
 				t.nodes[node].save(m)
 				t.calls[i] = modelCall{state: callInFlight, node: uint8(node), start: start,
 					incarnation: n.incarnation, token: n.token}
@@ -297,6 +297,15 @@
 	}
 }
 
+// modelCommands returns the commands of a call with or without a start.
+func modelCommands(start bool) []wire.Command {
+	if !start {
+		return nil
+	}
+	name := wire.TaskName(modelKey.Job, modelKey.Task)
+	return []wire.Command{{Verb: wire.CommandStart, Task: name, Attempt: modelKey.Attempt}}
+}
+
 // callAdvanced adds the states after a call is abandoned, discarded or received, or after its answer is received or
 // lost.
 func (s modelState) callAdvanced(g guard, add func(modelState)) {
--- a/internal/scenario/day_generator_test.go
+++ b/internal/scenario/day_generator_test.go
@@ -146,6 +146,19 @@
 			line += fmt.Sprintf(" %s=%.2f", fault, d.rnd.Float64()*0.4)
 		}
 	}
+	return line + repeatedMessages(seed)
+}
+
+// repeatedMessages returns the arguments for messages that are delivered again after their answer. They are drawn
+// separately, so that the rest of a seed's day does not depend on them.
+func repeatedMessages(seed uint64) string {
+	rnd := rand.New(rand.NewPCG(seed, repeatStream))
+	line := ""
+	for _, fault := range []string{"repeated_calls", "repeated_writes"} {
+		if rnd.IntN(2) == 0 {
+			line += fmt.Sprintf(" %s=%.2f", fault, rnd.Float64())
+		}
+	}
 	return line
 }
 
