reconciler: takeovers take one log line; commands are logged with token and reason

Cause: the kept logs of the incident hold one line at info for each worker that joined after a takeover, a hundred at once, and none for the start, stop and forget commands. Why attempt 1 was forgotten, and that a worker ran an attempt that no record places, could only be read from the workers' side.

Change: known workers that join a new leader are logged at debug; one line at info tells how many joined and how many were missing, under which token, once all have joined or a lease has passed. At debug each command tells attempt, machine, incarnation, the token it is sent under, the token that the worker has reported, and why it is allowed; so does each raised token. At info: a worker has begun to run an attempt without a placement. Metrics: coralhub_exited_attempts and coralhub_worker_token_raises_total.

--- a/internal/core/leader/gauges.go
+++ b/internal/core/leader/gauges.go
@@ -11,6 +11,7 @@
 		Unfinished:      len(oq.unfinished),
 		InFlightChanges: oq.commits.inFlightChanges,
 		Failovers:       oq.failovers,
+		TokensRaised:    oq.reconciler.TokensRaised(),
 		Statistics:      oq.snapshot.statistics,
 		Waiting:         map[string]int{},
 		Machines:        map[string]int{},
@@ -29,6 +30,9 @@
 		g.Waiting[class]++
 	}
 	g.Machines = oq.diagnostics.countMachinesByState()
+	for _, m := range oq.reconciler.Registry().All() {
+		g.ExitedAttempts += m.ExitedAttempts()
+	}
 	g.Usage = oq.listUsage(maxClasses)
 	g.CompletedInTime = oq.slo.Tracker().CompletedInTime(oq.wallClock())
 	g.StartedInTime = oq.slo.Tracker().StartedInTime(oq.wallClock())
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -297,6 +297,7 @@
 	l.usageAccounts.logUsage()
 	l.estimates.writeEstimates()
 	l.reconciler.SettleRevision()
+	l.reconciler.LogTakeoverIfDone()
 	l.reconciler.AnnounceToken()
 	l.reconciler.CallWorkersWithoutContact()
 	l.reconciler.ProbeUnreachable()
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -139,6 +139,8 @@
 	Failovers       uint64         // number of times this node was elected
 	Statistics      CycleStatistics
 	EstimateRuns    uint64 // number of runs observed by the model of run times; set on the leader only
+	ExitedAttempts  int    // number of exited attempts that workers still report; set on the leader only
+	TokensRaised    int    // number of times that this process raised the fencing token of a single worker
 
 	CompletedInTime, StartedInTime slo.Attainment // set on the leader only
 	Usage                          []UsageRow     // set on the leader only
--- a/internal/core/reconciler/commands.go
+++ b/internal/core/reconciler/commands.go
@@ -19,15 +19,19 @@
 			// After a forget command, a repeated start of the attempt would take effect again. So the attempt is
 			// forgotten only once its end is committed and no start, nor a copy of one, can take effect.
 			if !open && inResponse && m.StartsResolved() && !m.StartMayRepeat(key) {
+				r.logCommand(m, wire.CommandForget, key, "end committed, no start can take effect")
 				commands = append(commands, newCommand(wire.CommandForget, key, nil))
 			}
 			continue
 		}
 		graceS, stop := r.shouldStop(key, &t)
+		reason := "no longer wanted"
 		if !open {
-			graceS, stop = 0, true // its placement was closed by mistake or never existed: it must not run
+			// Its placement was closed by mistake or never existed: it must not run.
+			graceS, stop, reason = 0, true, "not placed here"
 		}
 		if stop {
+			r.logCommand(m, wire.CommandStop, key, reason)
 			commands = append(commands, newCommand(wire.CommandStop, key, &graceS))
 		}
 	}
@@ -36,6 +40,7 @@
 			continue
 		}
 		if r.shouldStart(m, key, inResponse) {
+			r.logCommand(m, wire.CommandStart, key, "placed and not reported")
 			commands = append(commands, newCommand(wire.CommandStart, key, nil))
 		}
 	}
--- a/internal/core/reconciler/heartbeats.go
+++ b/internal/core/reconciler/heartbeats.go
@@ -71,8 +71,7 @@
 		r.listener.MachineChanged(m)
 	}
 	if isFirst {
-		afterMS := (r.outbox.Now() - m.RentedAt) / 1000
-		r.outbox.Log("worker joined", "machine", m.Name, "zone", m.Zone, "spot", m.Spot, "after_ms", afterMS)
+		r.logJoined(m)
 		r.listener.WorkerJoined(m)
 	} else {
 		r.checkLeaseExpiry(m, before.incarnation)
@@ -129,11 +128,15 @@
 		if j := r.replica.Job(key.Job); hasImage && j != nil && j.Record.Spec != nil {
 			images[j.Record.Spec.Image] = j.Record.Spec.ImageGB
 		}
+		_, known := before.tasks[key]
 		p, open := expected[key]
+		if !open && !known && sameIncarnation && t.State != wire.Exited {
+			r.logUnplaced(m, key, &t)
+		}
 		if !open || p.Incarnation != m.Incarnation {
 			continue
 		}
-		if _, known := before.tasks[key]; !known && sameIncarnation {
+		if !known && sameIncarnation {
 			r.markReachable(m) // the worker has carried out a start, so commands reach it
 		}
 		switch t.State {
--- a/internal/core/reconciler/reconciler.go
+++ b/internal/core/reconciler/reconciler.go
@@ -44,6 +44,8 @@
 	terminations map[string]map[job.AttemptKey]termination // pending, by job
 
 	settledRevision
+	takeover
+	tokensRaised int
 }
 
 // New returns an inactive reconciler.
@@ -65,6 +67,7 @@
 	r.urgent = nil
 	r.terminations = map[string]map[job.AttemptKey]termination{}
 	r.settledRevision = settledRevision{}
+	r.takeover = takeover{}
 	if previous == nil {
 		return
 	}
@@ -84,6 +87,7 @@
 	for _, m := range r.registry.All() {
 		r.unfenced[m] = true
 	}
+	r.beginTakeover()
 }
 
 // Registry returns the known machines.
--- a/internal/core/reconciler/tokens.go
+++ b/internal/core/reconciler/tokens.go
@@ -54,5 +54,11 @@
 	if highest < r.token(m) || m.CallInFlight || r.settled <= highest {
 		return
 	}
+	r.outbox.Debug("fencing token of a worker raised", "machine", m.Name, "previous", r.token(m), "fencing_token", r.settled,
+		"reason", "a copy of a start of an exited attempt may arrive")
 	m.RaisedToken = r.settled
+	r.tokensRaised++
 }
+
+// TokensRaised returns how often this process has raised the token of a single worker.
+func (r *Reconciler) TokensRaised() int { return r.tokensRaised }
--- a/internal/core/zone/start_copies.go
+++ b/internal/core/zone/start_copies.go
@@ -46,6 +46,17 @@
 	return ok
 }
 
+// ExitedAttempts returns the number of exited attempts in the worker's newest message.
+func (m *Machine) ExitedAttempts() int {
+	n := 0
+	for _, t := range m.Tasks {
+		if t.State == wire.Exited {
+			n++
+		}
+	}
+	return n
+}
+
 // TokenOfExitedStarts returns the highest token of the direct calls whose copies may start an attempt that the worker
 // reports as exited, or 0 if there are none. The worker can be told to forget these attempts once it has received a
 // higher token.
--- a/internal/node/metrics/collector.go
+++ b/internal/node/metrics/collector.go
@@ -27,6 +27,10 @@
 	machines        = newDesc("machines", "Machines by state; exported by the leader only.", "state")
 	inFlightChanges = newDesc("changes_on_their_way",
 		"Changes to jobs that were sent to the state service and have no response yet.")
+	exitedAttempts = newDesc("exited_attempts",
+		"Exited attempts that workers still report because they may not be forgotten yet; 0 unless this node is the leader.")
+	tokensRaised = newDesc("worker_token_raises_total",
+		"Times that this node raised the fencing token of a single worker, so that copies of earlier calls are void.")
 	failovers    = newDesc("takeovers_total", "Times that this node was elected leader.")
 	cycles       = newDesc("passes_total", "Scheduling cycles that this node has run.")
 	examined     = newDesc("looked_at_total", "Machines and jobs that scheduling cycles have examined.", "what")
@@ -69,7 +73,7 @@
 	for _, d := range []*prometheus.Desc{
 		leading, records, unfinished, placements, waiting, machines, inFlightChanges, failovers, cycles, examined,
 		observedRuns, changes, deferrableRate, stateRequests, stateChanges, reports, completedShare, completedJobs,
-		startedShare, startedJobs, usedGPU, usedTask,
+		startedShare, startedJobs, usedGPU, usedTask, exitedAttempts, tokensRaised,
 	} {
 		ch <- d
 	}
@@ -127,6 +131,8 @@
 	e.gauge(inFlightChanges, float64(g.InFlightChanges))
 	e.gauge(observedRuns, float64(g.EstimateRuns))
 	e.counter(failovers, float64(g.Failovers))
+	e.counter(tokensRaised, float64(g.TokensRaised))
+	e.gauge(exitedAttempts, float64(g.ExitedAttempts))
 	e.counter(cycles, float64(g.Statistics.Cycles))
 	e.counter(examined, float64(g.Statistics.Machines), "machines")
 	e.counter(examined, float64(g.Statistics.Jobs), "jobs")
--- a/internal/scenario/direct_calls_test.go
+++ b/internal/scenario/direct_calls_test.go
@@ -53,6 +53,8 @@
 		s.renewLease(n, e.Lease)
 	case msg.Relist:
 		n.relist = true
+	case msg.Log:
+		s.logs = append(s.logs, e)
 	case msg.Respond:
 		n.responses[e.RequestID] = e
 	case msg.Command:
