emulator, faulttest: executed calls and transactions are delivered again

Change: the emulated workers and state service execute copies of what they have executed and answered, a share of the messages, some copies each, a millisecond to two minutes later.

--- a/internal/emulator/servers.go
+++ b/internal/emulator/servers.go
@@ -31,6 +31,8 @@
 	cloudRequests *rate.Limiter // requests to the cloud
 	stateDelay    time.Duration // of each answer of the state service
 	repeatWithinS float64       // maximum delay of repeated heartbeats, in seconds; 0 if none are repeated
+	callRepeats   Repeats       // of direct calls to workers
+	writeRepeats  Repeats       // of transactions
 }
 
 // NewServers returns servers without quotas.
--- a/internal/emulator/state_server.go
+++ b/internal/emulator/state_server.go
@@ -77,6 +77,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	status, result := s.State.Commit(t)
+	if status == http.StatusOK {
+		s.scheduleWriteCopies(t)
+	}
 	s.wakeWatches()
 	writeBody(w, status, result)
 }
--- a/internal/emulator/worker_server.go
+++ b/internal/emulator/worker_server.go
@@ -42,6 +42,9 @@
 			writeBody(w, http.StatusOK, m.NextHeartbeat())
 		default:
 			status, heartbeat := s.Environment.Commands(s.Now(), m, request)
+			if status == http.StatusOK {
+				s.scheduleCallCopies(name, request)
+			}
 			writeBody(w, status, heartbeat)
 		}
 	})
--- a/internal/faulttest/inject.go
+++ b/internal/faulttest/inject.go
@@ -33,6 +33,8 @@
 	faultMachineSlow        = "machine_slow"
 	faultMachineDie         = "machine_die"
 	faultHeartbeatsRepeated = "reports_again"
+	faultCallsRepeated      = "calls_again"
+	faultWritesRepeated     = "writes_again"
 	faultSpotWave           = "spot_wave"
 	faultMachineRecall      = "drain"
 )
@@ -66,6 +68,8 @@
 		faultMachineSlow:        machines.slowMachines,
 		faultMachineDie:         machines.killMachines,
 		faultHeartbeatsRepeated: machines.repeatHeartbeats,
+		faultCallsRepeated:      machines.repeatCalls,
+		faultWritesRepeated:     services.repeatWrites,
 		faultSpotWave:           machines.recallSpotMachines,
 		faultMachineRecall:      machines.recallMachines,
 	}
--- a/internal/faulttest/inject_machines.go
+++ b/internal/faulttest/inject_machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"coralhub/internal/config"
 	"coralhub/internal/emulator"
@@ -77,6 +78,20 @@
 	return func() { mf.servers.RepeatHeartbeats(0) }
 }
 
+// repeatCalls delivers Count copies of a share Factor of the executed direct calls.
+func (mf *machineFaults) repeatCalls(f *Fault) undoFault {
+	mf.servers.RepeatCalls(repeatsOf(f))
+	return func() { mf.servers.RepeatCalls(emulator.Repeats{}) }
+}
+
+// maxCopyDelay is the maximum delay of a copy of a message.
+const maxCopyDelay = 2 * time.Minute
+
+// repeatsOf returns the repeats that a fault describes.
+func repeatsOf(f *Fault) emulator.Repeats {
+	return emulator.Repeats{Share: f.Factor, Copies: max(f.Count, 1), Within: maxCopyDelay}
+}
+
 func (mf *machineFaults) recallSpotMachines(f *Fault) undoFault {
 	return mf.affectMachines(f, func(m *emulator.Machine, now emulator.Micros) {
 		if m.Spot {
--- a/internal/faulttest/inject_services.go
+++ b/internal/faulttest/inject_services.go
@@ -35,6 +35,12 @@
 	return func() { sf.servers.SetQuotas(sf.quotas.State.RPS, sf.quotas.State.WriteRPS, sf.quotas.Cloud.RPS) }
 }
 
+// repeatWrites executes Count copies of a share Factor of the executed transactions.
+func (sf *serviceFaults) repeatWrites(f *Fault) undoFault {
+	sf.servers.RepeatWrites(repeatsOf(f))
+	return func() { sf.servers.RepeatWrites(emulator.Repeats{}) }
+}
+
 func (sf *serviceFaults) takeCloudDown(*Fault) undoFault {
 	sf.withEnvironment(func(e *emulator.Environment) { e.CloudDown = true })
 	return func() {
