scenario, zone: one runner of scripts, one exploration of states; a relay's raised tokens

Cause: the new tests wrote the loop over a script's lines and the search through a model's states a second time. What a relay does with a token that the leader has raised for one worker had no test of its own.

TestRelayKeepsRaisedTokenOfWorker: a relay answers under the election's token and under a raised one that its replica covers, and hands over what may be a later leader's.

--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -174,3 +174,47 @@
 		}
 	}
 }
+
+// A relay answers under the token that the leader has raised for a worker, but not under one that may be a later
+// leader's, which it has not heard of.
+func TestRelayKeepsRaisedTokenOfWorker(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		token           uint64 // of the worker
+		wantDelegate    uint64 // token of the answer while the leader is unreachable, 0 if there is none
+		wantUnforwarded bool   // whether a repeated heartbeat is answered while the leader is reachable
+	}{
+		{"token of the election", 9, 9, true},
+		{"raised token", 15, 15, true},
+		{"token above the replica", 25, 0, false},
+	} {
+		r, leaderValue := newRelay(t)
+		r.outbox.Begin(config.FromSeconds(10))
+		r.elector.Apply(&wire.Change{Put: "leader", Value: leaderValue, Version: 9}, true)
+		r.leaderResponded = true
+		r.replica.NoteRevision(20)
+		r.replica.NoteCurrent(config.FromSeconds(10))
+		in := msg.HeartbeatIn{
+			RequestID: 1,
+			Heartbeat: wire.Heartbeat{Machine: "m-1", Zone: "b", Incarnation: 1, FencingToken: c.token},
+		}
+		r.ForwardDone(msg.ForwardDone{RequestID: 1, Heartbeat: in.Heartbeat})
+		response, _ := r.outbox.End()[0].(msg.Respond)
+		body, _ := response.Body.(wire.HeartbeatResponse)
+		if body.FencingToken != c.wantDelegate {
+			t.Errorf("%s: answered with %+v", c.name, response)
+		}
+
+		r.outbox.Begin(config.FromSeconds(10))
+		answer := &wire.HeartbeatResponse{FencingToken: c.token}
+		r.ForwardDone(msg.ForwardDone{RequestID: 1, Heartbeat: in.Heartbeat, Response: answer})
+		r.PeerAlive(msg.PeerAlive{Node: "n1"})
+		r.HandleHeartbeat(in)
+		effects := r.outbox.End()
+		response, answered := effects[len(effects)-1].(msg.Respond)
+		body, _ = response.Body.(wire.HeartbeatResponse)
+		if answered != c.wantUnforwarded || answered && body.FencingToken != c.token {
+			t.Errorf("%s: a repeated heartbeat leads to %+v", c.name, effects[len(effects)-1])
+		}
+	}
+}
--- a/internal/core/zone/model_test.go
+++ b/internal/core/zone/model_test.go
@@ -429,14 +429,22 @@
 func explore(without guard) (int, *modelState) {
 	first := modelState{incarnation: 1}
 	first.nodes[firstLeader] = modelNode{alive: true, termStart: 1, token: 1}
-	seen := map[modelState]bool{first: true}
-	for pending := []modelState{first}; len(pending) > 0; {
+	return exploreStates(first,
+		func(s modelState) []modelState { return s.next(without) },
+		func(s *modelState) bool { return s.closed && s.runs })
+}
+
+// exploreStates visits every state that can follow the first one. It returns the number of visited states, and the
+// first violation found, or nil if there is none.
+func exploreStates[S comparable](first S, next func(S) []S, violates func(*S) bool) (int, *S) {
+	seen := map[S]bool{first: true}
+	for pending := []S{first}; len(pending) > 0; {
 		s := pending[len(pending)-1]
 		pending = pending[:len(pending)-1]
-		if s.closed && s.runs {
+		if violates(&s) {
 			return len(seen), &s
 		}
-		for _, t := range s.next(without) {
+		for _, t := range next(s) {
 			if !seen[t] {
 				seen[t] = true
 				pending = append(pending, t)
--- a/internal/core/zone/start_copies_model_test.go
+++ b/internal/core/zone/start_copies_model_test.go
@@ -340,21 +340,9 @@
 func exploreCopies(without copyGuard) (int, *copyState) {
 	first := copyState{revision: 1}
 	first.leaders[0] = copyLeader{alive: true, termStart: 1, revision: 1}
-	seen := map[copyState]bool{first: true}
-	for pending := []copyState{first}; len(pending) > 0; {
-		s := pending[len(pending)-1]
-		pending = pending[:len(pending)-1]
-		if s.violated {
-			return len(seen), &s
-		}
-		for _, t := range s.next(without) {
-			if !seen[t] {
-				seen[t] = true
-				pending = append(pending, t)
-			}
-		}
-	}
-	return len(seen), nil
+	return exploreStates(first,
+		func(s copyState) []copyState { return s.next(without) },
+		func(s *copyState) bool { return s.violated })
 }
 
 func TestCopyOfAnsweredCallStartsNoForgottenAttempt(t *testing.T) {
--- a/internal/scenario/concurrent_faults_test.go
+++ b/internal/scenario/concurrent_faults_test.go
@@ -63,30 +63,13 @@
 // runDay runs a script, ends all faults and returns the problems found.
 func runDay(t *testing.T, script string) (problems []string) {
 	t.Helper()
-	var s *Sim
-	for _, line := range strings.Split(strings.TrimSpace(script), "\n") {
-		if line = strings.TrimSpace(line); line == "" {
-			continue
-		}
-		cmd, args, err := datadriven.ParseLine(line)
-		if err != nil {
-			t.Fatal(err)
-		}
-		d := &datadriven.TestData{Cmd: cmd, CmdArgs: args, Pos: line}
-		if cmd == "environment" {
-			s = newScriptSim(t, d)
-			continue
-		}
-		out := executeCommand(t, s, d)
-		if cmd == "submit" {
-			if strings.HasPrefix(out, "400") {
-				t.Fatalf("%s: generated submission is malformed: %s", line, out)
-			}
+	s := runScript(t, script, func(s *Sim, d *datadriven.TestData, _ string) {
+		if d.Cmd == "submit" {
 			id := ""
 			d.ScanArgs(t, "id", &id)
 			s.pollUntilFinal(id)
 		}
-	}
+	})
 	return s.settle()
 }
 
--- a/internal/scenario/logs_test.go
+++ b/internal/scenario/logs_test.go
@@ -34,7 +34,7 @@
 	s := runScript(t, `
 		environment
 		submit id=j-1 shape=service tasks=12
-		run for=10s`)
+		run for=10s`, meetsCondition(t))
 	s.logs = nil
 	machines := len(s.env.Machines)
 	s.node(s.leader()).alive = false
@@ -52,7 +52,7 @@
 
 func TestCommandsAreLoggedWithTokenAndReason(t *testing.T) {
 	t.Parallel()
-	s := runScript(t, startCopyScripts["next attempt after an error"])
+	s := runScript(t, startCopyScripts["next attempt after an error"], meetsCondition(t))
 	lines := strings.Join(logLines(s.logs, "command"), "\n")
 	for _, verb := range []string{wire.CommandStart, wire.CommandForget} {
 		want := "debug verb=" + verb + " task=j-1/0 attempt=1 machine=m-000000 incarnation=1 fencing_token="
@@ -70,7 +70,7 @@
 	s := runScript(t, `
 		environment
 		submit id=j-1 shape=service tasks=2
-		run for=6s`)
+		run for=6s`, meetsCondition(t))
 	s.logs = nil
 	for _, m := range s.env.Machines {
 		foreign := wire.Command{Verb: wire.CommandStart, Task: "j-1/0", Attempt: 99}
--- a/internal/scenario/start_copies_test.go
+++ b/internal/scenario/start_copies_test.go
@@ -11,13 +11,16 @@
 	"coralhub/internal/emulator"
 )
 
+// failingMachine rents a machine and lets all later tasks on it fail.
+const failingMachine = `
+		submit id=j-9 shape=array tasks=4 run=1s
+		until id=j-9 status=done
+		machine name=m-000000 fail`
+
 // startCopyScripts are scripts after which copies of all executed calls arrive, again and again.
 var startCopyScripts = map[string]string{
 	"next attempt after an error": `
-		environment
-		submit id=j-9 shape=array tasks=4 run=1s
-		until id=j-9 status=done
-		machine name=m-000000 fail
+		environment` + failingMachine + `
 		submit id=j-1 shape=array tasks=6 run=40s
 		run for=6s`,
 	"many attempts of an array": `
@@ -38,10 +41,7 @@
 		cancel_with_retries id=j-1
 		run for=3s`,
 	"cancelled after errors": `
-		environment
-		submit id=j-9 shape=array tasks=4 run=1s
-		until id=j-9 status=done
-		machine name=m-000000 fail
+		environment` + failingMachine + `
 		submit id=j-1 shape=array tasks=6 run=60s
 		run for=6s
 		cancel_with_retries id=j-1
@@ -59,10 +59,7 @@
 		machine of=j-1 restart
 		run for=6s`,
 	"leader back within a second": `
-		environment
-		submit id=j-9 shape=array tasks=4 run=1s
-		until id=j-9 status=done
-		machine name=m-000000 fail
+		environment` + failingMachine + `
 		submit id=j-1 shape=array tasks=6 run=40s
 		run for=4s
 		node node=leader kill
@@ -70,20 +67,14 @@
 		start_all
 		run for=8s`,
 	"successor without a history of calls": `
-		environment
-		submit id=j-9 shape=array tasks=4 run=1s
-		until id=j-9 status=done
-		machine name=m-000000 fail
+		environment` + failingMachine + `
 		submit id=j-1 shape=array tasks=6 run=40s
 		run for=4s
 		node node=leader kill
 		run for=10s
 		start_all`,
 	"successor at once": `
-		environment
-		submit id=j-9 shape=array tasks=4 run=1s
-		until id=j-9 status=done
-		machine name=m-000000 fail
+		environment` + failingMachine + `
 		submit id=j-1 shape=array tasks=6 run=40s
 		run for=6s
 		node node=leader kill`,
@@ -98,10 +89,7 @@
 		machine nth=0 resume
 		run for=2s`,
 	"outage of the state service": `
-		environment
-		submit id=j-9 shape=array tasks=4 run=1s
-		until id=j-9 status=done
-		machine name=m-000000 fail
+		environment` + failingMachine + `
 		submit id=j-1 shape=array tasks=6 run=20s
 		run for=4s
 		state down
@@ -109,10 +97,7 @@
 		state up
 		run for=1s`,
 	"older version beside it": `
-		environment held=n1+n2
-		submit id=j-9 shape=array tasks=4 run=1s
-		until id=j-9 status=done
-		machine name=m-000000 fail
+		environment held=n1+n2` + failingMachine + `
 		submit id=j-1 shape=array tasks=6 run=20s
 		run for=6s`,
 }
@@ -120,7 +105,7 @@
 func TestCopyOfExecutedStartStartsNothing(t *testing.T) {
 	t.Parallel()
 	for _, name := range slices.Sorted(maps.Keys(startCopyScripts)) {
-		s := runScript(t, startCopyScripts[name])
+		s := runScript(t, startCopyScripts[name], meetsCondition(t))
 		for range 60 { // minutes later, too
 			s.repeatCalls()
 			s.run(2 * emulator.Second)
@@ -134,24 +119,13 @@
 	}
 }
 
-// runScript runs the commands of a script, one a line, and returns its simulation.
-func runScript(t *testing.T, script string) *Sim {
+// meetsCondition fails the test if a command names a machine that does not exist or waits in vain.
+func meetsCondition(t *testing.T) afterCommand {
 	t.Helper()
-	var s *Sim
-	for line := range strings.Lines(strings.TrimSpace(script)) {
-		cmd, args, err := datadriven.ParseLine(strings.TrimSpace(line))
-		if err != nil {
-			t.Fatal(err)
-		}
-		d := &datadriven.TestData{Cmd: cmd, CmdArgs: args, Pos: line}
-		if cmd == "environment" {
-			s = newScriptSim(t, d)
-			continue
-		}
-		out := executeCommand(t, s, d)
-		if strings.HasPrefix(out, "400") || strings.HasPrefix(out, "no such") || out == "never\n" {
-			t.Fatalf("%s: %s", line, out)
+	return func(_ *Sim, d *datadriven.TestData, out string) {
+		t.Helper()
+		if strings.HasPrefix(out, "no such") || out == "never\n" {
+			t.Fatalf("%s: %s", d.Pos, out)
 		}
 	}
-	return s
 }
