--- a/internal/core/zone/start_copies_model_test.go
+++ b/internal/core/zone/start_copies_model_test.go
@@ -30,8 +30,8 @@
 
 // copyCall is the direct call of a leader.
 type copyCall struct {
-	used, executed, done bool
-	token                uint8
+	used, executed bool
+	token          uint8
 }
 
 // copyReport is a message of the worker. Its sequence is its index in copyState.reports.
