--- a/internal/scenario/direct_calls_test.go
+++ b/internal/scenario/direct_calls_test.go
@@ -317,6 +317,7 @@
 		h := m.NextHeartbeat()
 		m.HeartbeatSent(s.now, s.env.HeartbeatInterval)
 		s.heartbeatCopies.add(s.now, &h)
+		s.reportSizes.add(s.now, &h)
 		s.scheduleCopy(&h)
 		if requestDelay, responseDelay := s.messageFaults.heartbeatDelays(); requestDelay+responseDelay > 0 {
 			s.sendSlowHeartbeat(n, m, h, requestDelay, responseDelay)
