core: a late copy of a catalog write no longer sets machine types back

Users don't retry 422.

Cause: the write of ch/catalog had no guard, so that a copy of it, after its answer, took effect as a newer version with older content.

Change: the write is guarded by the version that it replaces. The leader stores the types with its next refresh if a write failed or what is stored differs; before, a refused write was not repeated.

The scenarios hold every write of the key to the guard.

Conclusion: a copy fails by its guard, as those of records and pages do.

--- a/internal/core/catalog.go
+++ b/internal/core/catalog.go
@@ -21,7 +21,8 @@
 
 // catalogState records the origin of a core's catalog of machine types.
 type catalogState struct {
-	catalogVersion     uint64 // version of the stored catalog, 0 if there is none
+	catalogVersion     uint64 // version of the stored catalog, also if it is unreadable; 0 if there is none
+	catalogStored      bool   // whether the stored catalog has the machine types that this node goes by
 	catalogRequestedAt Micros // time of the last request to the cloud, 0 if there was none
 }
 
@@ -48,7 +49,8 @@
 	}
 	same := c.sameMachineTypes(&done.Catalog)
 	c.setCatalog(&done.Catalog)
-	if c.leader.Ready() && (!same || c.catalogVersion == 0) {
+	c.catalogStored = c.catalogStored && same
+	if c.leader.Ready() && !c.catalogStored {
 		c.storeCatalog(&done.Catalog)
 	}
 }
@@ -79,34 +81,46 @@
 	return true
 }
 
-// storeCatalog writes the machine types to the state service, unless they exceed the size limit of a value.
+// storeCatalog writes the machine types to the state service, unless they exceed the size limit of a value. The write
+// replaces the version that this node knows, so that a late copy of it fails. It is repeated with the next catalog
+// until it succeeds.
 func (c *Core) storeCatalog(catalog *wire.Catalog) {
 	value, err := job.Encode(catalog)
 	if err != nil || !c.encoding.Fits(value) {
 		return
 	}
-	transaction := wire.Transaction{Changes: []wire.Change{{Put: catalogKey, Value: value}}}
+	transaction := wire.Transaction{
+		Conditions: []wire.Condition{{Key: catalogKey, Version: c.catalogVersion}},
+		Changes:    []wire.Change{{Put: catalogKey, Value: value}},
+	}
 	c.outbox.Commit(transaction, msg.PurposeOther, func(done msg.CommitDone) {
 		if done.Outcome == msg.OK && done.Revision > c.catalogVersion {
 			c.catalogVersion = done.Revision
+			c.catalogStored = true
 		}
 	})
 }
 
-// applyCatalog applies a change of the stored machine types. Deletions, versions that are not newer, values that can't
-// be decoded and values without a valid machine type are ignored.
+// applyCatalog applies a change of the stored machine types. Versions that are not newer are ignored. The known types
+// are kept if the stored ones are deleted, can't be decoded or are all invalid.
 func (c *Core) applyCatalog(change *wire.Change) {
-	if change.Put == "" || change.Version <= c.catalogVersion {
+	if change.Version <= c.catalogVersion {
+		return
+	}
+	c.catalogVersion = change.Version
+	c.catalogStored = false
+	if change.Put == "" {
+		c.catalogVersion = 0
 		return
 	}
 	var catalog wire.Catalog
 	if job.Decode(change.Value, &catalog) != nil {
 		return
 	}
-	c.catalogVersion = change.Version
 	c.dropInvalidTypes(&catalog)
 	if len(catalog.Types) > 0 {
 		c.setCatalog(&catalog)
+		c.catalogStored = true
 	}
 }
 
--- a/internal/scenario/direct_calls_test.go
+++ b/internal/scenario/direct_calls_test.go
@@ -151,7 +151,7 @@
 		status, a := s.state.Commit(x.Transaction)
 		d.Outcome, d.Revision, d.Failed = outcome(status, a.Error), a.Revision, a.FailedKeys
 		if d.Outcome == msg.OK {
-			s.scheduleRepeatedCommits(x.Transaction)
+			s.noteExecutedWrite(x.Transaction)
 		}
 		if n.cutLinks["answer"] != "" && placesTasks { // only this response is lost
 			d = msg.CommitDone{ID: x.ID, Outcome: msg.Unknown}
--- a/internal/scenario/repeated_messages_test.go
+++ b/internal/scenario/repeated_messages_test.go
@@ -93,9 +93,19 @@
 	}
 }
 
-// scheduleRepeatedCommits schedules the copies of an executed transaction that the message faults draw.
-func (s *Sim) scheduleRepeatedCommits(t wire.Transaction) {
-	if s.messageFaults == nil || len(t.Changes) == 0 {
+// maxWriteCopies bounds the number of transactions that are kept.
+const maxWriteCopies = 1000
+
+// noteExecutedWrite keeps a transaction for repeatWrites, and schedules the copies of it that the message faults draw.
+func (s *Sim) noteExecutedWrite(t wire.Transaction) {
+	if len(t.Changes) == 0 {
+		return
+	}
+	s.executedWrites = append(s.executedWrites, t)
+	if drop := len(s.executedWrites) - maxWriteCopies; drop > 0 {
+		s.executedWrites = slices.Delete(s.executedWrites, 0, drop)
+	}
+	if s.messageFaults == nil {
 		return
 	}
 	repeats := &s.messageFaults.repeats
@@ -103,3 +113,10 @@
 		s.schedule(after, func() { s.commitLate(t) })
 	}
 }
+
+// repeatWrites executes a copy of every transaction that was executed so far, the oldest last.
+func (s *Sim) repeatWrites() {
+	for _, t := range slices.Backward(s.executedWrites) {
+		s.commitLate(t)
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -43,6 +43,7 @@
 //	duplicate_heartbeats node=n1 count=5
 //	                                copies of heartbeats arrive again at a node, or at all
 //	repeat_calls                    copies of all direct calls that were executed so far arrive again
+//	repeat_writes                   the same for transactions of the state service
 //	announce_limits                 the coming limits are announced to nodes that start from now on
 //	limits next                     the state service enforces the coming limits
 //	keys under=ch/part/             prints the number of keys with a prefix
--- a/internal/scenario/script_commands_test.go
+++ b/internal/scenario/script_commands_test.go
@@ -45,6 +45,7 @@
 	"start_all":            startAllCommand,
 	"duplicate_heartbeats": duplicateHeartbeatsCommand,
 	"repeat_calls":         repeatCallsCommand,
+	"repeat_writes":        repeatWritesCommand,
 	"cut":                  cutCommand,
 	"heal":                 healCommand,
 	"zone":                 zoneCommand,
@@ -325,6 +326,11 @@
 	return ""
 }
 
+func repeatWritesCommand(_ *testing.T, s *Sim, _ *datadriven.TestData, _ string) string {
+	s.repeatWrites()
+	return ""
+}
+
 func cutCommand(t *testing.T, s *Sim, d *datadriven.TestData, _ string) string {
 	t.Helper()
 	n, link, mode := nodeArg(t, s, d), "state", "drop"
--- a/internal/scenario/transaction_checks_test.go
+++ b/internal/scenario/transaction_checks_test.go
@@ -27,6 +27,7 @@
 	"mail/":     {leader: true},
 	"format":    {version: true, leader: true},
 	"placed/":   {version: true, leader: true},
+	"catalog":   {version: true},
 }
 
 // checkConditions checks that a transaction has the conditions that its keys require.
