--- a/cmd/coralhub/up.go
+++ b/cmd/coralhub/up.go
@@ -25,6 +25,8 @@
 	settings        string
 	listen          string
 	logLevel        string
+	// repeatCalls and repeatWrites are the fractions of the executed calls and transactions that arrive again.
+	repeatCalls, repeatWrites float64
 }
 
 func upCommand() *cobra.Command {
@@ -51,14 +53,36 @@
 	f.StringVar(&flags.settings, "settings", "", "operators' settings `FILE` for the nodes")
 	f.StringVar(&flags.listen, "listen", "127.0.0.1:0", "`ADDRESS` at which users reach the cluster")
 	f.StringVar(&flags.logLevel, "log", "info", "log level of the nodes: error, info or debug")
+	f.Float64Var(&flags.repeatCalls, "calls-again", 0, "fraction of the executed calls to workers that arrive again")
+	f.Float64Var(&flags.repeatWrites, "writes-again", 0,
+		"fraction of the executed transactions that the state service executes again")
 	return cmd
 }
 
+// checkRepeats returns an error that names a flag whose value is no fraction.
+func (f *upFlags) checkRepeats() error {
+	for name, share := range map[string]float64{"calls-again": f.repeatCalls, "writes-again": f.repeatWrites} {
+		if share >= 0 && share <= 1 {
+			continue
+		}
+		return fmt.Errorf("--%s %v: must be between 0 and 1", name, share)
+	}
+	return nil
+}
+
+// upRepeats returns the repeats of a fraction of the messages of a kind.
+func upRepeats(share float64) emulator.Repeats {
+	return emulator.Repeats{Share: share, Copies: 3, Within: 2 * time.Minute}
+}
+
 // readyTimeout bounds the time until a started cluster is ready.
 const readyTimeout = time.Minute
 
 // run starts a cluster and serves until ctx ends.
 func (f *upFlags) run(ctx context.Context, out io.Writer) error {
+	if err := f.checkRepeats(); err != nil {
+		return err
+	}
 	opt, err := f.options()
 	if err != nil {
 		return err
@@ -68,6 +92,8 @@
 		return err
 	}
 	defer c.Close()
+	c.Servers.RepeatCalls(upRepeats(f.repeatCalls))
+	c.Servers.RepeatWrites(upRepeats(f.repeatWrites))
 	ready, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	if err := c.AwaitReady(ready); err != nil {
