--- a/internal/scenario/direct_calls_test.go
+++ b/internal/scenario/direct_calls_test.go
@@ -229,6 +229,8 @@
 		status, heartbeat := s.env.Commands(s.now, m, x.Commands)
 		if status == http.StatusOK {
 			s.noteExecutedCall(executedCall{m.Name, x.Commands})
+		} else {
+			s.rejectedCalls++
 		}
 		return status, heartbeat
 	}
--- a/internal/scenario/report_size_test.go
+++ b/internal/scenario/report_size_test.go
@@ -70,8 +70,8 @@
 			s.reportSizes = &reportSizes{bytes: map[string]int{}}
 		}
 	})
-	t.Logf("at most %.0f bytes a second and worker, %d exited attempts in a report; %d commands, %d tokens raised",
-		s.reportSizes.maxRate, s.reportSizes.maxExited, len(logLines(s.logs, "command")),
+	t.Logf("at most %.0f bytes a second and worker, %d exited attempts in a report; %d calls, %d rejected, %d tokens raised",
+		s.reportSizes.maxRate, s.reportSizes.maxExited, len(s.executedCalls), s.rejectedCalls,
 		len(logLines(s.logs, "fencing token of a worker raised")))
 	if s.reportSizes.maxRate > maxReportRate {
 		t.Errorf("a worker sends %.0f bytes a second, more than %d", s.reportSizes.maxRate, maxReportRate)
--- a/internal/scenario/runner_test.go
+++ b/internal/scenario/runner_test.go
@@ -51,6 +51,7 @@
 	users              []*user             // users with requests to make
 	isolatedZone       string              // zone whose nodes and machines reach only each other, "" if none
 	concurrentRequests *concurrentRequests // nil if there are none and messages are delivered in order
+	rejectedCalls      int                 // direct calls that workers have rejected
 	executedWrites     []wire.Transaction  // transactions that may be executed again, the oldest first
 	reportSizes        *reportSizes        // nil if they are not recorded
 	logs               []msg.Log           // of all nodes
