emulator: the checker looks at machines once a tick, not once a job

Cause: for each team and each job of a simulation, every tick, the names of all machines were sorted to count the job's tasks: a third of the time of simulations with many jobs.

Change: limits and cancelled jobs are checked in one pass over the machines.

--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -22,13 +22,13 @@
 // checkCancelled finds tasks that are still on a machine more than CancelTimeout after a user received the
 // answer that their job is cancelled.
 func (c *Checker) checkCancelled(now Micros) {
-	for id := range c.jobs.Jobs {
-		cancelledAt := c.jobs.CancelledAt(id)
-		if cancelledAt == 0 || now-cancelledAt <= c.protocol.CancelTimeout {
-			continue
-		}
-		for _, task := range c.cloud.TasksOf(id, true) {
-			c.addViolation(now, "ran_cancelled %s", task)
+	for _, name := range c.cloud.MachineNames() {
+		for _, t := range c.cloud.Machines[name].tasks {
+			id, _, _ := wire.ParseTaskName(t.Task)
+			cancelledAt := c.jobs.CancelledAt(id)
+			if t.State != wire.Exited && cancelledAt != 0 && now-cancelledAt > c.protocol.CancelTimeout {
+				c.addViolation(now, "ran_cancelled %s.%d %s %s", t.Task, t.Attempt, name, t.State)
+			}
 		}
 	}
 }
@@ -78,11 +78,18 @@
 
 // UsedGPUs returns the number of GPUs that a team's tasks use, on all machines, including those that hang.
 func (c *Checker) UsedGPUs(team string) float64 {
-	used := 0.0
-	for id, j := range c.jobs.Jobs {
-		if j.Team == team {
-			used += j.GPUs * float64(len(c.cloud.TasksOf(id, true)))
+	tasks := map[*SubmittedJob]int{}
+	for _, m := range c.cloud.Machines {
+		for _, t := range m.tasks {
+			id, _, _ := wire.ParseTaskName(t.Task)
+			if j := c.jobs.Jobs[id]; j != nil && j.Team == team && t.State != wire.Exited {
+				tasks[j]++
+			}
 		}
 	}
+	used := 0.0
+	for j, n := range tasks {
+		used += j.GPUs * float64(n)
+	}
 	return used
 }
