--- a/internal/scenario/open_days_test.go
+++ b/internal/scenario/open_days_test.go
@@ -13,6 +13,7 @@
 }{
 	{"struck", 1100},
 	{"copies", 1006},
+	{"at_end", 5012},
 }
 
 func TestOpenDays(t *testing.T) {
