scenario: copies of messages share one drawing, one bound and one schedule

Read once more: the delay of a copy was drawn by the formula that drawDuration already has, and calls and transactions were kept and scheduled by the same lines twice. drawTicks, appendBounded and scheduleRepeats serve both.

--- a/internal/scenario/message_faults_test.go
+++ b/internal/scenario/message_faults_test.go
@@ -97,7 +97,12 @@
 
 // drawDuration draws a duration from low to high in whole ticks.
 func (f *messageFaults) drawDuration(low, high emulator.Micros) emulator.Micros {
-	return low + f.rnd.Int64N((high-low)/tick+1)*tick
+	return drawTicks(f.rnd, low, high)
+}
+
+// drawTicks draws a duration from low to high in whole ticks.
+func drawTicks(rnd *rand.Rand, low, high emulator.Micros) emulator.Micros {
+	return low + rnd.Int64N((high-low)/tick+1)*tick
 }
 
 // commitFate draws the fate of a transaction.
--- a/internal/scenario/repeated_messages_test.go
+++ b/internal/scenario/repeated_messages_test.go
@@ -38,7 +38,7 @@
 	delays := make([]emulator.Micros, 1+r.rnd.IntN(maxRepeats))
 	for i := range delays {
 		between := repeatDelays[r.rnd.IntN(len(repeatDelays))]
-		delays[i] = between[0] + r.rnd.Int64N((between[1]-between[0])/tick+1)*tick
+		delays[i] = drawTicks(r.rnd, between[0], between[1])
 	}
 	return delays
 }
@@ -51,16 +51,23 @@
 
 // noteExecutedCall keeps a call for repeatCalls, and schedules the copies of it that the message faults draw.
 func (s *Sim) noteExecutedCall(call executedCall) {
-	s.executedCalls = append(s.executedCalls, call)
-	if drop := len(s.executedCalls) - maxCopies; drop > 0 {
-		s.executedCalls = slices.Delete(s.executedCalls, 0, drop)
+	s.executedCalls = appendBounded(s.executedCalls, call, maxCopies)
+	if s.messageFaults != nil {
+		s.scheduleRepeats(s.messageFaults.repeats.calls, func() { s.repeatCall(call) })
 	}
-	if s.messageFaults == nil {
-		return
-	}
-	repeats := &s.messageFaults.repeats
-	for _, after := range repeats.draw(repeats.calls) {
-		s.schedule(after, func() { s.repeatCall(call) })
+}
+
+// appendBounded appends an element and drops the oldest beyond a maximum number.
+func appendBounded[T any](kept []T, x T, most int) []T {
+	kept = append(kept, x)
+	return slices.Delete(kept, 0, max(0, len(kept)-most))
+}
+
+// scheduleRepeats schedules the copies of a message that the message faults draw, given the fraction of the messages of
+// its kind that are repeated.
+func (s *Sim) scheduleRepeats(fraction float64, deliver func()) {
+	for _, after := range s.messageFaults.repeats.draw(fraction) {
+		s.schedule(after, deliver)
 	}
 }
 
@@ -101,16 +108,9 @@
 	if len(t.Changes) == 0 {
 		return
 	}
-	s.executedWrites = append(s.executedWrites, t)
-	if drop := len(s.executedWrites) - maxWriteCopies; drop > 0 {
-		s.executedWrites = slices.Delete(s.executedWrites, 0, drop)
-	}
-	if s.messageFaults == nil {
-		return
-	}
-	repeats := &s.messageFaults.repeats
-	for _, after := range repeats.draw(repeats.writes) {
-		s.schedule(after, func() { s.commitLate(t) })
+	s.executedWrites = appendBounded(s.executedWrites, t, maxWriteCopies)
+	if s.messageFaults != nil {
+		s.scheduleRepeats(s.messageFaults.repeats.writes, func() { s.commitLate(t) })
 	}
 }
 
