reconciler: a command is built and logged in one place

Read once more: each of three places logged a command and then built it, and the task's name was formatted twice, for every start, stop and forget. newCommand does both once. The log lines and commands are the same.

--- a/internal/core/reconciler/commands.go
+++ b/internal/core/reconciler/commands.go
@@ -19,8 +19,8 @@
 			// After a forget command, a repeated start of the attempt would take effect again. So the attempt is
 			// forgotten only once its end is committed and no start, nor a copy of one, can take effect.
 			if !open && inResponse && m.StartsResolved() && !m.StartMayRepeat(key) {
-				r.logCommand(m, wire.CommandForget, key, "end committed, no start can take effect")
-				commands = append(commands, newCommand(wire.CommandForget, key, nil))
+				reason := "end committed, no start can take effect"
+				commands = append(commands, r.newCommand(m, wire.CommandForget, key, nil, reason))
 			}
 			continue
 		}
@@ -31,8 +31,7 @@
 			graceS, stop, reason = 0, true, "not placed here"
 		}
 		if stop {
-			r.logCommand(m, wire.CommandStop, key, reason)
-			commands = append(commands, newCommand(wire.CommandStop, key, &graceS))
+			commands = append(commands, r.newCommand(m, wire.CommandStop, key, &graceS, reason))
 		}
 	}
 	for _, key := range job.SortedAttemptKeys(expected) {
@@ -40,15 +39,20 @@
 			continue
 		}
 		if r.shouldStart(m, key, inResponse) {
-			r.logCommand(m, wire.CommandStart, key, "placed and not reported")
-			commands = append(commands, newCommand(wire.CommandStart, key, nil))
+			commands = append(commands, r.newCommand(m, wire.CommandStart, key, nil, "placed and not reported"))
 		}
 	}
 	return commands
 }
 
-func newCommand(verb string, key job.AttemptKey, graceS *float64) wire.Command {
-	return wire.Command{Verb: verb, Task: wire.TaskName(key.Job, key.Task), Attempt: key.Attempt, GraceS: graceS}
+// newCommand returns a command to a worker, and logs it with the reason why it is allowed.
+func (r *Reconciler) newCommand(
+	m *zone.Machine, verb string, key job.AttemptKey, graceS *float64, reason string,
+) wire.Command {
+	c := wire.Command{Verb: verb, Task: wire.TaskName(key.Job, key.Task), Attempt: key.Attempt, GraceS: graceS}
+	r.outbox.Debug("command", "verb", c.Verb, "task", c.Task, "attempt", c.Attempt, "machine", m.Name,
+		"incarnation", m.Incarnation, "fencing_token", r.token(m), "reported_token", m.FencingToken, "reason", reason)
+	return c
 }
 
 // shouldStart reports whether an attempt that is placed on a machine but not reported by its worker is to be started.
--- a/internal/core/reconciler/log.go
+++ b/internal/core/reconciler/log.go
@@ -46,13 +46,6 @@
 	r.awaited = nil
 }
 
-// logCommand logs a command to a worker and why it is allowed.
-func (r *Reconciler) logCommand(m *zone.Machine, verb string, key job.AttemptKey, reason string) {
-	r.outbox.Debug("command", "verb", verb, "task", wire.TaskName(key.Job, key.Task), "attempt", key.Attempt,
-		"machine", m.Name, "incarnation", m.Incarnation, "fencing_token", r.token(m), "reported_token", m.FencingToken,
-		"reason", reason)
-}
-
 // logUnplaced logs that a worker has begun to run an attempt without a placement. Only a start command that should have
 // had no effect can be the cause.
 func (r *Reconciler) logUnplaced(m *zone.Machine, key job.AttemptKey, t *zone.Task) {
