election: up to which token the leaders known so far go stands in one place

Read once more: the leader's reconciler and the relay each took the maximum of the leader key's version and the replica's revision, with half of the argument in each comment. Elector.HighestToken holds both. While a node leads, its token is the version of the holder that it knows, so the bound is the same.

--- a/internal/core/election/elector.go
+++ b/internal/core/election/elector.go
@@ -128,6 +128,11 @@
 // Holder returns the holder of the leader key, as last observed by this node.
 func (e *Elector) Holder() Holder { return e.holder }
 
+// HighestToken returns an upper bound of the fencing tokens of the holder and of earlier leaders, given the revision up
+// to which this node has applied all changes. A later leader's token is above that revision, because the change of the
+// leader key would have been applied otherwise.
+func (e *Elector) HighestToken(applied uint64) uint64 { return max(e.holder.Version, applied) }
+
 // OtherHolder returns the name of the holder if it is another node, and the empty string otherwise.
 func (e *Elector) OtherHolder() string {
 	if e.holder.Node == e.node {
--- a/internal/core/reconciler/tokens.go
+++ b/internal/core/reconciler/tokens.go
@@ -37,9 +37,7 @@
 }
 
 // HighestToken returns an upper bound of the tokens that this leader has used.
-func (r *Reconciler) HighestToken() uint64 {
-	return max(r.elector.FencingToken(), r.replica.Revision())
-}
+func (r *Reconciler) HighestToken() uint64 { return r.elector.HighestToken(r.replica.Revision()) }
 
 // OfLaterLeader reports whether a token that a worker has received is known to be of a leader that was elected after
 // this one.
--- a/internal/core/relay/acknowledgement.go
+++ b/internal/core/relay/acknowledgement.go
@@ -53,10 +53,9 @@
 	r.actAsDelegate(msg.HeartbeatIn{RequestID: done.RequestID, Heartbeat: done.Heartbeat}, !done.Busy)
 }
 
-// knowsToken reports whether a token is of the current leader or an earlier one. A later leader's token is above every
-// revision up to which the replica shows who leads.
+// knowsToken reports whether a token is of the current leader or an earlier one.
 func (r *Relay) knowsToken(token uint64) bool {
-	return token <= max(r.elector.Holder().Version, r.replica.Revision())
+	return token <= r.elector.HighestToken(r.replica.Revision())
 }
 
 // unchanged reports whether a heartbeat repeats what the leader has acknowledged before, and the
