emulator: the longest delay of a copy is said once

Two minutes stood in the fault tests and in up; it is a constant beside the shortest delay now, and Repeats has share and copies only. A share of 0 still repeats nothing.

--- a/cmd/coralhub/up.go
+++ b/cmd/coralhub/up.go
@@ -70,10 +70,8 @@
 	return nil
 }
 
-// upRepeats returns the repeats of a fraction of the messages of a kind.
-func upRepeats(share float64) emulator.Repeats {
-	return emulator.Repeats{Share: share, Copies: 3, Within: 2 * time.Minute}
-}
+// copiesOfMessage is the number of copies of each message that arrives again.
+const copiesOfMessage = 3
 
 // readyTimeout bounds the time until a started cluster is ready.
 const readyTimeout = time.Minute
@@ -92,8 +90,8 @@
 		return err
 	}
 	defer c.Close()
-	c.Servers.RepeatCalls(upRepeats(f.repeatCalls))
-	c.Servers.RepeatWrites(upRepeats(f.repeatWrites))
+	c.Servers.RepeatCalls(emulator.Repeats{Share: f.repeatCalls, Copies: copiesOfMessage})
+	c.Servers.RepeatWrites(emulator.Repeats{Share: f.repeatWrites, Copies: copiesOfMessage})
 	ready, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	if err := c.AwaitReady(ready); err != nil {
--- a/internal/emulator/repeats.go
+++ b/internal/emulator/repeats.go
@@ -10,22 +10,25 @@
 
 // Repeats describes which executed messages are delivered again after their answer.
 type Repeats struct {
-	Share  float64       // fraction of the messages, between 0 and 1
-	Copies int           // number of copies of each
-	Within time.Duration // maximum delay of a copy
+	Share  float64 // fraction of the messages, between 0 and 1
+	Copies int     // number of copies of each
 }
 
-// minCopyDelay is the minimum delay of a copy of a message. Delays are distributed evenly on a logarithmic scale.
-const minCopyDelay = time.Millisecond
+// minCopyDelay and maxCopyDelay bound the delay of a copy of a message. Delays are distributed evenly on a logarithmic
+// scale.
+const (
+	minCopyDelay = time.Millisecond
+	maxCopyDelay = 2 * time.Minute
+)
 
 // delays draws the delays of the copies of a message.
 func (r Repeats) delays() []time.Duration {
-	if r.Within <= minCopyDelay || rand.Float64() >= r.Share {
+	if rand.Float64() >= r.Share {
 		return nil
 	}
 	delays := make([]time.Duration, r.Copies)
 	for i := range delays {
-		span := math.Pow(float64(r.Within)/float64(minCopyDelay), rand.Float64())
+		span := math.Pow(float64(maxCopyDelay)/float64(minCopyDelay), rand.Float64())
 		delays[i] = time.Duration(float64(minCopyDelay) * span)
 	}
 	return delays
--- a/internal/faulttest/inject_machines.go
+++ b/internal/faulttest/inject_machines.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"coralhub/internal/config"
 	"coralhub/internal/emulator"
@@ -84,12 +83,9 @@
 	return func() { mf.servers.RepeatCalls(emulator.Repeats{}) }
 }
 
-// maxCopyDelay is the maximum delay of a copy of a message.
-const maxCopyDelay = 2 * time.Minute
-
 // repeatsOf returns the repeats that a fault describes.
 func repeatsOf(f *Fault) emulator.Repeats {
-	return emulator.Repeats{Share: f.Factor, Copies: max(f.Count, 1), Within: maxCopyDelay}
+	return emulator.Repeats{Share: f.Factor, Copies: max(f.Count, 1)}
 }
 
 func (mf *machineFaults) recallSpotMachines(f *Fault) undoFault {
