--- a/review/testdata/standin2/lost.go
+++ b/review/testdata/standin2/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -75,6 +76,10 @@
 	if other == nil {
 		s.unable("the job after the troubles did not run either")
 	}
+	for _, n := range s.nodes { // not part of the check
+		status, _ := s.call(http.MethodPost, n.users, wire.PathJobs+"/j-000002/"+wire.CancelVerb, nil, 5*time.Second)
+		s.say("user: cancels j-000002 at %s: %d", n.name, status)
+	}
 	s.finish(true, fmt.Sprintf("j-000002, accepted, has no start %.0f s after the last trouble; j-000003, of the same kind and submitted later, "+
 		"runs on %s, which has had room for both", waited.Seconds(), other.name))
 }
